Add a first working EntryCore for completions

Cause: the adapters and the harness link against EntryCore, whose implementation was missing. Change: UpstreamView, SubsetSelector and a Router without prefix claims; StreamAssembler; EntryCore with submission, dispatch, token delivery, resumption after a failure, the deadline watchdog with a confirmed tombstone, and heartbeats to the subset. Conclusion: a completion ends with exactly one final delivery in the unit tests; 'not run' is reported only with a tombstone of the incarnation that got the attempt.

--- /dev/null
+++ b/ibismast/entry/completion.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "ibismast/entry/entryactions.h"
+#include "ibismast/streams/streamassembler.h"
+
+namespace ibismast
+{
+
+/// What is known of an attempt at one upstream.
+enum class PlaceState : std::uint8_t {
+    /// Sent; the agent has not answered.
+    Sent,
+    /// Queued or running.
+    Accepted,
+    /// Refused before dispatch, or its tombstone is confirmed.
+    NotRun,
+    /// Ended or lost; the upstream may have run it.
+    MayHaveRun,
+};
+
+/// One upstream to which an attempt was dispatched.
+struct AttemptPlace
+{
+    InstanceId upstream;
+    /// Run of the agent that the attempt was sent to.
+    Incarnation incarnation;
+    PlaceState state = PlaceState::Sent;
+};
+
+/// One dispatch of a completion to an upstream, or to the members of a group.
+struct Attempt
+{
+    AttemptId id;
+    std::vector<AttemptPlace> places;
+    /// Tokens that the dispatch adds to the upstream's queue.
+    Tokens work;
+
+    /// Returns the place at @p upstream, or null.
+    [[nodiscard]] AttemptPlace *find(const InstanceId &upstream);
+};
+
+/// What a completion waits for.
+enum class CompletionPhase : std::uint8_t {
+    /// The last attempt is queued or running.
+    Running,
+    /// A cancellation of the last attempt was sent and is not answered.
+    Cancelling,
+    /// The next attempt starts later.
+    Waiting,
+};
+
+/// Completion request that has not ended.
+struct Completion
+{
+    RequestId id;
+    CompletionRequest request;
+    PriorityClass priorityClass = PriorityClass::Short;
+    TimePoint admitted;
+    TimePoint deadline;
+    StreamAssembler assembler;
+    /// All attempts; only the last one may be active.
+    std::vector<Attempt> attempts;
+    CompletionPhase phase = CompletionPhase::Waiting;
+    /// When the present phase is given up: an unanswered dispatch or cancellation, or the wait for the next attempt.
+    TimePoint phaseUntil = TimePoint::max();
+    /// Failure to report once the cancellation is answered; a new attempt follows if it is empty.
+    std::optional<Error> failureAfterCancel;
+    /// Reason of the last failed attempt.
+    std::optional<Error> lastError;
+
+    /// True if every attempt was refused before dispatch or has a confirmed tombstone.
+    [[nodiscard]] bool provenNotRun() const;
+    /// True if an attempt was made at @p upstream.
+    [[nodiscard]] bool tried(const InstanceId &upstream) const;
+    /// Returns the last attempt if it has the given id, or null.
+    [[nodiscard]] Attempt *current(const AttemptId &attempt);
+};
+
+} // namespace ibismast
--- a/ibismast/entry/entrycore.h
+++ b/ibismast/entry/entrycore.h
@@ -53,7 +53,8 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    // KDE's name for the pointer to the implementation.
+    std::unique_ptr<Private> d; // NOLINT(readability-identifier-naming)
 };
 
 } // namespace ibismast
--- /dev/null
+++ b/ibismast/entry/entrycoresettings.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "ibismast/core/result.h"
+#include "ibismast/routing/router.h"
+#include "ibismast/routing/upstreamview.h"
+
+namespace ibismast
+{
+
+/// Settings of an `EntryCore`.
+struct EntryCoreSettings
+{
+    UpstreamViewSettings upstreams;
+    RouterSettings router;
+    /// Time between heartbeats to an agent of the subset; the tenth part of it is added or taken off at random.
+    Duration heartbeatInterval = std::chrono::seconds(1);
+    /// Time before its deadline at which the watchdog ends a request; at most a tenth of the request's time.
+    Duration watchdogLead = std::chrono::milliseconds(20);
+    /// Time before its deadline at which an attempt without tokens is cancelled, so that a confirmed tombstone can
+    /// still be reported; at most a fifth of the request's time.
+    Duration tombstoneLead = std::chrono::milliseconds(150);
+    /// Time after which an unanswered dispatch is cancelled and an unanswered cancellation is given up.
+    Duration answerTimeout = std::chrono::seconds(1);
+    /// Largest number of attempts of one request.
+    std::uint32_t maxAttempts = 5;
+};
+
+/// Returns the error that names the first invalid field of @p settings, or `Success`.
+[[nodiscard]] Result<Success> validate(const EntryCoreSettings &settings);
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/routing/router.cpp
@@ -0,0 +1,57 @@
+#include "ibismast/routing/router.h"
+
+namespace ibismast
+{
+
+namespace
+{
+
+/// Returns the first accepted member at or behind a random position, other than @p other.
+Upstream *
+pick(const std::vector<Upstream *> &subset, const RouteFilter &filter, const Upstream *other, SeededRandom &random)
+{
+    const std::size_t start = random.below(subset.size());
+    for (std::size_t step = 0; step < subset.size(); ++step) {
+        Upstream *candidate = subset[(start + step) % subset.size()];
+        if (candidate != other && filter.accepts(*candidate)) {
+            return candidate;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+Router::Router(const RouterSettings &settings) : m_settings(settings) { }
+
+Upstream *Router::choose(const std::vector<Upstream *> &subset,
+                         const RouteQuery &query,
+                         const RouteFilter &filter,
+                         SeededRandom &random) const
+{
+    if (subset.empty()) {
+        return nullptr;
+    }
+    Upstream *first = pick(subset, filter, nullptr, random);
+    if (first == nullptr) {
+        return nullptr;
+    }
+    Upstream *second = pick(subset, filter, first, random);
+    if (second != nullptr && cost(*second, query) < cost(*first, query)) {
+        return second;
+    }
+    return first;
+}
+
+double Router::cost(const Upstream &upstream, const RouteQuery &query) const
+{
+    double queued = 0.0;
+    for (const PriorityClass priorityClass : AllPriorityClasses) {
+        const double weight = priorityClass <= query.priorityClass ? 1.0 : m_settings.longerClassWeight;
+        queued += weight * static_cast<double>(upstream.outstanding(priorityClass).value());
+    }
+    const double rate = upstream.load.prefillRate > 0.0 ? upstream.load.prefillRate : m_settings.defaultRate;
+    return (queued + static_cast<double>(query.promptTokens.value())) / rate;
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/streams/streamassembler.cpp
@@ -0,0 +1,54 @@
+#include "ibismast/streams/streamassembler.h"
+
+#include <iterator>
+#include <utility>
+
+namespace ibismast
+{
+
+void StreamAssembler::beginAttempt(const AttemptId &attempt)
+{
+    m_attempt = attempt;
+}
+
+void StreamAssembler::endAttempt()
+{
+    m_attempt.reset();
+}
+
+StreamAssembler::PartOutcome StreamAssembler::addPart(StreamPart part, std::vector<std::string> &tokens)
+{
+    if (m_attempt != part.attempt) {
+        return PartOutcome::OtherAttempt;
+    }
+    if (part.firstSequence > m_count) {
+        return PartOutcome::Gap;
+    }
+    const std::uint64_t known = m_count - part.firstSequence;
+    if (known >= part.tokens.size()) {
+        return PartOutcome::Duplicate;
+    }
+    for (auto token = part.tokens.begin() + static_cast<std::ptrdiff_t>(known); token != part.tokens.end(); ++token) {
+        m_text += *token;
+        ++m_count;
+        tokens.push_back(std::move(*token));
+    }
+    return PartOutcome::Added;
+}
+
+bool StreamAssembler::completes(const StreamEnd &end) const
+{
+    return m_attempt == end.attempt && end.tokenCount == m_count;
+}
+
+std::uint64_t StreamAssembler::tokenCount() const
+{
+    return m_count;
+}
+
+const std::string &StreamAssembler::text() const
+{
+    return m_text;
+}
+
+} // namespace ibismast
