--- a/ibismast/store/storebudget.cpp
+++ b/ibismast/store/storebudget.cpp
@@ -7,7 +7,7 @@
 
 Result<Success> StoreBudgetSettings::validate() const
 {
-    const auto invalid = [](std::string field) {
+    const auto invalid = [](const std::string &field) {
         return Error {ResultCode::SettingsInvalid, "StoreBudgetSettings::" + field, std::nullopt};
     };
     if (readsPerSecond <= 0.0) {
