Carry prefix hashes to the engine and name their block size

Cause: the engine's prefix cache and the agent's estimate need the hashes that the entry computed, but EngineSubmit did not carry them, and no header said how many tokens one hash covers. Change: EngineSubmit::prefixHashes and PrefixBlockTokens (512) are new; nothing is renamed or removed.

--- a/ibismast/core/messages.h
+++ b/ibismast/core/messages.h
@@ -16,6 +16,9 @@
 /// Body of a request, shared so that a large prompt is held once per process.
 using SharedBody = std::shared_ptr<const std::string>;
 
+/// Prompt tokens that each element of `DispatchRequest::prefixHashes` adds to the one before it.
+inline constexpr Tokens PrefixBlockTokens {512};
+
 /// Place of one member in a group of upstreams that serves a prompt larger than one engine.
 struct GroupSegment
 {
--- a/ibismast/core/upstreammessages.h
+++ b/ibismast/core/upstreammessages.h
@@ -20,6 +20,8 @@
     bool chat = false;
     SharedBody body;
     std::optional<GroupSegment> group;
+    /// Hashes of the prompt's leading blocks as in `DispatchRequest`, for the engine's prefix cache.
+    std::vector<std::uint64_t> prefixHashes;
 };
 
 /// Changes the priority of a running attempt.
