Add a working AgentCore and the engine model

Cause: other parts link against the agent's state machine and need an engine on the virtual clock to test against. Change: memory account, fair queue with classes and customers, estimate of the engine's progress, rate estimate, admission by expected completion, attempt table with tombstones, peer table with incarnations; AgentCore dispatches, relays, cancels and frees. Conclusion: groups, operations, orders, reconciliation with the engine and cache events are not handled yet.

--- /dev/null
+++ b/ibismast/admission/capacityestimator.cpp
@@ -0,0 +1,87 @@
+#include "ibismast/admission/capacityestimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ibismast
+{
+
+namespace
+{
+
+// Weight of the initial rate against measurements, in seconds of busy time.
+constexpr double InitialWeight = 2.0;
+// Weight of one gap between tokens in the moving average.
+constexpr double GapWeight = 0.02;
+
+} // namespace
+
+Result<Success> CapacityEstimatorSettings::validate() const
+{
+    const auto invalid = [](std::string message) {
+        return Error {ResultCode::SettingsInvalid, std::move(message), std::nullopt};
+    };
+    if (!(prefillRate > 0.0)) {
+        return invalid("prefillRate must be positive");
+    }
+    if (tokenInterval <= Duration::zero()) {
+        return invalid("tokenInterval must be positive");
+    }
+    if (horizon <= Duration::zero()) {
+        return invalid("horizon must be positive");
+    }
+    if (!(lowestPrefillRate > 0.0)) {
+        return invalid("lowestPrefillRate must be positive");
+    }
+    return Success();
+}
+
+CapacityEstimator::CapacityEstimator(const CapacityEstimatorSettings &settings)
+    : m_settings(settings)
+    , m_busySeconds(InitialWeight)
+    , m_tokens(InitialWeight * settings.prefillRate)
+    , m_tokenInterval(toSeconds(settings.tokenInterval))
+{
+}
+
+void CapacityEstimator::engineReported(double prefillRate, double tokensPerAttempt)
+{
+    if (prefillRate > 0.0 && !m_prefillMeasured) {
+        m_busySeconds = InitialWeight;
+        m_tokens = InitialWeight * prefillRate;
+    }
+    if (tokensPerAttempt > 0.0 && !m_intervalMeasured) {
+        m_tokenInterval = 1.0 / tokensPerAttempt;
+    }
+}
+
+void CapacityEstimator::advance(TimePoint now, bool busy)
+{
+    const double elapsed = std::max(0.0, toSeconds(now - m_last));
+    m_last = std::max(m_last, now);
+    if (!busy || elapsed == 0.0) {
+        return;
+    }
+    const double keep = std::exp(-elapsed / toSeconds(m_settings.horizon));
+    m_busySeconds = m_busySeconds * keep + elapsed;
+    m_tokens *= keep;
+}
+
+void CapacityEstimator::prefilled(double tokens)
+{
+    m_prefillMeasured = m_prefillMeasured || tokens > 0.0;
+    m_tokens += tokens;
+}
+
+void CapacityEstimator::tokenGap(Duration gap)
+{
+    m_intervalMeasured = true;
+    m_tokenInterval += GapWeight * (toSeconds(gap) - m_tokenInterval);
+}
+
+EngineRates CapacityEstimator::rates() const
+{
+    return EngineRates {std::max(m_tokens / m_busySeconds, m_settings.lowestPrefillRate), fromSeconds(m_tokenInterval)};
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/agent/agentcontext.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "ibismast/agent/agentactions.h"
+#include "ibismast/agent/agentcoresettings.h"
+#include "ibismast/core/eventlistener.h"
+
+namespace ibismast
+{
+
+/// What the parts of one `AgentCore` share.
+struct AgentContext
+{
+    AgentCoreSettings settings;
+    PeerSummary self;
+    EventListener *listener = nullptr;
+
+    /// Reports an event to the listener, if there is one.
+    void log(std::string_view name, const std::vector<LogField> &fields) const
+    {
+        if (listener != nullptr) {
+            listener->onEvent(name, fields);
+        }
+    }
+};
+
+/// Sends @p message to @p receiver.
+inline void sendTo(const InstanceId &receiver, PeerMessage message, AgentActions &out)
+{
+    out.emplace_back(SendToPeer {receiver, std::move(message)});
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/agent/dispatchhandler.cpp
@@ -0,0 +1,168 @@
+#include "ibismast/agent/dispatchhandler.h"
+
+#include <algorithm>
+
+namespace ibismast
+{
+
+namespace
+{
+
+Error makeError(ResultCode code, std::string message)
+{
+    return Error {code, std::move(message), std::nullopt};
+}
+
+} // namespace
+
+DispatchHandler::DispatchHandler(const AgentContext &context, AttemptRunner &runner)
+    : m_context(context)
+    , m_runner(runner)
+    , m_admission(context.settings.admission, context.settings.schedule.queue)
+    , m_models(context.settings.models)
+{
+}
+
+void DispatchHandler::dispatch(const PeerFrame &frame, const DispatchRequest &request, TimePoint now, AgentActions &out)
+{
+    const AttemptId &id = request.attempt;
+    if (const Attempt *live = m_runner.attempts().find(id); live != nullptr && live->owner == frame.sender) {
+        m_context.log("duplicate_dispatch", {{"attempt", toString(id)}});
+        return;
+    }
+    if (m_runner.attempts().recordOf(id) == AttemptRecord::Ended) {
+        // A refusal would claim that the attempt was not run.
+        m_context.log("duplicate_dispatch", {{"attempt", toString(id)}});
+        return;
+    }
+    const auto refuse = [&](const Error &error) {
+        m_context.log("attempt_refused", {{"attempt", toString(id)}, {"reason", error.message}});
+        sendTo(frame.sender, DispatchRefused {id, error, {}}, out);
+    };
+    if (const auto error = objection(frame, request)) {
+        refuse(*error);
+        return;
+    }
+    supersede(id, now, out);
+
+    Attempt attempt;
+    attempt.request = request;
+    attempt.owner = frame.sender;
+    attempt.deadline = now + request.timeLeft;
+    attempt.priorityClass = classifyPrompt(request.promptTokens);
+    attempt.prefill = request.promptTokens + Tokens(static_cast<std::int64_t>(request.resumeFrom));
+    attempt.memory = request.promptTokens + request.maxOutputTokens;
+    attempt.nextSequence = request.resumeFrom;
+    const Result<Duration> admitted = admit(std::move(attempt), now);
+    if (const Error *error = errorOf(admitted)) {
+        refuse(*error);
+        return;
+    }
+    m_context.log("attempt_accepted", {{"attempt", toString(id)}, {"customer", request.customer.value()}});
+    sendTo(frame.sender, DispatchAccepted {id, std::get<Duration>(admitted)}, out);
+}
+
+void DispatchHandler::cancel(const PeerFrame &frame, const CancelAttempt &message, TimePoint now, AgentActions &out)
+{
+    const AttemptId &id = message.attempt;
+    CancelOutcome outcome = CancelOutcome::NeverStarted;
+    if (const Attempt *live = m_runner.attempts().find(id)) {
+        if (live->owner != frame.sender) {
+            m_context.log("foreign_cancel", {{"attempt", toString(id)}, {"sender", frame.sender.value()}});
+            return;
+        }
+        outcome = m_runner.cancel(id, now, out);
+    } else if (m_runner.attempts().recordOf(id) == AttemptRecord::Ended) {
+        outcome = CancelOutcome::AlreadyEnded;
+    } else {
+        m_runner.attempts().record(id, AttemptRecord::Tombstone, now);
+    }
+    sendTo(frame.sender, CancelResult {id, outcome}, out);
+}
+
+void DispatchHandler::setLeaving()
+{
+    m_leaving = true;
+}
+
+void DispatchHandler::setModels(std::vector<ModelName> models)
+{
+    m_models = std::move(models);
+}
+
+const std::vector<ModelName> &DispatchHandler::models() const
+{
+    return m_models;
+}
+
+std::optional<Error> DispatchHandler::objection(const PeerFrame &frame, const DispatchRequest &request)
+{
+    AttemptTable &attempts = m_runner.attempts();
+    if (request.attempt.request.entry != frame.incarnation) {
+        return makeError(ResultCode::WrongIncarnation, "The attempt belongs to another run of its entry.");
+    }
+    if (attempts.find(request.attempt) != nullptr) {
+        return makeError(ResultCode::InvalidArgument, "Another entry has dispatched an attempt with this id.");
+    }
+    if (attempts.recordOf(request.attempt) == AttemptRecord::Tombstone) {
+        return makeError(ResultCode::AttemptCancelled, "The attempt was cancelled before it arrived.");
+    }
+    if (attempts.superseded(request.attempt)) {
+        return makeError(ResultCode::AttemptCancelled, "A later attempt of the same request has arrived before.");
+    }
+    if (m_leaving) {
+        return makeError(ResultCode::UpstreamLeaving, "The upstream is leaving.");
+    }
+    if (!m_runner.engineUp()) {
+        return makeError(ResultCode::NoUpstream, "The engine is unreachable.");
+    }
+    if (request.promptTokens <= Tokens(0) || request.maxOutputTokens <= Tokens(0) || !request.body
+        || !(request.customerWeight > 0.0)) {
+        return makeError(ResultCode::InvalidArgument, "The attempt has no prompt, no output or no weight.");
+    }
+    if (std::ranges::find(m_models, request.model) == m_models.end()) {
+        return makeError(ResultCode::UnknownModel,
+                         "The engine does not serve the model " + request.model.value() + '.');
+    }
+    if (request.timeLeft <= Duration::zero()) {
+        return makeError(ResultCode::DeadlineNotFeasible, "The deadline has passed.");
+    }
+    return std::nullopt;
+}
+
+Result<Duration> DispatchHandler::admit(Attempt attempt, TimePoint now)
+{
+    if (attempt.memory > m_runner.schedule().largestAttempt(attempt.priorityClass)) {
+        return makeError(ResultCode::MemoryExhausted, "The prompt needs more KV memory than one attempt can get.");
+    }
+    m_runner.advance(now);
+    AdmissionRequest request;
+    request.customer = attempt.request.customer;
+    request.weight = attempt.request.customerWeight;
+    request.priorityClass = attempt.priorityClass;
+    request.prefill = attempt.prefill;
+    request.output = std::max(
+        Tokens(0), attempt.request.maxOutputTokens - Tokens(static_cast<std::int64_t>(attempt.request.resumeFrom)));
+    request.timeLeft = attempt.request.timeLeft;
+    request.memoryWait = m_runner.memoryWait(attempt.memory, now);
+    const EngineSchedule &schedule = m_runner.schedule();
+    Result<Duration> decision = m_admission.decide(request, schedule.queue(), schedule.progress(), m_runner.rates());
+    if (errorOf(decision) == nullptr && !m_runner.enqueue(std::move(attempt))) {
+        return Error {ResultCode::QueueFull,
+                      "The queue holds its limit of tokens or bytes.",
+                      m_context.settings.admission.smallestRetryAfter};
+    }
+    return decision;
+}
+
+void DispatchHandler::supersede(const AttemptId &id, TimePoint now, AgentActions &out)
+{
+    for (const AttemptId &older : m_runner.attempts().attemptsOf(id.request)) {
+        if (m_runner.attempts().find(older)->state != AttemptState::Cancelling) {
+            m_runner.fail(
+                older, makeError(ResultCode::AttemptCancelled, "A later attempt replaced this one."), now, out);
+        }
+    }
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/agent/dispatchhandler.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "ibismast/agent/attemptrunner.h"
+
+namespace ibismast
+{
+
+/// Accepts or refuses attempts and answers cancels.
+class DispatchHandler
+{
+public:
+    DispatchHandler(const AgentContext &context, AttemptRunner &runner);
+
+    void dispatch(const PeerFrame &frame, const DispatchRequest &request, TimePoint now, AgentActions &out);
+    void cancel(const PeerFrame &frame, const CancelAttempt &message, TimePoint now, AgentActions &out);
+    /// Refuses new attempts from now on.
+    void setLeaving();
+    /// Models that the engine has loaded.
+    void setModels(std::vector<ModelName> models);
+    [[nodiscard]] const std::vector<ModelName> &models() const;
+
+private:
+    /// Returns why @p request cannot be taken, apart from capacity.
+    [[nodiscard]] std::optional<Error> objection(const PeerFrame &frame, const DispatchRequest &request);
+    /// Queues an attempt; returns the expected time until the first token.
+    [[nodiscard]] Result<Duration> admit(Attempt attempt, TimePoint now);
+    /// Stops older attempts of the same request, so that two of them never stream at once.
+    void supersede(const AttemptId &id, TimePoint now, AgentActions &out);
+
+    const AgentContext &m_context;
+    AttemptRunner &m_runner;
+    AdmissionController m_admission;
+    std::vector<ModelName> m_models;
+    bool m_leaving = false;
+};
+
+} // namespace ibismast
