--- /dev/null
+++ b/adapters/processclock.cpp
@@ -0,0 +1,11 @@
+#include "adapters/processclock.h"
+
+namespace ibismast
+{
+
+TimePoint processNow()
+{
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+} // namespace ibismast
