Give types of one name in different modules their own names

Cause: the stand-ins' HttpReply and the adapters' HttpReply were two types in one namespace; the linker merged their inline members, and a unit test that used the stand-in ended with SIGSEGV in the other type's destructor. Attempt and the declaration types were defined twice as well. Before: 'a call whose answer is lost is sent once' ended with SIGSEGV. After: all unit tests pass.

--- a/UnitTests/adapters/httpfronttest.cpp
+++ b/UnitTests/adapters/httpfronttest.cpp
@@ -18,15 +18,15 @@
     {
         return Revision(1);
     }
-    [[nodiscard]] const CustomerDeclaration *customerOfKey(std::string_view hash) const override
+    [[nodiscard]] const CustomerConfig *customerOfKey(std::string_view hash) const override
     {
         return hash == keyHash("secret") ? &m_customer : nullptr;
     }
-    [[nodiscard]] const ModelDeclaration *model(const ModelName &name) const override
+    [[nodiscard]] const ModelConfig *model(const ModelName &name) const override
     {
         return name == m_model.name ? &m_model : nullptr;
     }
-    [[nodiscard]] const ServiceDeclaration *service(const ServiceName &name) const override
+    [[nodiscard]] const ServiceConfig *service(const ServiceName &name) const override
     {
         return name == m_service.name ? &m_service : nullptr;
     }
@@ -36,9 +36,9 @@
     }
 
 private:
-    CustomerDeclaration m_customer {CustomerId("registry"), 2.0, {}};
-    ModelDeclaration m_model {ModelName("small"), Tokens(1'000'000), Tokens(100)};
-    ServiceDeclaration m_service {ServiceName("booking"), {"GET"}};
+    CustomerConfig m_customer {CustomerId("registry"), 2.0, {}};
+    ModelConfig m_model {ModelName("small"), Tokens(1'000'000), Tokens(100)};
+    ServiceConfig m_service {ServiceName("booking"), {"GET"}};
 };
 
 /// Records what the front end passes on and lets the test answer.
--- a/adapters/configsource.h
+++ b/adapters/configsource.h
@@ -12,7 +12,7 @@
 {
 
 /// Customer as the entry sees it.
-struct CustomerDeclaration
+struct CustomerConfig
 {
     CustomerId id;
     /// Weight in fair sharing; 1 is the usual value.
@@ -22,7 +22,7 @@
 };
 
 /// Model deployment as the entry sees it.
-struct ModelDeclaration
+struct ModelConfig
 {
     ModelName name;
     /// Longest prompt, in tokens, that any group of upstreams can hold.
@@ -32,7 +32,7 @@
 };
 
 /// Plain service as the entry sees it.
-struct ServiceDeclaration
+struct ServiceConfig
 {
     ServiceName name;
     /// Methods that may be repeated, in upper case.
@@ -52,11 +52,11 @@
     /// Newest revision in force; it is sent with every message.
     [[nodiscard]] virtual Revision revision() const = 0;
     /// Returns the customer of the API key with the SHA-256 hash @p keyHash, or null.
-    [[nodiscard]] virtual const CustomerDeclaration *customerOfKey(std::string_view keyHash) const = 0;
+    [[nodiscard]] virtual const CustomerConfig *customerOfKey(std::string_view keyHash) const = 0;
     /// Returns the model @p name, or null.
-    [[nodiscard]] virtual const ModelDeclaration *model(const ModelName &name) const = 0;
+    [[nodiscard]] virtual const ModelConfig *model(const ModelName &name) const = 0;
     /// Returns the service @p name, or null.
-    [[nodiscard]] virtual const ServiceDeclaration *service(const ServiceName &name) const = 0;
+    [[nodiscard]] virtual const ServiceConfig *service(const ServiceName &name) const = 0;
     /// Returns the names of all models in ascending order.
     [[nodiscard]] virtual std::vector<ModelName> models() const = 0;
 };
--- a/adapters/httpfront.cpp
+++ b/adapters/httpfront.cpp
@@ -142,7 +142,7 @@
     const auto reply = std::make_shared<CompletionReply>(std::move(responder), m_port);
     HttpExchange &exchange = reply->exchange();
     echoRequestId(exchange);
-    const CustomerDeclaration *customer = authenticate(exchange);
+    const CustomerConfig *customer = authenticate(exchange);
     if (customer == nullptr) {
         return;
     }
@@ -162,7 +162,7 @@
     const auto reply = std::make_shared<HttpReply>(std::move(responder), m_port);
     HttpExchange &exchange = reply->exchange();
     echoRequestId(exchange);
-    const CustomerDeclaration *customer = authenticate(exchange);
+    const CustomerConfig *customer = authenticate(exchange);
     if (customer == nullptr) {
         return;
     }
@@ -232,7 +232,7 @@
     }
 }
 
-const CustomerDeclaration *HttpFront::authenticate(HttpExchange &exchange) const
+const CustomerConfig *HttpFront::authenticate(HttpExchange &exchange) const
 {
     if (!m_config.ready()) {
         exchange.sendError({ResultCode::NotReady, {}, Duration(std::chrono::seconds(1))});
@@ -240,7 +240,7 @@
     }
     static constexpr std::string_view Scheme = "Bearer ";
     const std::string_view value = exchange.request().header("authorization");
-    const CustomerDeclaration *customer = nullptr;
+    const CustomerConfig *customer = nullptr;
     if (value.starts_with(Scheme)) {
         customer = m_config.customerOfKey(keyHash(value.substr(Scheme.size())));
     }
@@ -265,7 +265,7 @@
 }
 
 Result<CompletionRequest>
-HttpFront::completionRequest(HttpExchange &exchange, const CustomerDeclaration &customer, bool chat, bool &stream) const
+HttpFront::completionRequest(HttpExchange &exchange, const CustomerConfig &customer, bool chat, bool &stream) const
 {
     CompletionRequest request;
     request.body = std::make_shared<const std::string>(exchange.takeBody());
@@ -274,7 +274,7 @@
         return *error;
     }
     auto &body = std::get<CompletionBody>(parsed);
-    const ModelDeclaration *model = m_config.model(body.model);
+    const ModelConfig *model = m_config.model(body.model);
     if (model == nullptr) {
         return Error {ResultCode::UnknownModel, "no model is named " + body.model.value(), std::nullopt};
     }
@@ -305,14 +305,14 @@
     return request;
 }
 
-Result<ServiceRequest> HttpFront::serviceRequest(HttpExchange &exchange, const CustomerDeclaration &customer) const
+Result<ServiceRequest> HttpFront::serviceRequest(HttpExchange &exchange, const CustomerConfig &customer) const
 {
     const HttpHead &head = exchange.request();
     const std::string_view rest = std::string_view(head.target).substr(ServicePrefix.size());
     const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
     ServiceRequest request;
     request.service = ServiceName(std::string(rest.substr(0, end)));
-    const ServiceDeclaration *service = m_config.service(request.service);
+    const ServiceConfig *service = m_config.service(request.service);
     if (service == nullptr) {
         return Error {ResultCode::UnknownService, "no service is named " + request.service.value(), std::nullopt};
     }
--- a/adapters/httpfront.h
+++ b/adapters/httpfront.h
@@ -61,12 +61,11 @@
     void handleOther(QHttpServerResponder &&responder);
 
     /// Answers with an error and returns null if the caller may not be served.
-    const CustomerDeclaration *authenticate(HttpExchange &exchange) const;
+    const CustomerConfig *authenticate(HttpExchange &exchange) const;
     [[nodiscard]] Result<Duration> deadline(const HttpHead &head) const;
     [[nodiscard]] Result<CompletionRequest>
-    completionRequest(HttpExchange &exchange, const CustomerDeclaration &customer, bool chat, bool &stream) const;
-    [[nodiscard]] Result<ServiceRequest> serviceRequest(HttpExchange &exchange,
-                                                        const CustomerDeclaration &customer) const;
+    completionRequest(HttpExchange &exchange, const CustomerConfig &customer, bool chat, bool &stream) const;
+    [[nodiscard]] Result<ServiceRequest> serviceRequest(HttpExchange &exchange, const CustomerConfig &customer) const;
 
     HttpFrontSettings m_settings;
     EntryPort &m_port;
--- a/ibismast/entry/completion.cpp
+++ b/ibismast/entry/completion.cpp
@@ -5,7 +5,7 @@
 namespace ibismast
 {
 
-AttemptPlace *Attempt::find(const InstanceId &upstream)
+AttemptPlace *UpstreamAttempt::find(const InstanceId &upstream)
 {
     const auto place = std::ranges::find(places, upstream, &AttemptPlace::upstream);
     return place == places.end() ? nullptr : &*place;
@@ -13,7 +13,7 @@
 
 bool Completion::provenNotRun() const
 {
-    return std::ranges::all_of(attempts, [](const Attempt &attempt) {
+    return std::ranges::all_of(attempts, [](const UpstreamAttempt &attempt) {
         return std::ranges::all_of(attempt.places, [](const AttemptPlace &place) {
             return place.state == PlaceState::NotRun;
         });
@@ -22,12 +22,12 @@
 
 bool Completion::tried(const InstanceId &upstream) const
 {
-    return std::ranges::any_of(attempts, [&](const Attempt &attempt) {
+    return std::ranges::any_of(attempts, [&](const UpstreamAttempt &attempt) {
         return std::ranges::find(attempt.places, upstream, &AttemptPlace::upstream) != attempt.places.end();
     });
 }
 
-Attempt *Completion::current(const AttemptId &attempt)
+UpstreamAttempt *Completion::current(const AttemptId &attempt)
 {
     return !attempts.empty() && attempts.back().id == attempt ? &attempts.back() : nullptr;
 }
--- a/ibismast/entry/completion.h
+++ b/ibismast/entry/completion.h
@@ -28,7 +28,7 @@
 };
 
 /// One dispatch of a completion to an upstream, or to the members of a group.
-struct Attempt
+struct UpstreamAttempt
 {
     AttemptId id;
     std::vector<AttemptPlace> places;
@@ -59,7 +59,7 @@
     TimePoint deadline;
     StreamAssembler assembler;
     /// All attempts; only the last one may be active.
-    std::vector<Attempt> attempts;
+    std::vector<UpstreamAttempt> attempts;
     CompletionPhase phase = CompletionPhase::Waiting;
     /// When the present phase is given up: an unanswered dispatch or cancellation, or the wait for the next attempt.
     TimePoint phaseUntil = TimePoint::max();
@@ -73,7 +73,7 @@
     /// True if an attempt was made at @p upstream.
     [[nodiscard]] bool tried(const InstanceId &upstream) const;
     /// Returns the last attempt if it has the given id, or null.
-    [[nodiscard]] Attempt *current(const AttemptId &attempt);
+    [[nodiscard]] UpstreamAttempt *current(const AttemptId &attempt);
 };
 
 } // namespace ibismast
--- a/ibismast/entry/completionflow.cpp
+++ b/ibismast/entry/completionflow.cpp
@@ -78,7 +78,7 @@
 void CompletionFlow::handle(const PeerFrame &frame, const DispatchAccepted &message, TimePoint /*now*/)
 {
     Completion *completion = find(message.attempt.request);
-    Attempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
+    UpstreamAttempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
     AttemptPlace *place = attempt != nullptr ? attempt->find(frame.sender) : nullptr;
     if (place == nullptr || place->state != PlaceState::Sent) {
         return;
@@ -98,7 +98,7 @@
         m_context.upstreams.markLeaving(frame.sender);
     }
     Completion *completion = find(message.attempt.request);
-    Attempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
+    UpstreamAttempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
     AttemptPlace *place = attempt != nullptr ? attempt->find(frame.sender) : nullptr;
     if (place == nullptr || !isOpen(place->state)) {
         return;
@@ -114,7 +114,7 @@
 void CompletionFlow::handle(const PeerFrame &frame, const StreamPart &message, TimePoint now, EntryActions &out)
 {
     Completion *completion = find(message.attempt.request);
-    Attempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
+    UpstreamAttempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
     AttemptPlace *place = attempt != nullptr ? attempt->find(frame.sender) : nullptr;
     if (place == nullptr || !isOpen(place->state)) {
         return;
@@ -139,7 +139,7 @@
 void CompletionFlow::handle(const PeerFrame &frame, const StreamEnd &message, TimePoint now, EntryActions &out)
 {
     Completion *completion = find(message.attempt.request);
-    Attempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
+    UpstreamAttempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
     AttemptPlace *place = attempt != nullptr ? attempt->find(frame.sender) : nullptr;
     if (place == nullptr || !isOpen(place->state)) {
         return;
@@ -163,7 +163,7 @@
 void CompletionFlow::handle(const PeerFrame &frame, const AttemptFailed &message, TimePoint now, EntryActions &out)
 {
     Completion *completion = find(message.attempt.request);
-    Attempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
+    UpstreamAttempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
     AttemptPlace *place = attempt != nullptr ? attempt->find(frame.sender) : nullptr;
     if (place == nullptr || !isOpen(place->state)) {
         return;
@@ -178,7 +178,7 @@
     if (completion == nullptr) {
         return;
     }
-    for (Attempt &attempt : completion->attempts) {
+    for (UpstreamAttempt &attempt : completion->attempts) {
         AttemptPlace *place = attempt.id == message.attempt ? attempt.find(frame.sender) : nullptr;
         // A later incarnation of the agent knows nothing of the attempt.
         if (place == nullptr || place->incarnation != frame.incarnation) {
@@ -292,7 +292,7 @@
     const AttemptId id {completion.id, static_cast<std::uint32_t>(completion.attempts.size() + 1)};
     const Tokens work = request.promptTokens + request.maxOutputTokens;
     completion.attempts.push_back(
-        Attempt {id, {AttemptPlace {upstream.id, upstream.incarnation, PlaceState::Sent}}, work});
+        UpstreamAttempt {id, {AttemptPlace {upstream.id, upstream.incarnation, PlaceState::Sent}}, work});
     completion.assembler.beginAttempt(id);
     m_context.upstreams.noteDispatched(upstream, completion.priorityClass, work);
     setPhase(completion, CompletionPhase::Running, now + m_context.settings.answerTimeout);
@@ -324,7 +324,7 @@
 
 void CompletionFlow::cancelAttempt(Completion &completion, TimePoint now, EntryActions &out)
 {
-    const Attempt &attempt = completion.attempts.back();
+    const UpstreamAttempt &attempt = completion.attempts.back();
     for (const AttemptPlace &place : attempt.places) {
         if (isOpen(place.state)) {
             out.emplace_back(SendToPeer {place.upstream, CancelAttempt {attempt.id}});
@@ -420,7 +420,7 @@
 void CompletionFlow::finish(Completion &completion, EntryActions &out)
 {
     if (!completion.attempts.empty()) {
-        const Attempt &attempt = completion.attempts.back();
+        const UpstreamAttempt &attempt = completion.attempts.back();
         for (const AttemptPlace &place : attempt.places) {
             if (isOpen(place.state)) {
                 out.emplace_back(SendToPeer {place.upstream, CancelAttempt {attempt.id}});
--- a/standins/common/standinserver.cpp
+++ b/standins/common/standinserver.cpp
@@ -92,7 +92,7 @@
                             request.url().query().toUtf8(),
                             request.headers(),
                             request.body()};
-    const auto reply = std::make_shared<HttpReply>(socket);
+    const auto reply = std::make_shared<StandinReply>(socket);
     if (copy.path == "/control") {
         handleControl(copy, *reply);
         return true;
@@ -117,7 +117,7 @@
         reply->hold();
         handle(copy, reply);
         if (m_crossing && m_crossing->isOpen()) {
-            HttpReply::cross(*m_crossing, *reply);
+            StandinReply::cross(*m_crossing, *reply);
             m_crossing.reset();
         } else {
             m_crossing = reply;
@@ -133,7 +133,7 @@
     // handleRequest takes every request.
 }
 
-void StandinServer::handleControl(const HttpRequest &request, HttpReply &reply)
+void StandinServer::handleControl(const HttpRequest &request, StandinReply &reply)
 {
     if (request.method == "GET") {
         reply.sendJson(200, status());
--- a/standins/common/standinserver.h
+++ b/standins/common/standinserver.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "standins/common/faultplan.h"
-#include "standins/common/httpreply.h"
+#include "standins/common/standinreply.h"
 
 #include <QAbstractHttpServer>
 #include <QHttpServerRequest>
@@ -17,7 +17,7 @@
     QByteArray method;
     QByteArray path;
     QByteArray query;
-    HttpReply::Headers headers;
+    StandinReply::Headers headers;
     QByteArray body;
 
     /// Returns the value of header @p name, compared without case; empty if it is missing.
@@ -26,7 +26,7 @@
     [[nodiscard]] std::optional<QJsonObject> json() const;
 };
 
-using HttpReplyPointer = std::shared_ptr<HttpReply>;
+using HttpReplyPointer = std::shared_ptr<StandinReply>;
 
 /// HTTP server on loopback with a control path that injects faults.
 ///
@@ -51,7 +51,7 @@
 private:
     bool handleRequest(const QHttpServerRequest &request, QTcpSocket *socket) override;
     void missingHandler(const QHttpServerRequest &request, QTcpSocket *socket) override;
-    void handleControl(const HttpRequest &request, HttpReply &reply);
+    void handleControl(const HttpRequest &request, StandinReply &reply);
 
     FaultPlan m_faults;
     HttpReplyPointer m_crossing;
--- a/standins/plainservice/plainserviceserver.cpp
+++ b/standins/plainservice/plainserviceserver.cpp
@@ -46,11 +46,11 @@
     return {{"runs", runs}, {"calls", m_number}, {"double_runs", doubleRuns()}};
 }
 
-void PlainServiceServer::run(const QByteArray &reference, const HttpRequest &request, HttpReply &reply)
+void PlainServiceServer::run(const QByteArray &reference, const HttpRequest &request, StandinReply &reply)
 {
     const int count = ++m_runs[reference];
     ++m_number;
-    HttpReply::Headers headers;
+    StandinReply::Headers headers;
     if (const QByteArray operation = request.header("Operation-Id"); !operation.isEmpty()) {
         headers.append({"Operation-Id", operation});
     }
--- a/standins/plainservice/plainserviceserver.h
+++ b/standins/plainservice/plainserviceserver.h
@@ -33,7 +33,7 @@
     [[nodiscard]] QJsonObject status() const override;
 
 private:
-    void run(const QByteArray &reference, const HttpRequest &request, HttpReply &reply);
+    void run(const QByteArray &reference, const HttpRequest &request, StandinReply &reply);
 
     PlainServiceSettings m_settings;
     std::map<QByteArray, int> m_runs;
