--- a/adapters/guardedsocket.h
+++ b/adapters/guardedsocket.h
@@ -18,7 +18,7 @@
     /// Time for the body of a request, plus one second for each `minBodyRate` bytes.
     Duration bodyTimeout = std::chrono::seconds(10);
     /// Bytes per second that a sender must reach.
-    std::uint64_t minBodyRate = 64 * 1024;
+    std::uint64_t minBodyRate = 65'536;
     /// Time that a connection may stay open without a request.
     Duration idleTimeout = std::chrono::seconds(60);
     /// Time in which the rest of a refused request is read, so that the sender sees the answer and not a reset.
