Add groups, operations, fenced orders and recovery to the agent

Cause: the agent served completions only and kept the work of vanished entries and of lost engines. Change: GroupReservations (reserve, wait, export, release, expiry), OperationTable with one bit per issued id so that a dropped answer never leads to a second run, OrderRelay with FencingGuard and a check of the sender, EngineReconciler (orphans, lost attempts), PrefixTracker, shutdown that hands back what has not started. The load report counts only the memory that a long prompt can get. FencingGuard forgets its tokens when the agent restarts; an engine that ignores tokens is then unprotected until the first order of the current holder arrives.

--- a/ibismast/agent/agentcontext.h
+++ b/ibismast/agent/agentcontext.h
@@ -24,9 +24,8 @@
 };
 
 /// Sends @p message to @p receiver.
-inline void sendTo(const InstanceId &receiver, PeerMessage message, AgentActions &out)
-{
-    out.emplace_back(SendToPeer {receiver, std::move(message)});
-}
+void sendTo(const InstanceId &receiver, PeerMessage message, AgentActions &out);
+/// Gives @p command to the engine.
+void commandEngine(EngineCommand command, AgentActions &out);
 
 } // namespace ibismast
--- a/ibismast/agent/agentcore.cpp
+++ b/ibismast/agent/agentcore.cpp
@@ -1,6 +1,9 @@
 #include "ibismast/agent/agentcore.h"
 
 #include "ibismast/agent/dispatchhandler.h"
+#include "ibismast/agent/enginereconciler.h"
+#include "ibismast/agent/operationservice.h"
+#include "ibismast/agent/orderrelay.h"
 #include "ibismast/agent/peertable.h"
 
 namespace ibismast
@@ -12,7 +15,12 @@
     Private(const AgentCoreSettings &settings, PeerSummary self, EventListener *listener)
         : m_context {settings, std::move(self), listener}
         , m_runner(m_context)
-        , m_dispatch(m_context, m_runner)
+        , m_groups(m_context, m_runner)
+        , m_prefixes(settings.prefixBlocks, settings.prefixDoubtLifetime)
+        , m_dispatch(m_context, m_runner, m_groups, m_prefixes)
+        , m_reconciler(m_context, m_runner)
+        , m_operations(m_context)
+        , m_orders(m_context)
         , m_peers(settings.peerTimeout, settings.disconnectGrace)
     {
     }
@@ -20,14 +28,21 @@
     void handlePeer(const PeerFrame &frame, TimePoint now, AgentActions &out);
     void handleEngine(const EngineEvent &event, TimePoint now, AgentActions &out);
     void tick(TimePoint now, AgentActions &out);
+    /// Cancels what @p peer owns after it is gone or restarted.
+    void releaseWorkOf(const InstanceId &peer, TimePoint now, AgentActions &out);
     void heartbeat(const InstanceId &peer, TimePoint now, AgentActions &out);
     void heartbeatAll(TimePoint now, AgentActions &out);
     void handleLoad(const EngineLoad &load);
-    [[nodiscard]] LoadReport loadReport() const;
+    [[nodiscard]] LoadReport loadReport(TimePoint now) const;
 
     AgentContext m_context;
     AttemptRunner m_runner;
+    GroupReservations m_groups;
+    PrefixTracker m_prefixes;
     DispatchHandler m_dispatch;
+    EngineReconciler m_reconciler;
+    OperationService m_operations;
+    OrderRelay m_orders;
     PeerTable m_peers;
     TimePoint m_nextHeartbeat {};
 };
@@ -53,7 +68,7 @@
         }
         return;
     case PeerTable::Contact::Restarted:
-        m_runner.cancelOwnedBy(frame.sender, now, out);
+        releaseWorkOf(frame.sender, now, out);
         [[fallthrough]];
     case PeerTable::Contact::New:
         heartbeat(frame.sender, now, out);
@@ -68,6 +83,24 @@
                    [&](const CancelAttempt &message) {
                        m_dispatch.cancel(frame, message, now, out);
                    },
+                   [&](const ReserveMemory &message) {
+                       m_dispatch.reserve(frame, message, now, out);
+                   },
+                   [&](const ReleaseReservation &message) {
+                       m_groups.release(message.owner, frame.sender, now, out);
+                   },
+                   [&](const IssueOperations &message) {
+                       m_operations.issue(frame, message, out);
+                   },
+                   [&](const OperationCall &message) {
+                       m_operations.call(frame, message, now, out);
+                   },
+                   [&](const CancelOperation &message) {
+                       m_operations.cancel(frame, message, now, out);
+                   },
+                   [&](const UpstreamOrder &message) {
+                       m_orders.handle(frame, message, now, out);
+                   },
                    [&](const Heartbeat &message) {
                        m_peers.describe(message.self);
                    },
@@ -99,12 +132,28 @@
                    [&](const EngineLoad &message) {
                        handleLoad(message);
                    },
+                   [&](const EngineHeld &message) {
+                       m_reconciler.handleHeld(message, now, out);
+                   },
+                   [&](const EngineCacheEvent &message) {
+                       m_prefixes.handle(message, now);
+                   },
+                   [&](const EngineOrderResult &message) {
+                       m_orders.handleResult(message, out);
+                   },
                    [&](const EngineUp &) {
+                       m_context.log("engine_up", {});
                        m_runner.setEngineUp(true);
+                       m_prefixes.clear();
+                       m_reconciler.engineUp(now, out);
                    },
                    [&](const EngineDown &) {
+                       m_context.log("engine_down", {});
                        m_runner.setEngineUp(false);
                        m_runner.engineLost(now, out);
+                       m_groups.engineLost(out);
+                       m_orders.engineLost(out);
+                       m_prefixes.clear();
                    },
                    [](const auto &) {},
                },
@@ -116,9 +165,13 @@
 {
     m_runner.advance(now);
     for (const InstanceId &peer : m_peers.takeGone(now)) {
-        m_runner.cancelOwnedBy(peer, now, out);
+        releaseWorkOf(peer, now, out);
     }
+    m_reconciler.tick(now, out);
     m_runner.tick(now, out);
+    m_groups.tick(now, out);
+    m_operations.tick(now, out);
+    m_orders.tick(now, out);
     m_runner.submitReady(now, out);
     if (now >= m_nextHeartbeat) {
         m_nextHeartbeat = now + m_context.settings.heartbeatInterval;
@@ -126,11 +179,17 @@
     }
 }
 
-void AgentCore::Private::heartbeat(const InstanceId &peer, [[maybe_unused]] TimePoint now, AgentActions &out)
+void AgentCore::Private::releaseWorkOf(const InstanceId &peer, TimePoint now, AgentActions &out)
+{
+    m_runner.cancelOwnedBy(peer, now, out);
+    m_groups.releaseOwnedBy(peer);
+}
+
+void AgentCore::Private::heartbeat(const InstanceId &peer, TimePoint now, AgentActions &out)
 {
     Heartbeat message;
     message.self = m_context.self;
-    message.load = loadReport();
+    message.load = loadReport(now);
     message.peers = m_peers.sample(peer, m_context.settings.peerSample);
     sendTo(peer, std::move(message), out);
 }
@@ -151,17 +210,22 @@
     m_dispatch.setModels(load.models);
 }
 
-LoadReport AgentCore::Private::loadReport() const
+LoadReport AgentCore::Private::loadReport(TimePoint now) const
 {
     LoadReport report;
-    report.models = m_dispatch.models();
+    if (m_runner.engineUp()) {
+        report.models = m_dispatch.models();
+    }
     report.services = m_context.settings.services;
     report.outstanding = m_runner.outstanding();
     report.memoryCapacity = m_runner.schedule().largestAttempt(PriorityClass::Huge);
-    report.freeMemory = std::min(m_runner.memory().free(), report.memoryCapacity);
+    // What a long prompt can get; the part kept for short ones does not count in either figure.
+    const Tokens keptForShort = m_runner.memory().capacity() - report.memoryCapacity;
+    report.freeMemory = std::max(Tokens(0), m_runner.memory().free() - keptForShort);
     const EngineRates rates = m_runner.rates();
     report.prefillRate = rates.prefill;
-    report.decodeRate = 1.0 / toSeconds(rates.tokenInterval);
+    report.decodeRate = static_cast<double>(m_runner.decoding()) / toSeconds(rates.tokenInterval);
+    report.cachedPrefixes = m_prefixes.newest(m_context.settings.prefixSample, now);
     return report;
 }
 
@@ -175,10 +239,9 @@
     m_private->handleEngine(event, now, out);
 }
 
-void AgentCore::handleService([[maybe_unused]] const ServiceEvent &event,
-                              [[maybe_unused]] TimePoint now,
-                              [[maybe_unused]] AgentActions &out)
+void AgentCore::handleService(const ServiceEvent &event, TimePoint now, AgentActions &out)
 {
+    m_private->m_operations.handle(event, now, out);
 }
 
 void AgentCore::peerDisconnected(const InstanceId &peer, TimePoint now, [[maybe_unused]] AgentActions &out)
@@ -193,16 +256,24 @@
 
 void AgentCore::beginShutdown(TimePoint now, AgentActions &out)
 {
-    m_private->m_context.self.state = InstanceState::Leaving;
-    m_private->m_dispatch.setLeaving();
+    Private &d = *m_private;
+    if (d.m_context.self.state == InstanceState::Leaving) {
+        return;
+    }
+    d.m_context.self.state = InstanceState::Leaving;
+    d.m_dispatch.setLeaving();
+    d.m_operations.setLeaving();
+    d.heartbeatAll(now, out);
+    // What has not started is handed back, so that the upstream gets no work after this point.
     const Error error {ResultCode::UpstreamLeaving, "The upstream is leaving.", std::nullopt};
-    m_private->m_runner.failQueued(error, now, out);
-    m_private->heartbeatAll(now, out);
+    d.m_runner.failQueued(error, now, out);
+    d.m_groups.refuseWaiting(error, out);
 }
 
 std::size_t AgentCore::openWork() const
 {
-    return m_private->m_runner.attempts().live().size();
+    const Private &d = *m_private;
+    return d.m_runner.attempts().live().size() + d.m_groups.size() + d.m_operations.running();
 }
 
 Tokens AgentCore::reservedMemory() const
@@ -210,9 +281,9 @@
     return m_private->m_runner.memory().reserved();
 }
 
-LoadReport AgentCore::loadReport([[maybe_unused]] TimePoint now) const
+LoadReport AgentCore::loadReport(TimePoint now) const
 {
-    return m_private->loadReport();
+    return m_private->loadReport(now);
 }
 
 } // namespace ibismast
--- a/ibismast/agent/agentcoresettings.cpp
+++ b/ibismast/agent/agentcoresettings.cpp
@@ -13,7 +13,7 @@
     if (memoryCapacity <= Tokens(0)) {
         return invalid("memoryCapacity must be positive");
     }
-    for (const auto &result : {schedule.validate(), admission.validate(), capacity.validate()}) {
+    for (const auto &result : {schedule.validate(), admission.validate(), capacity.validate(), operations.validate()}) {
         if (errorOf(result) != nullptr) {
             return result;
         }
@@ -26,6 +26,9 @@
         std::pair {"cancelRetry", cancelRetry},
         std::pair {"priorityInterval", priorityInterval},
         std::pair {"recordLifetime", recordLifetime},
+        std::pair {"reservationWait", reservationWait},
+        std::pair {"orderTimeout", orderTimeout},
+        std::pair {"prefixDoubtLifetime", prefixDoubtLifetime},
     };
     for (const auto &[name, value] : durations) {
         if (value <= Duration::zero()) {
--- a/ibismast/agent/agentcoresettings.h
+++ b/ibismast/agent/agentcoresettings.h
@@ -3,6 +3,7 @@
 #include "ibismast/admission/admissioncontroller.h"
 #include "ibismast/agent/engineschedulesettings.h"
 #include "ibismast/core/messages.h"
+#include "ibismast/operations/operationtable.h"
 
 namespace ibismast
 {
@@ -33,6 +34,15 @@
     Duration priorityInterval {100'000};
     /// Time for which ended attempts and tombstones are kept; longer than any message can be delayed.
     Duration recordLifetime {900'000'000};
+    /// Longest time for which a group reservation waits for memory.
+    Duration reservationWait {2'000'000};
+    /// Time after which an order that the engine has not answered is reported as unknown.
+    Duration orderTimeout {60'000'000};
+    /// Time for which cached prefixes still count after a gap in the engine's cache events.
+    Duration prefixDoubtLifetime {10'000'000};
+    /// Largest number of prefix blocks that the agent remembers.
+    std::size_t prefixBlocks = 65'536;
+    OperationTableSettings operations;
     /// Largest number of instances that a heartbeat names.
     std::size_t peerSample = 8;
     /// Largest number of cached prefixes that a load report names.
--- a/ibismast/agent/attemptrunner.cpp
+++ b/ibismast/agent/attemptrunner.cpp
@@ -55,7 +55,7 @@
         attempt->state = AttemptState::Cancelling;
         attempt->cancelSent = now;
         m_schedule.remove(id);
-        out.emplace_back(EngineCommand(EngineCancel {id}));
+        commandEngine(EngineCancel {id}, out);
     }
     return CancelOutcome::Stopped;
 }
@@ -212,7 +212,7 @@
         if (attempt.state == AttemptState::Cancelling) {
             if (now - attempt.cancelSent >= m_context.settings.cancelRetry) {
                 attempt.cancelSent = now;
-                out.emplace_back(EngineCommand(EngineCancel {id}));
+                commandEngine(EngineCancel {id}, out);
             }
         } else if (attempt.deadline <= now) {
             late.push_back(id);
@@ -224,7 +224,7 @@
     if (now >= m_nextPriorities) {
         m_nextPriorities = now + m_context.settings.priorityInterval;
         for (const PriorityChange &change : m_schedule.reprioritise(m_attempts, rates(), now)) {
-            out.emplace_back(EngineCommand(EnginePrioritise {change.attempt, change.priority}));
+            commandEngine(EnginePrioritise {change.attempt, change.priority}, out);
         }
     }
 }
@@ -306,25 +306,39 @@
         }
         const std::int64_t prefill = onEngine(attempt) ? static_cast<std::int64_t>(m_schedule.progress().remaining(id))
                                                        : attempt.prefill.value();
-        const auto output = attempt.request.maxOutputTokens.value() - static_cast<std::int64_t>(attempt.nextSequence);
+        const auto output = attempt.output.value() - static_cast<std::int64_t>(attempt.nextSequence);
         sums[classIndex(attempt.priorityClass)] += Tokens(prefill + std::max<std::int64_t>(output, 0));
     }
     return sums;
 }
 
-Duration AttemptRunner::memoryWait(Tokens amount, TimePoint now) const
+std::size_t AttemptRunner::decoding() const
 {
-    Tokens available = m_memory.free();
+    return static_cast<std::size_t>(std::ranges::count_if(m_attempts.live(), [](const auto &entry) {
+        return entry.second.state == AttemptState::Decoding;
+    }));
+}
+
+Duration AttemptRunner::memoryWait(PriorityClass priorityClass, Tokens amount, TimePoint now) const
+{
+    const Tokens keptForOthers = m_memory.capacity() - m_schedule.largestAttempt(priorityClass);
+    Tokens available = m_memory.free() - keptForOthers;
     if (amount <= available) {
         return Duration::zero();
     }
     std::vector<std::pair<Duration, Tokens>> ends;
     for (const auto &[id, attempt] : m_attempts.live()) {
         const Tokens held = m_memory.reservedFor(id);
-        if (held > Tokens(0)) {
-            const bool exported = attempt.state == AttemptState::Exported;
-            ends.emplace_back(exported ? attempt.deadline - now : m_schedule.remainingWork(attempt, rates()), held);
+        if (held == Tokens(0)) {
+            continue;
+        }
+        Duration wait {};
+        if (attempt.state == AttemptState::Exported) {
+            wait = attempt.deadline - now;
+        } else if (attempt.state != AttemptState::Cancelling) {
+            wait = m_schedule.remainingWork(attempt, rates());
         }
+        ends.emplace_back(wait, held);
     }
     std::ranges::sort(ends);
     for (const auto &[wait, held] : ends) {
@@ -333,7 +347,8 @@
             return wait;
         }
     }
-    return Duration::zero();
+    // The rest is reserved for group members that have not been dispatched; nothing is known of their end.
+    return std::max(ends.empty() ? Duration::zero() : ends.back().first, m_context.settings.reservationWait);
 }
 
 void AttemptRunner::submit(Attempt &attempt, TimePoint now, AgentActions &out)
@@ -355,7 +370,7 @@
     command.body = request.body;
     command.group = request.group;
     command.prefixHashes = request.prefixHashes;
-    out.emplace_back(EngineCommand(std::move(command)));
+    commandEngine(std::move(command), out);
     // The engine client has the body now; the agent must not hold a second reference for the whole answer.
     attempt.request.body.reset();
 }
--- a/ibismast/agent/attemptrunner.h
+++ b/ibismast/agent/attemptrunner.h
@@ -58,8 +58,10 @@
     [[nodiscard]] EngineRates rates() const;
     /// Returns the tokens that are queued or running, by class.
     [[nodiscard]] PerClass<Tokens> outstanding() const;
-    /// Returns the expected time until @p amount of memory is free for one more attempt.
-    [[nodiscard]] Duration memoryWait(Tokens amount, TimePoint now) const;
+    /// Number of attempts that generate.
+    [[nodiscard]] std::size_t decoding() const;
+    /// Returns the expected time until one more attempt of @p priorityClass can get @p amount of memory.
+    [[nodiscard]] Duration memoryWait(PriorityClass priorityClass, Tokens amount, TimePoint now) const;
 
 private:
     void submit(Attempt &attempt, TimePoint now, AgentActions &out);
--- a/ibismast/agent/attempttable.h
+++ b/ibismast/agent/attempttable.h
@@ -32,6 +32,8 @@
     PriorityClass priorityClass = PriorityClass::Short;
     /// Tokens to prefill, expected prefix hits left out.
     Tokens prefill;
+    /// Bound of the whole answer that this attempt generates; zero for a group member that only prefills.
+    Tokens output;
     /// KV memory.
     Tokens memory;
     AttemptState state = AttemptState::Queued;
--- a/ibismast/agent/dispatchhandler.cpp
+++ b/ibismast/agent/dispatchhandler.cpp
@@ -15,9 +15,14 @@
 
 } // namespace
 
-DispatchHandler::DispatchHandler(const AgentContext &context, AttemptRunner &runner)
+DispatchHandler::DispatchHandler(const AgentContext &context,
+                                 AttemptRunner &runner,
+                                 GroupReservations &groups,
+                                 const PrefixTracker &prefixes)
     : m_context(context)
     , m_runner(runner)
+    , m_groups(groups)
+    , m_prefixes(prefixes)
     , m_admission(context.settings.admission, context.settings.schedule.queue)
     , m_models(context.settings.models)
 {
@@ -39,10 +44,15 @@
         m_context.log("attempt_refused", {{"attempt", toString(id)}, {"reason", error.message}});
         sendTo(frame.sender, DispatchRefused {id, error, {}}, out);
     };
-    if (const auto error = objection(frame, request)) {
+    if (const auto error = objection(frame, id, request.model, request.timeLeft)) {
         refuse(*error);
         return;
     }
+    if (request.promptTokens <= Tokens(0) || request.maxOutputTokens <= Tokens(0) || !request.body
+        || !(request.customerWeight > 0.0)) {
+        refuse(makeError(ResultCode::InvalidArgument, "The attempt has no prompt, no output or no weight."));
+        return;
+    }
     supersede(id, now, out);
 
     Attempt attempt;
@@ -50,10 +60,10 @@
     attempt.owner = frame.sender;
     attempt.deadline = now + request.timeLeft;
     attempt.priorityClass = classifyPrompt(request.promptTokens);
-    attempt.prefill = request.promptTokens + Tokens(static_cast<std::int64_t>(request.resumeFrom));
-    attempt.memory = request.promptTokens + request.maxOutputTokens;
+    attempt.output = request.maxOutputTokens;
     attempt.nextSequence = request.resumeFrom;
-    const Result<Duration> admitted = admit(std::move(attempt), now);
+    const Result<Duration> admitted =
+        request.group ? startMember(std::move(attempt), now, out) : admit(std::move(attempt), now);
     if (const Error *error = errorOf(admitted)) {
         refuse(*error);
         return;
@@ -75,11 +85,21 @@
     } else if (m_runner.attempts().recordOf(id) == AttemptRecord::Ended) {
         outcome = CancelOutcome::AlreadyEnded;
     } else {
+        m_groups.release(id, frame.sender, now, out);
         m_runner.attempts().record(id, AttemptRecord::Tombstone, now);
     }
     sendTo(frame.sender, CancelResult {id, outcome}, out);
 }
 
+void DispatchHandler::reserve(const PeerFrame &frame, const ReserveMemory &message, TimePoint now, AgentActions &out)
+{
+    const auto error = objection(frame, message.owner, message.model, message.timeLeft);
+    if (!error) {
+        supersede(message.owner, now, out);
+    }
+    m_groups.reserve(frame, message, error, now, out);
+}
+
 void DispatchHandler::setLeaving()
 {
     m_leaving = true;
@@ -95,19 +115,20 @@
     return m_models;
 }
 
-std::optional<Error> DispatchHandler::objection(const PeerFrame &frame, const DispatchRequest &request)
+std::optional<Error>
+DispatchHandler::objection(const PeerFrame &frame, const AttemptId &id, const ModelName &model, Duration timeLeft)
 {
     AttemptTable &attempts = m_runner.attempts();
-    if (request.attempt.request.entry != frame.incarnation) {
+    if (id.request.entry != frame.incarnation) {
         return makeError(ResultCode::WrongIncarnation, "The attempt belongs to another run of its entry.");
     }
-    if (attempts.find(request.attempt) != nullptr) {
-        return makeError(ResultCode::InvalidArgument, "Another entry has dispatched an attempt with this id.");
+    if (attempts.find(id) != nullptr) {
+        return makeError(ResultCode::InvalidArgument, "An attempt with this id is live already.");
     }
-    if (attempts.recordOf(request.attempt) == AttemptRecord::Tombstone) {
-        return makeError(ResultCode::AttemptCancelled, "The attempt was cancelled before it arrived.");
+    if (attempts.recordOf(id)) {
+        return makeError(ResultCode::AttemptCancelled, "The attempt was cancelled or has ended before.");
     }
-    if (attempts.superseded(request.attempt)) {
+    if (attempts.superseded(id)) {
         return makeError(ResultCode::AttemptCancelled, "A later attempt of the same request has arrived before.");
     }
     if (m_leaving) {
@@ -116,35 +137,54 @@
     if (!m_runner.engineUp()) {
         return makeError(ResultCode::NoUpstream, "The engine is unreachable.");
     }
-    if (request.promptTokens <= Tokens(0) || request.maxOutputTokens <= Tokens(0) || !request.body
-        || !(request.customerWeight > 0.0)) {
-        return makeError(ResultCode::InvalidArgument, "The attempt has no prompt, no output or no weight.");
+    if (std::ranges::find(m_models, model) == m_models.end()) {
+        return makeError(ResultCode::UnknownModel, "The engine does not serve the model " + model.value() + '.');
     }
-    if (std::ranges::find(m_models, request.model) == m_models.end()) {
-        return makeError(ResultCode::UnknownModel,
-                         "The engine does not serve the model " + request.model.value() + '.');
-    }
-    if (request.timeLeft <= Duration::zero()) {
+    if (timeLeft <= Duration::zero()) {
         return makeError(ResultCode::DeadlineNotFeasible, "The deadline has passed.");
     }
     return std::nullopt;
 }
 
+Result<Duration> DispatchHandler::startMember(Attempt attempt, TimePoint now, AgentActions &out)
+{
+    const DispatchRequest &request = attempt.request;
+    const GroupSegment &group = *request.group;
+    if (group.index >= group.members.size() || group.length <= Tokens(0)) {
+        return makeError(ResultCode::InvalidArgument, "The group has no member with this index or no segment.");
+    }
+    const bool last = group.index + 1 == group.members.size();
+    attempt.output = last ? request.maxOutputTokens : Tokens(0);
+    attempt.prefill = group.length + (last ? Tokens(static_cast<std::int64_t>(request.resumeFrom)) : Tokens(0));
+    attempt.memory = group.length + attempt.output;
+    if (!m_groups.take(request.attempt, attempt.memory)) {
+        return makeError(ResultCode::MemoryExhausted, "The member holds no reservation that is large enough.");
+    }
+    m_runner.advance(now);
+    const double prefillSeconds = static_cast<double>(attempt.prefill.value()) / m_runner.rates().prefill;
+    m_runner.start(std::move(attempt), now, out);
+    return fromSeconds(prefillSeconds);
+}
+
 Result<Duration> DispatchHandler::admit(Attempt attempt, TimePoint now)
 {
+    const DispatchRequest &dispatch = attempt.request;
+    const Tokens resumed(static_cast<std::int64_t>(dispatch.resumeFrom));
+    const Tokens hit = m_prefixes.expectedHit(dispatch.prefixHashes, now);
+    attempt.prefill = std::max(dispatch.promptTokens + resumed - hit, Tokens(1));
+    attempt.memory = dispatch.promptTokens + std::max(dispatch.maxOutputTokens, resumed);
     if (attempt.memory > m_runner.schedule().largestAttempt(attempt.priorityClass)) {
         return makeError(ResultCode::MemoryExhausted, "The prompt needs more KV memory than one attempt can get.");
     }
     m_runner.advance(now);
     AdmissionRequest request;
-    request.customer = attempt.request.customer;
-    request.weight = attempt.request.customerWeight;
+    request.customer = dispatch.customer;
+    request.weight = dispatch.customerWeight;
     request.priorityClass = attempt.priorityClass;
     request.prefill = attempt.prefill;
-    request.output = std::max(
-        Tokens(0), attempt.request.maxOutputTokens - Tokens(static_cast<std::int64_t>(attempt.request.resumeFrom)));
-    request.timeLeft = attempt.request.timeLeft;
-    request.memoryWait = m_runner.memoryWait(attempt.memory, now);
+    request.output = std::max(Tokens(0), dispatch.maxOutputTokens - resumed);
+    request.timeLeft = dispatch.timeLeft;
+    request.memoryWait = m_runner.memoryWait(attempt.priorityClass, attempt.memory, now);
     const EngineSchedule &schedule = m_runner.schedule();
     Result<Duration> decision = m_admission.decide(request, schedule.queue(), schedule.progress(), m_runner.rates());
     if (errorOf(decision) == nullptr && !m_runner.enqueue(std::move(attempt))) {
@@ -157,6 +197,7 @@
 
 void DispatchHandler::supersede(const AttemptId &id, TimePoint now, AgentActions &out)
 {
+    m_groups.supersede(id);
     for (const AttemptId &older : m_runner.attempts().attemptsOf(id.request)) {
         if (m_runner.attempts().find(older)->state != AttemptState::Cancelling) {
             m_runner.fail(
--- a/ibismast/agent/dispatchhandler.h
+++ b/ibismast/agent/dispatchhandler.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "ibismast/agent/attemptrunner.h"
+#include "ibismast/agent/groupreservations.h"
+#include "ibismast/agent/prefixtracker.h"
 
 namespace ibismast
 {
@@ -9,10 +10,14 @@
 class DispatchHandler
 {
 public:
-    DispatchHandler(const AgentContext &context, AttemptRunner &runner);
+    DispatchHandler(const AgentContext &context,
+                    AttemptRunner &runner,
+                    GroupReservations &groups,
+                    const PrefixTracker &prefixes);
 
     void dispatch(const PeerFrame &frame, const DispatchRequest &request, TimePoint now, AgentActions &out);
     void cancel(const PeerFrame &frame, const CancelAttempt &message, TimePoint now, AgentActions &out);
+    void reserve(const PeerFrame &frame, const ReserveMemory &message, TimePoint now, AgentActions &out);
     /// Refuses new attempts from now on.
     void setLeaving();
     /// Models that the engine has loaded.
@@ -20,8 +25,11 @@
     [[nodiscard]] const std::vector<ModelName> &models() const;
 
 private:
-    /// Returns why @p request cannot be taken, apart from capacity.
-    [[nodiscard]] std::optional<Error> objection(const PeerFrame &frame, const DispatchRequest &request);
+    /// Returns why attempt @p id cannot be taken at all, apart from capacity and the fields of its message.
+    [[nodiscard]] std::optional<Error>
+    objection(const PeerFrame &frame, const AttemptId &id, const ModelName &model, Duration timeLeft);
+    /// Starts a group member whose memory is reserved.
+    [[nodiscard]] Result<Duration> startMember(Attempt attempt, TimePoint now, AgentActions &out);
     /// Queues an attempt; returns the expected time until the first token.
     [[nodiscard]] Result<Duration> admit(Attempt attempt, TimePoint now);
     /// Stops older attempts of the same request, so that two of them never stream at once.
@@ -29,6 +37,8 @@
 
     const AgentContext &m_context;
     AttemptRunner &m_runner;
+    GroupReservations &m_groups;
+    const PrefixTracker &m_prefixes;
     AdmissionController m_admission;
     std::vector<ModelName> m_models;
     bool m_leaving = false;
--- a/ibismast/agent/engineschedule.cpp
+++ b/ibismast/agent/engineschedule.cpp
@@ -63,7 +63,7 @@
     queued.customer = attempt.request.customer;
     queued.weight = attempt.request.customerWeight;
     queued.priorityClass = attempt.priorityClass;
-    queued.work = attempt.prefill + attempt.request.maxOutputTokens;
+    queued.work = attempt.prefill + attempt.output;
     queued.bytes = Bytes(attempt.request.body ? static_cast<std::int64_t>(attempt.request.body->size()) : 0);
     queued.urgentAt = m_priorities.urgentAt(attempt.deadline, remainingWork(attempt, rates));
     return m_queue.push(std::move(queued));
@@ -157,7 +157,7 @@
 {
     const bool inEngine = m_running.contains(attempt.request.attempt);
     const double prefill = inEngine ? m_progress.remaining(attempt.request.attempt) : asDouble(attempt.prefill);
-    const auto total = static_cast<std::uint64_t>(attempt.request.maxOutputTokens.value());
+    const auto total = static_cast<std::uint64_t>(attempt.output.value());
     const auto output = static_cast<Duration::rep>(total - std::min(total, attempt.nextSequence));
     return fromSeconds(prefill / rates.prefill) + output * rates.tokenInterval;
 }
