Add service calls, idempotency claims, retry classes and joint failures

Cause: EntryCore refused every call of a plain service; retries had no budget. Change: ServiceFlow with operation ids in blocks requested ahead (OperationPool); ClaimBatcher and ClaimShard (256 shards, one CAS per batch, lost answers read back by StoreTransaction, age in generations because processes share no clock); RetryBudget, CircuitBreaker, RetryPolicy; JointFailureTracker. Conclusion: in the unit tests a non-idempotent call is never sent under a second id unless the issuing incarnation says that the first was not run; a call with a key is refused within 2 s of a store outage, also a silent one.

--- /dev/null
+++ b/UnitTests/retry/retrytest.cpp
@@ -0,0 +1,71 @@
+#include "ibismast/retry/circuitbreaker.h"
+#include "ibismast/retry/retrybudget.h"
+#include "ibismast/retry/retrypolicy.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace ibismast;
+using namespace std::chrono_literals;
+
+// Guards against retries that multiply an overload.
+TEST_CASE("retries are bounded by a tenth of the recent requests", "[retry]")
+{
+    RetryBudget budget(RetryBudgetSettings {0.1, 3.0});
+    const int requests = GENERATE(0, 100, 1'000);
+    TimePoint now(1'000s);
+    for (int request = 0; request < requests; ++request) {
+        budget.noteRequest(now);
+    }
+    int retries = 0;
+    while (budget.take(now)) {
+        ++retries;
+    }
+    CHECK(retries == 3 + requests / 10);
+    now += 11s;
+    CHECK(budget.take(now));
+}
+
+// Guards against a failing upstream that gets all work, or none for ever.
+TEST_CASE("the circuit breaker opens, probes and closes", "[retry]")
+{
+    CircuitBreaker breaker(CircuitBreakerSettings {3, 1s, 4s});
+    TimePoint now(1'000s);
+    breaker.failed(now);
+    breaker.failed(now);
+    CHECK(breaker.allows(now));
+    breaker.failed(now);
+    CHECK_FALSE(breaker.allows(now));
+    now += 1s;
+    CHECK(breaker.allows(now));
+    breaker.noteDispatch(now);
+    CHECK_FALSE(breaker.allows(now));
+    breaker.failed(now);
+    now += 1s;
+    CHECK_FALSE(breaker.allows(now));
+    now += 1s;
+    breaker.noteDispatch(now);
+    breaker.succeeded();
+    CHECK(breaker.allows(now));
+}
+
+// Guards against retries that arrive together or after the deadline.
+TEST_CASE("pauses grow, are jittered and end before the deadline", "[retry]")
+{
+    const RetryPolicy policy(RetryPolicySettings {5, 100ms, 300ms});
+    SeededRandom random(1);
+    const auto [attempts, longest] = GENERATE(table<std::uint32_t, Duration>({{1, 100ms}, {2, 200ms}, {3, 300ms}}));
+    std::set<Duration> pauses;
+    for (int round = 0; round < 50; ++round) {
+        const auto pause = policy.pauseBefore(RetryCause::Failure, attempts, 10s, random);
+        REQUIRE(pause);
+        CHECK(*pause >= longest / 2);
+        CHECK(*pause <= longest);
+        pauses.insert(*pause);
+    }
+    CHECK(pauses.size() > 40);
+    CHECK_FALSE(policy.pauseBefore(RetryCause::Failure, attempts, 10ms, random));
+    CHECK_FALSE(policy.pauseBefore(RetryCause::Failure, 5, 10s, random));
+    CHECK(policy.pauseBefore(RetryCause::Moved, attempts, 10ms, random) == Duration::zero());
+}
--- a/ibismast/entry/completionflow.cpp
+++ b/ibismast/entry/completionflow.cpp
@@ -57,10 +57,10 @@
     completion.admitted = now;
     completion.deadline = now + request.timeLeft;
     completion.priorityClass = classifyPrompt(request.promptTokens);
-    const Duration time = request.timeLeft;
     completion.request = std::move(request);
-    m_timers.schedule(completion.deadline - std::min(m_context.settings.tombstoneLead, time / 5), id);
-    m_timers.schedule(completion.deadline - std::min(m_context.settings.watchdogLead, time / 10), id);
+    m_context.retryBudget.noteRequest(now);
+    m_timers.schedule(m_context.tombstoneTime(now, completion.deadline), id);
+    m_timers.schedule(m_context.watchdogTime(now, completion.deadline), id);
     m_context.report("request_admitted",
                      {{"request", toString(id)}, {"customer", completion.request.customer.value()}});
     startAttempt(completion, now, out);
@@ -351,7 +351,7 @@
 
 void CompletionFlow::retryOrFail(Completion &completion, const Error &error, TimePoint now, EntryActions &out)
 {
-    if (completion.attempts.size() >= m_context.settings.maxAttempts) {
+    if (completion.attempts.size() >= m_context.settings.retryPolicy.maxAttempts) {
         fail(completion, error, out);
         return;
     }
@@ -360,12 +360,11 @@
 
 void CompletionFlow::onTimer(Completion &completion, TimePoint now, EntryActions &out)
 {
-    const Duration time = completion.deadline - completion.admitted;
-    if (now >= completion.deadline - std::min(m_context.settings.watchdogLead, time / 10)) {
+    if (now >= m_context.watchdogTime(completion.admitted, completion.deadline)) {
         fail(completion, Error {ResultCode::DeadlineExceeded, "the request did not end before its deadline", {}}, out);
         return;
     }
-    const bool tombstoneDue = now >= completion.deadline - std::min(m_context.settings.tombstoneLead, time / 5);
+    const bool tombstoneDue = now >= m_context.tombstoneTime(completion.admitted, completion.deadline);
     if (tombstoneDue && completion.assembler.tokenCount() == 0 && !completion.failureAfterCancel) {
         completion.failureAfterCancel =
             Error {ResultCode::DeadlineNotFeasible, "no upstream started the request before its deadline", {}};
--- a/ibismast/entry/entrycontext.cpp
+++ b/ibismast/entry/entrycontext.cpp
@@ -1,5 +1,7 @@
 #include "ibismast/entry/entrycontext.h"
 
+#include <algorithm>
+
 namespace ibismast
 {
 
@@ -13,6 +15,9 @@
     , listener(listenerValue)
     , upstreams(settings.upstreams, self.instance)
     , router(settings.router)
+    , health(settings.breaker, settings.jointFailures)
+    , retryBudget(settings.retryBudget)
+    , retryPolicy(settings.retryPolicy)
 {
 }
 
@@ -21,6 +26,26 @@
     return RequestId {self.incarnation, ++lastSequence};
 }
 
+std::optional<Duration>
+EntryContext::planRetry(RetryCause cause, std::uint32_t attempts, Duration timeLeft, TimePoint now)
+{
+    const auto pause = retryPolicy.pauseBefore(cause, attempts, timeLeft, random);
+    if (pause && RetryPolicy::needsBudget(cause) && !retryBudget.take(now)) {
+        return std::nullopt;
+    }
+    return pause;
+}
+
+TimePoint EntryContext::watchdogTime(TimePoint admitted, TimePoint deadline) const
+{
+    return deadline - std::min(settings.watchdogLead, (deadline - admitted) / 10);
+}
+
+TimePoint EntryContext::tombstoneTime(TimePoint admitted, TimePoint deadline) const
+{
+    return deadline - std::min(settings.tombstoneLead, (deadline - admitted) / 5);
+}
+
 void EntryContext::report(std::string_view name, const std::vector<LogField> &fields) const
 {
     if (listener != nullptr) {
--- a/ibismast/entry/entrycontext.h
+++ b/ibismast/entry/entrycontext.h
@@ -4,6 +4,7 @@
 #include "ibismast/core/seededrandom.h"
 #include "ibismast/entry/entryactions.h"
 #include "ibismast/entry/entrycoresettings.h"
+#include "ibismast/entry/upstreamhealth.h"
 
 namespace ibismast
 {
@@ -18,12 +19,25 @@
     /// Reports an event if there is a listener.
     void report(std::string_view name, const std::vector<LogField> &fields) const;
 
+    /// Decides on another attempt of a request after @p attempts attempts and takes it from the retry budget. Returns
+    /// the pause before it, or nothing if there must not be one.
+    [[nodiscard]] std::optional<Duration>
+    planRetry(RetryCause cause, std::uint32_t attempts, Duration timeLeft, TimePoint now);
+
+    /// When the watchdog ends a request.
+    [[nodiscard]] TimePoint watchdogTime(TimePoint admitted, TimePoint deadline) const;
+    /// When a request that has not started is cancelled, so that a tombstone can be confirmed before the watchdog.
+    [[nodiscard]] TimePoint tombstoneTime(TimePoint admitted, TimePoint deadline) const;
+
     EntryCoreSettings settings;
     PeerSummary self;
     SeededRandom random;
     EventListener *listener;
     UpstreamView upstreams;
     Router router;
+    UpstreamHealth health;
+    RetryBudget retryBudget;
+    RetryPolicy retryPolicy;
     std::uint64_t lastSequence = 0;
     bool shuttingDown = false;
 };
--- a/ibismast/entry/entrycore.cpp
+++ b/ibismast/entry/entrycore.cpp
@@ -1,6 +1,7 @@
 #include "ibismast/entry/entrycore.h"
 
 #include "ibismast/entry/completionflow.h"
+#include "ibismast/entry/serviceflow.h"
 
 namespace ibismast
 {
@@ -10,7 +11,7 @@
 {
 public:
     Private(const EntryCoreSettings &settings, PeerSummary self, std::uint64_t seed, EventListener *listener)
-        : context(settings, std::move(self), seed, listener), completions(context)
+        : context(settings, std::move(self), seed, listener), completions(context), services(context)
     {
     }
 
@@ -18,12 +19,18 @@
     void runDue(TimePoint now, EntryActions &out)
     {
         completions.runDue(now, out);
+        services.runDue(now, out);
     }
 
-    void upstreamLost(const InstanceId &agent, TimePoint now, EntryActions &out)
+    /// @p announced is true if the agent had said that it was leaving.
+    void upstreamLost(const InstanceId &agent, bool announced, TimePoint now, EntryActions &out)
     {
+        if (!announced) {
+            context.health.noteLost(agent, context.upstreams.all().size(), now);
+        }
         context.report("upstream_lost", {{"upstream", agent.value()}});
         completions.upstreamLost(agent, now, out);
+        services.agentLost(agent, now, out);
     }
 
     template<typename Message>
@@ -33,6 +40,8 @@
             completions.handle(frame, message, now);
         } else if constexpr (requires { completions.handle(frame, message, now, out); }) {
             completions.handle(frame, message, now, out);
+        } else if constexpr (requires { services.handle(frame, message, now, out); }) {
+            services.handle(frame, message, now, out);
         }
     }
 
@@ -40,6 +49,7 @@
     {
         std::set<InstanceId> receivers;
         completions.collectActive(receivers);
+        services.collectActive(receivers);
         for (const auto &[id, upstream] : context.upstreams.all()) {
             if (!upstream.connected) {
                 continue;
@@ -65,6 +75,7 @@
 
     EntryContext context;
     CompletionFlow completions;
+    ServiceFlow services;
     std::map<InstanceId, TimePoint> nextHeartbeat;
 };
 
@@ -81,31 +92,23 @@
     return d->completions.submit(std::move(request), now, out);
 }
 
-RequestId EntryCore::callService(ServiceRequest request, // NOLINT(performance-unnecessary-value-param)
-                                 TimePoint now,
-                                 EntryActions &out)
+RequestId EntryCore::callService(ServiceRequest request, TimePoint now, EntryActions &out)
 {
     d->runDue(now, out);
-    const RequestId id = d->context.nextRequest();
-    out.emplace_back(DeliverFailure {
-        id, Error {ResultCode::NoUpstream, "no live upstream serves the service", {}}, request.operation});
-    return id;
+    return d->services.call(std::move(request), now, out);
 }
 
-RequestId
-EntryCore::requestOperationId(const ServiceName &service, Duration /*timeLeft*/, TimePoint now, EntryActions &out)
+RequestId EntryCore::requestOperationId(const ServiceName &service, Duration timeLeft, TimePoint now, EntryActions &out)
 {
     d->runDue(now, out);
-    const RequestId id = d->context.nextRequest();
-    out.emplace_back(
-        DeliverFailure {id, Error {ResultCode::NoUpstream, "no live upstream serves " + service.value(), {}}, {}});
-    return id;
+    return d->services.requestOperationId(service, timeLeft, now, out);
 }
 
 void EntryCore::callerLeft(const RequestId &request, TimePoint now, EntryActions &out)
 {
     d->runDue(now, out);
     d->completions.callerLeft(request, out);
+    d->services.callerLeft(request, out);
 }
 
 void EntryCore::handlePeer(const PeerFrame &frame, TimePoint now, EntryActions &out)
@@ -115,17 +118,21 @@
     if (heartbeat != nullptr && heartbeat->self.role != InstanceRole::Agent) {
         return;
     }
+    const Upstream *known = d->context.upstreams.find(frame.sender);
+    // A loss that was announced, or noted when the connection ended, is not counted as a failure again.
+    const bool announced = known != nullptr && (known->leaving || !known->connected);
     switch (d->context.upstreams.noteFrame(frame.sender, frame.incarnation, now)) {
     case UpstreamView::Change::Stale:
         return;
     case UpstreamView::Change::Restarted:
-        d->upstreamLost(frame.sender, now, out);
+        d->upstreamLost(frame.sender, announced, now, out);
         break;
     case UpstreamView::Change::None:
         break;
     }
     if (heartbeat != nullptr) {
         d->context.upstreams.applyHeartbeat(*heartbeat, now);
+        d->services.agentReported(*d->context.upstreams.find(frame.sender), now, out);
         return;
     }
     std::visit(
@@ -135,9 +142,10 @@
         frame.message);
 }
 
-void EntryCore::handleStore(const StoreAnswer & /*answer*/, TimePoint now, EntryActions &out)
+void EntryCore::handleStore(const StoreAnswer &answer, TimePoint now, EntryActions &out)
 {
     d->runDue(now, out);
+    d->services.handleStore(answer, now, out);
 }
 
 void EntryCore::peerConnected(const InstanceId &peer, TimePoint now, EntryActions &out)
@@ -152,8 +160,10 @@
 void EntryCore::peerDisconnected(const InstanceId &peer, TimePoint now, EntryActions &out)
 {
     d->runDue(now, out);
+    const Upstream *known = d->context.upstreams.find(peer);
+    const bool announced = known == nullptr || known->leaving || !known->connected;
     d->context.upstreams.setConnected(peer, false, now);
-    d->upstreamLost(peer, now, out);
+    d->upstreamLost(peer, announced, now, out);
 }
 
 void EntryCore::instanceLeaving(const InstanceId &instance, TimePoint now, EntryActions &out)
@@ -166,7 +176,7 @@
 {
     d->runDue(now, out);
     for (const InstanceId &agent : d->context.upstreams.checkSilence(now)) {
-        d->upstreamLost(agent, now, out);
+        d->upstreamLost(agent, d->context.upstreams.find(agent)->leaving, now, out);
     }
     d->sendHeartbeats(now, out);
 }
@@ -182,7 +192,7 @@
 
 std::size_t EntryCore::openRequests() const
 {
-    return d->completions.openRequests();
+    return d->completions.openRequests() + d->services.openRequests();
 }
 
 } // namespace ibismast
--- a/ibismast/entry/entrycoresettings.cpp
+++ b/ibismast/entry/entrycoresettings.cpp
@@ -6,6 +6,9 @@
 namespace
 {
 
+// Largest value that the key-value service takes, in bytes.
+constexpr std::size_t LargestStoreValue = 1'000'000;
+
 /// Collects the first violated condition.
 class Checker
 {
@@ -53,7 +56,36 @@
     check.require(
         settings.tombstoneLead >= settings.watchdogLead, "tombstoneLead", "must not be shorter than watchdogLead");
     check.positive(settings.answerTimeout, "answerTimeout");
-    check.require(settings.maxAttempts > 0, "maxAttempts", "must be positive");
+    check.require(settings.breaker.failureThreshold > 0, "breaker.failureThreshold", "must be positive");
+    check.positive(settings.breaker.openTime, "breaker.openTime");
+    check.require(settings.breaker.longestOpenTime >= settings.breaker.openTime,
+                  "breaker.longestOpenTime",
+                  "must not be shorter than breaker.openTime");
+    check.positive(settings.jointFailures.window, "jointFailures.window");
+    check.require(settings.jointFailures.largeEvent >= 2, "jointFailures.largeEvent", "must be at least 2");
+    check.require(settings.jointFailures.chanceFactor >= 1.0, "jointFailures.chanceFactor", "must be at least 1");
+    check.require(settings.jointFailures.ownFaultShare > 0.0 && settings.jointFailures.ownFaultShare <= 1.0,
+                  "jointFailures.ownFaultShare",
+                  "must lie between 0 and 1");
+    check.require(settings.retryBudget.ratio >= 0.0, "retryBudget.ratio", "must not be negative");
+    check.require(settings.retryBudget.minimum >= 0.0, "retryBudget.minimum", "must not be negative");
+    check.require(settings.retryPolicy.maxAttempts > 0, "retryPolicy.maxAttempts", "must be positive");
+    check.positive(settings.retryPolicy.firstPause, "retryPolicy.firstPause");
+    check.require(settings.retryPolicy.longestPause >= settings.retryPolicy.firstPause,
+                  "retryPolicy.longestPause",
+                  "must not be shorter than retryPolicy.firstPause");
+    check.positive(settings.claims.batchInterval, "claims.batchInterval");
+    check.positive(settings.claims.patience, "claims.patience");
+    check.positive(settings.claims.readPatience, "claims.readPatience");
+    check.require(settings.claims.largestValue > 0 && settings.claims.largestValue < LargestStoreValue,
+                  "claims.largestValue",
+                  "must be positive and below 1 MB");
+    check.positive(settings.claims.generationLength, "claims.generationLength");
+    check.require(settings.claims.keptGenerations >= 2, "claims.keptGenerations", "must be at least 2");
+    check.require(settings.claims.maxWaiting > 0, "claims.maxWaiting", "must be positive");
+    check.require(settings.operationBlock > 0, "operationBlock", "must be positive");
+    check.positive(settings.progressPause, "progressPause");
+    check.require(settings.longestIdempotencyKey > 0, "longestIdempotencyKey", "must be positive");
     return check.result();
 }
 
--- a/ibismast/entry/entrycoresettings.h
+++ b/ibismast/entry/entrycoresettings.h
@@ -1,6 +1,11 @@
 #pragma once
 
 #include "ibismast/core/result.h"
+#include "ibismast/operations/claimbatcher.h"
+#include "ibismast/retry/circuitbreaker.h"
+#include "ibismast/retry/retrybudget.h"
+#include "ibismast/retry/retrypolicy.h"
+#include "ibismast/routing/jointfailuretracker.h"
 #include "ibismast/routing/router.h"
 #include "ibismast/routing/upstreamview.h"
 
@@ -12,6 +17,11 @@
 {
     UpstreamViewSettings upstreams;
     RouterSettings router;
+    CircuitBreakerSettings breaker;
+    JointFailureTrackerSettings jointFailures;
+    RetryBudgetSettings retryBudget;
+    RetryPolicySettings retryPolicy;
+    ClaimBatcherSettings claims;
     /// Time between heartbeats to an agent of the subset; the tenth part of it is added or taken off at random.
     Duration heartbeatInterval = std::chrono::seconds(1);
     /// Time before its deadline at which the watchdog ends a request; at most a tenth of the request's time.
@@ -21,8 +31,12 @@
     Duration tombstoneLead = std::chrono::milliseconds(150);
     /// Time after which an unanswered dispatch is cancelled and an unanswered cancellation is given up.
     Duration answerTimeout = std::chrono::seconds(1);
-    /// Largest number of attempts of one request.
-    std::uint32_t maxAttempts = 5;
+    /// Number of operation ids requested at once from an agent of a plain service.
+    std::uint32_t operationBlock = 256;
+    /// Pause before an operation that is in progress is asked for again; doubles up to ten times this value.
+    Duration progressPause = std::chrono::milliseconds(50);
+    /// Longest value of the `Idempotency-Key` header in bytes.
+    std::size_t longestIdempotencyKey = 256;
 };
 
 /// Returns the error that names the first invalid field of @p settings, or `Success`.
--- a/ibismast/routing/router.cpp
+++ b/ibismast/routing/router.cpp
@@ -20,6 +20,22 @@
     return nullptr;
 }
 
+struct Candidates
+{
+    Upstream *first = nullptr;
+    Upstream *second = nullptr;
+};
+
+/// Returns up to two different accepted members; `first` is null if there is none.
+Candidates pickTwo(const std::vector<Upstream *> &subset, const RouteFilter &filter, SeededRandom &random)
+{
+    if (subset.empty()) {
+        return {};
+    }
+    Upstream *first = pick(subset, filter, nullptr, random);
+    return {first, first == nullptr ? nullptr : pick(subset, filter, first, random)};
+}
+
 } // namespace
 
 Router::Router(const RouterSettings &settings) : m_settings(settings) { }
@@ -29,18 +45,14 @@
                          const RouteFilter &filter,
                          SeededRandom &random) const
 {
-    if (subset.empty()) {
-        return nullptr;
-    }
-    Upstream *first = pick(subset, filter, nullptr, random);
-    if (first == nullptr) {
-        return nullptr;
-    }
-    Upstream *second = pick(subset, filter, first, random);
-    if (second != nullptr && cost(*second, query) < cost(*first, query)) {
-        return second;
-    }
-    return first;
+    const auto [first, second] = pickTwo(subset, filter, random);
+    return second != nullptr && cost(*second, query) < cost(*first, query) ? second : first;
+}
+
+Upstream *Router::chooseForCall(const std::vector<Upstream *> &subset, const RouteFilter &filter, SeededRandom &random)
+{
+    const auto [first, second] = pickTwo(subset, filter, random);
+    return second != nullptr && second->openCalls < first->openCalls ? second : first;
 }
 
 double Router::cost(const Upstream &upstream, const RouteQuery &query) const
--- a/ibismast/routing/router.h
+++ b/ibismast/routing/router.h
@@ -42,6 +42,9 @@
                                    const RouteQuery &query,
                                    const RouteFilter &filter,
                                    SeededRandom &random) const;
+    /// Like `choose` for a call of a plain service: the candidate with fewer open calls of this entry.
+    [[nodiscard]] static Upstream *
+    chooseForCall(const std::vector<Upstream *> &subset, const RouteFilter &filter, SeededRandom &random);
     /// Expected seconds until @p upstream would have prefilled the prompt of @p query.
     [[nodiscard]] double cost(const Upstream &upstream, const RouteQuery &query) const;
 
