--- a/ibismast/store/storetransaction.cpp
+++ b/ibismast/store/storetransaction.cpp
@@ -86,7 +86,7 @@
         handleFailure(*failure, now, out);
     } else if (const auto *result = std::get_if<StoreTransactionResult>(&answer.outcome)) {
         if (result->succeeded) {
-            m_outcome = TransactionApplied {};
+            m_outcome = TransactionApplied {result->revision};
         } else {
             conflictOrApplied(result->entries);
         }
--- a/ibismast/store/storetransaction.h
+++ b/ibismast/store/storetransaction.h
@@ -33,6 +33,8 @@
 /// The transaction took effect.
 struct TransactionApplied
 {
+    /// Store revision of the write; 0 if the outcome was read back and later writes may have followed.
+    StoreRevision revision;
 };
 
 /// Another write came first; the transaction did not and will not take effect.
