--- /dev/null
+++ b/adapters/agentdaemon.cpp
@@ -0,0 +1,116 @@
+#include "adapters/agentdaemon.h"
+
+#include "adapters/processclock.h"
+#include "adapters/tlssettings.h"
+
+namespace ibismast
+{
+
+using std::chrono::milliseconds;
+
+AgentDaemonSettings readAgentSettings(SettingsFile &file)
+{
+    AgentDaemonSettings settings;
+    settings.instance = InstanceId(file.text("instance", "id", std::nullopt));
+    settings.domain = FailureDomain(file.text("instance", "domain", std::nullopt));
+    settings.stopTimeout = file.milliseconds(
+        "instance", "stop_timeout_ms", settings.stopTimeout, milliseconds(0), milliseconds(86'400'000));
+    settings.process.tickInterval = file.milliseconds(
+        "instance", "tick_interval_ms", settings.process.tickInterval, milliseconds(1), milliseconds(1000));
+    settings.peerListen = file.address("peers", "listen", std::nullopt);
+    settings.peerTls = readTls(file, "peers");
+    if (!file.has("engine", "address") && !file.has("service", "address")) {
+        file.refuse("engine", "address", {}, "set, unless [service] address is");
+    }
+    if (file.has("engine", "address")) {
+        EngineClientSettings engine;
+        engine.endpoint = file.address("engine", "address", std::nullopt);
+        engine.loadInterval = file.milliseconds(
+            "engine", "load_interval_ms", engine.loadInterval, milliseconds(10), milliseconds(60'000));
+        engine.cacheInterval = file.milliseconds(
+            "engine", "cache_interval_ms", engine.cacheInterval, milliseconds(10), milliseconds(60'000));
+        engine.callTimeout =
+            file.milliseconds("engine", "call_timeout_ms", engine.callTimeout, milliseconds(10), milliseconds(60'000));
+        for (const std::string &model : file.list("engine", "models")) {
+            settings.core.models.emplace_back(model);
+        }
+        settings.core.memoryCapacity = Tokens(
+            file.integer("engine", "memory_capacity_tokens", settings.core.memoryCapacity.value(), 1, 1'000'000'000));
+        settings.process.engine = engine;
+    }
+    if (file.has("service", "address")) {
+        settings.process.service = file.address("service", "address", std::nullopt);
+        settings.core.services = {ServiceName(file.text("service", "name", std::nullopt))};
+    }
+    const Result<Success> valid = settings.core.validate();
+    if (const Error *error = errorOf(valid)) {
+        file.refuse("core", "settings", {}, error->message);
+    }
+    return settings;
+}
+
+AgentDaemon::AgentDaemon(AgentDaemonSettings settings, Incarnation incarnation, Supervisor::FailureHandler onFailure)
+    : m_settings(std::move(settings))
+    , m_listener(&m_metrics)
+    , m_process(m_settings.process,
+                m_settings.core,
+                PeerSummary {m_settings.instance,
+                             incarnation,
+                             InstanceRole::Agent,
+                             InstanceState::Ready,
+                             m_settings.domain,
+                             m_settings.peerListen.address.toString().toStdString() + ':'
+                                 + std::to_string(m_settings.peerListen.port)},
+                incarnation.value(),
+                &m_listener)
+    , m_supervisor(SupervisorSettings(), processNow, std::move(onFailure))
+{
+    if (m_settings.peerTls) {
+        m_process.server().setTls(*m_settings.peerTls);
+    }
+    m_supervisor.add({"core",
+                      [this] {
+                          m_process.start();
+                          return Success {};
+                      },
+                      [this] {
+                          m_process.stop();
+                      }});
+    m_supervisor.add({"peers",
+                      [this] {
+                          const quint16 port = m_process.server().port();
+                          return m_process.server().listen(m_settings.peerListen.address,
+                                                           port != 0 ? port : m_settings.peerListen.port);
+                      },
+                      [this] {
+                          m_process.server().stopAccepting();
+                      }});
+}
+
+Result<Success> AgentDaemon::start()
+{
+    return m_supervisor.start();
+}
+
+void AgentDaemon::beginShutdown()
+{
+    m_process.beginShutdown();
+}
+
+std::size_t AgentDaemon::openWork()
+{
+    // The last messages of ended work must reach the peers too.
+    return m_process.openWork() + (m_process.server().queuedBytes() > 0 ? 1 : 0);
+}
+
+void AgentDaemon::stop()
+{
+    m_supervisor.stop();
+}
+
+quint16 AgentDaemon::peerPort()
+{
+    return m_process.server().port();
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/adapters/entrydaemon.cpp
@@ -0,0 +1,147 @@
+#include "adapters/entrydaemon.h"
+
+#include "adapters/processclock.h"
+
+#include <algorithm>
+
+namespace ibismast
+{
+
+EntryDaemon::EntryDaemon(EntryDaemonSettings settings,
+                         std::unique_ptr<ConfigSource> config,
+                         Incarnation incarnation,
+                         Supervisor::FailureHandler onFailure)
+    : m_settings(std::move(settings))
+    , m_config(std::move(config))
+    , m_listener(&m_metrics)
+    , m_process(m_settings.process,
+                m_settings.core,
+                PeerSummary {
+                    m_settings.instance, incarnation, InstanceRole::Entry, InstanceState::Ready, m_settings.domain, {}},
+                *m_config,
+                incarnation.value(),
+                &m_listener,
+                &m_metrics)
+    , m_supervisor(SupervisorSettings(), processNow, std::move(onFailure))
+    , m_httpPort(m_settings.httpListen.port)
+{
+    if (m_settings.peerTls) {
+        m_process.setTls(*m_settings.peerTls);
+    }
+    addParts();
+}
+
+Result<Success> EntryDaemon::start()
+{
+    return m_supervisor.start();
+}
+
+void EntryDaemon::beginShutdown()
+{
+    m_process.beginShutdown();
+}
+
+std::size_t EntryDaemon::openRequests() const
+{
+    // The last bytes of ended requests must reach the callers too.
+    return std::max(m_process.openRequests(), m_front ? m_front->guard().answeringCount() : 0);
+}
+
+void EntryDaemon::stop()
+{
+    m_supervisor.stop();
+}
+
+quint16 EntryDaemon::httpPort() const
+{
+    return m_httpPort;
+}
+
+EntryProcess &EntryDaemon::process()
+{
+    return m_process;
+}
+
+void EntryDaemon::addParts()
+{
+    m_supervisor.add({"core",
+                      [this] {
+                          m_process.start();
+                          m_process.setAgents(m_settings.agents);
+                          return Success {};
+                      },
+                      [this] {
+                          m_process.stop();
+                      }});
+    if (m_settings.instances) {
+        m_instances = std::make_unique<InstanceListClient>(*m_settings.instances,
+                                                           [this](const std::vector<PeerSummary> &instances) {
+                                                               onInstances(instances);
+                                                           });
+        m_supervisor.add({"instances",
+                          [this] {
+                              m_instances->start();
+                              return Success {};
+                          },
+                          [this] {
+                              m_instances->stop();
+                          }});
+    }
+    m_supervisor.add({"http",
+                      [this]() -> Result<Success> {
+                          m_front = std::make_unique<HttpFront>(
+                              m_settings.http,
+                              m_process,
+                              *m_config,
+                              [this] {
+                                  return metricsText();
+                              },
+                              processNow);
+                          if (m_settings.httpTls) {
+                              m_front->setTls(*m_settings.httpTls);
+                          }
+                          // Out of descriptors, Qt's server stops accepting for good; a restart resumes it.
+                          QObject::connect(
+                              &m_front->guard(),
+                              &QTcpServer::acceptError,
+                              &m_process,
+                              [this] {
+                                  m_supervisor.partFailed("http", m_front->guard().errorString().toStdString());
+                              },
+                              Qt::QueuedConnection);
+                          Result<Success> result = m_front->listen(m_settings.httpListen.address, m_httpPort);
+                          m_httpPort = m_front->port();
+                          return result;
+                      },
+                      [this] {
+                          m_front.reset();
+                      }});
+}
+
+void EntryDaemon::onInstances(const std::vector<PeerSummary> &instances)
+{
+    std::vector<AgentAddress> agents = m_settings.agents;
+    for (const PeerSummary &instance : instances) {
+        if (instance.role != InstanceRole::Agent) {
+            continue;
+        }
+        const HttpEndpoint endpoint = parseEndpoint(instance.address).value_or(HttpEndpoint {});
+        agents.push_back({instance.instance, endpoint.address, endpoint.port});
+    }
+    m_process.setAgents(agents);
+    for (const PeerSummary &instance : instances) {
+        if (instance.state == InstanceState::Leaving) {
+            m_process.instanceLeaving(instance.instance);
+        }
+    }
+}
+
+std::string EntryDaemon::metricsText()
+{
+    m_metrics.set("ibismast_open_requests", {}, static_cast<double>(m_process.openRequests()));
+    m_metrics.set("ibismast_connected_agents", {}, static_cast<double>(m_process.connectedAgents()));
+    m_metrics.set("ibismast_http_connections", {}, static_cast<double>(m_front->guard().connectionCount()));
+    return m_metrics.text();
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/adapters/entrydaemon.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "adapters/declaredconfig.h"
+#include "adapters/entryprocess.h"
+#include "adapters/httpfront.h"
+#include "adapters/instancelistclient.h"
+#include "adapters/logging.h"
+#include "adapters/metrics.h"
+#include "adapters/supervisor.h"
+#include "adapters/tls.h"
+
+#include "ibismast/entry/entrycoresettings.h"
+
+namespace ibismast
+{
+
+/// All settings of an entry instance.
+struct EntryDaemonSettings
+{
+    InstanceId instance;
+    FailureDomain domain;
+    HttpEndpoint httpListen;
+    std::optional<QSslConfiguration> httpTls;
+    HttpFrontSettings http;
+    /// Agents that are reached in any case; those of the instance list come on top.
+    std::vector<AgentAddress> agents;
+    std::optional<QSslConfiguration> peerTls;
+    EntryProcessSettings process;
+    std::optional<InstanceListSettings> instances;
+    EntryCoreSettings core;
+    /// Time that requests have to end after the first stop signal.
+    Duration stopTimeout = std::chrono::minutes(10);
+};
+
+/// Reads the settings of an entry; violations are reported by `SettingsFile::finish`.
+[[nodiscard]] EntryDaemonSettings readEntrySettings(SettingsFile &file);
+
+/// Entry instance with all its parts.
+class EntryDaemon
+{
+public:
+    /// @p onFailure is called when the process cannot go on.
+    EntryDaemon(EntryDaemonSettings settings,
+                std::unique_ptr<ConfigSource> config,
+                Incarnation incarnation,
+                Supervisor::FailureHandler onFailure);
+
+    /// Starts all parts.
+    [[nodiscard]] Result<Success> start();
+    /// Refuses new requests; those in progress go on.
+    void beginShutdown();
+    /// Number of requests that have not ended or whose answers have not been sent completely.
+    [[nodiscard]] std::size_t openRequests() const;
+    /// Stops all parts in reverse order.
+    void stop();
+
+    /// Port of the HTTP front end.
+    [[nodiscard]] quint16 httpPort() const;
+    [[nodiscard]] EntryProcess &process();
+
+private:
+    void addParts();
+    void onInstances(const std::vector<PeerSummary> &instances);
+    [[nodiscard]] std::string metricsText();
+
+    EntryDaemonSettings m_settings;
+    std::unique_ptr<ConfigSource> m_config;
+    Metrics m_metrics;
+    LoggingListener m_listener;
+    EntryProcess m_process;
+    std::unique_ptr<HttpFront> m_front;
+    std::unique_ptr<InstanceListClient> m_instances;
+    Supervisor m_supervisor;
+    /// Port that the system chose, kept over a restart of the front end.
+    quint16 m_httpPort = 0;
+};
+
+} // namespace ibismast
--- a/adapters/guardedsocket.cpp
+++ b/adapters/guardedsocket.cpp
@@ -90,6 +90,11 @@
     }
 }
 
+bool GuardedSocket::isAnswering() const
+{
+    return m_phase == Phase::Answering || m_inner->bytesToWrite() > 0;
+}
+
 void GuardedSocket::enforceTimes(TimePoint now)
 {
     m_now = now;
@@ -123,7 +128,7 @@
 
 qint64 GuardedSocket::bytesAvailable() const
 {
-    return QIODevice::bytesAvailable() + m_toServer.size();
+    return QAbstractSocket::bytesAvailable() + m_toServer.size();
 }
 
 qint64 GuardedSocket::bytesToWrite() const
@@ -220,7 +225,7 @@
     std::string head = m_head.method + ' ' + m_head.target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : m_head.headers) {
         if (std::ranges::find(ConnectionHeaders, lowerCase(name)) == ConnectionHeaders.end()) {
-            head += name + ": " + value + "\r\n";
+            head.append(name).append(": ").append(value).append("\r\n");
         }
     }
     head += "Content-Length: 0\r\n\r\n";
--- a/adapters/guardedsocket.h
+++ b/adapters/guardedsocket.h
@@ -18,7 +18,7 @@
     /// Time for the body of a request, plus one second for each `minBodyRate` bytes.
     Duration bodyTimeout = std::chrono::seconds(10);
     /// Bytes per second that a sender must reach.
-    std::uint64_t minBodyRate = 64 * 1024;
+    std::uint64_t minBodyRate = 65'536;
     /// Time that a connection may stay open without a request.
     Duration idleTimeout = std::chrono::seconds(60);
     /// Time in which the rest of a refused request is read, so that the sender sees the answer and not a reset.
@@ -49,6 +49,8 @@
     /// Tells that the last byte of the answer has been written; the next request may be read.
     void answerEnded();
 
+    /// True if an answer is due or has not been sent completely.
+    [[nodiscard]] bool isAnswering() const;
     /// Refuses or closes the connection if its current phase has lasted too long at @p now.
     void enforceTimes(TimePoint now);
     /// Closes the connection if no request is being read or answered.
--- a/adapters/guardserver.cpp
+++ b/adapters/guardserver.cpp
@@ -2,6 +2,8 @@
 
 #include <QtNetwork/QSslSocket>
 
+#include <algorithm>
+
 namespace ibismast
 {
 
@@ -48,6 +50,13 @@
     return m_sockets.size();
 }
 
+std::size_t GuardServer::answeringCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_sockets, [](const GuardedSocket *socket) {
+        return socket->isAnswering();
+    }));
+}
+
 void GuardServer::incomingConnection(qintptr handle)
 {
     QTcpSocket *inner = nullptr;
--- a/adapters/guardserver.h
+++ b/adapters/guardserver.h
@@ -29,6 +29,8 @@
     void closeIdle();
     /// Number of open connections.
     [[nodiscard]] std::size_t connectionCount() const;
+    /// Number of connections on which an answer is due or has not been sent completely.
+    [[nodiscard]] std::size_t answeringCount() const;
 
 protected:
     void incomingConnection(qintptr handle) override;
--- a/adapters/httpmessage.cpp
+++ b/adapters/httpmessage.cpp
@@ -123,9 +123,9 @@
 HttpMessageParser::HttpMessageParser(HttpMessageKind kind, const HttpMessageLimits &limits)
 {
     if (kind == HttpMessageKind::Request) {
-        d = std::make_unique<ParserOf<true, Private>>(limits);
+        m_private = std::make_unique<ParserOf<true, Private>>(limits);
     } else {
-        d = std::make_unique<ParserOf<false, Private>>(limits);
+        m_private = std::make_unique<ParserOf<false, Private>>(limits);
     }
 }
 
@@ -136,71 +136,71 @@
     if (bytes.empty()) {
         return std::size_t {0};
     }
-    d->started = true;
-    const std::size_t kept = d->pending.size();
+    m_private->started = true;
+    const std::size_t kept = m_private->pending.size();
     std::string_view input = bytes;
     if (kept != 0) {
-        d->pending.append(bytes);
-        input = d->pending;
+        m_private->pending.append(bytes);
+        input = m_private->pending;
     }
     std::size_t used = 0;
-    while (!d->done() && used < input.size()) {
+    while (!m_private->done() && used < input.size()) {
         boost::beast::error_code code;
-        const std::size_t step = d->put(boost::asio::buffer(input.data() + used, input.size() - used), code);
+        const std::size_t step = m_private->put(boost::asio::buffer(input.data() + used, input.size() - used), code);
         used += step;
         if (code == http::error::need_more) {
             if (step == 0) {
                 break;
             }
         } else if (code) {
-            return refusal(code, d->limits);
+            return refusal(code, m_private->limits);
         }
     }
-    if (d->done()) {
-        d->pending.clear();
+    if (m_private->done()) {
+        m_private->pending.clear();
         return used - kept;
     }
     std::string rest(input.substr(used));
-    d->pending = std::move(rest);
+    m_private->pending = std::move(rest);
     return bytes.size();
 }
 
 Result<Success> HttpMessageParser::finish()
 {
-    if (d->done()) {
+    if (m_private->done()) {
         return Success {};
     }
     boost::beast::error_code code;
-    d->putEnd(code);
+    m_private->putEnd(code);
     if (code) {
-        return refusal(code, d->limits);
+        return refusal(code, m_private->limits);
     }
     return Success {};
 }
 
 bool HttpMessageParser::started() const
 {
-    return d->started;
+    return m_private->started;
 }
 
 bool HttpMessageParser::headDone() const
 {
-    return d->headDone();
+    return m_private->headDone();
 }
 
 bool HttpMessageParser::done() const
 {
-    return d->done();
+    return m_private->done();
 }
 
 HttpHead HttpMessageParser::head() const
 {
-    return d->head();
+    return m_private->head();
 }
 
 std::string HttpMessageParser::takeBody()
 {
-    return std::exchange(d->body(), std::string());
+    return std::exchange(m_private->body(), std::string());
 }
 
 } // namespace ibismast
--- a/adapters/httpmessage.h
+++ b/adapters/httpmessage.h
@@ -70,7 +70,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_private;
 };
 
 } // namespace ibismast
