--- a/standins/common/httpreply.cpp
+++ b/standins/common/standinreply.cpp
@@ -1,4 +1,4 @@
-#include "standins/common/httpreply.h"
+#include "standins/common/standinreply.h"
 
 #include <QJsonDocument>
 #include <QTimer>
@@ -33,7 +33,7 @@
     }
 }
 
-QByteArray head(int status, const QByteArray &contentType, const HttpReply::Headers &headers)
+QByteArray head(int status, const QByteArray &contentType, const StandinReply::Headers &headers)
 {
     QByteArray text = "HTTP/1.1 " + QByteArray::number(status) + ' ' + reasonPhrase(status)
         + "\r\nContent-Type: " + contentType + "\r\n";
@@ -45,25 +45,25 @@
 
 } // namespace
 
-HttpReply::HttpReply(QTcpSocket *socket) : m_socket(socket) { }
+StandinReply::StandinReply(QTcpSocket *socket) : m_socket(socket) { }
 
-void HttpReply::send(int status, const QByteArray &contentType, const QByteArray &body, const Headers &headers)
+void StandinReply::send(int status, const QByteArray &contentType, const QByteArray &body, const Headers &headers)
 {
     write(head(status, contentType, headers) + "Content-Length: " + QByteArray::number(body.size()) + "\r\n\r\n"
           + body);
 }
 
-void HttpReply::sendJson(int status, const QJsonObject &object, const Headers &headers)
+void StandinReply::sendJson(int status, const QJsonObject &object, const Headers &headers)
 {
     send(status, "application/json", QJsonDocument(object).toJson(QJsonDocument::Compact), headers);
 }
 
-void HttpReply::beginStream(const QByteArray &contentType, const Headers &headers)
+void StandinReply::beginStream(const QByteArray &contentType, const Headers &headers)
 {
     write(head(200, contentType, headers) + "Transfer-Encoding: chunked\r\n\r\n");
 }
 
-void HttpReply::writeChunk(const QByteArray &data)
+void StandinReply::writeChunk(const QByteArray &data)
 {
     // A chunk of size 0 would end the answer.
     if (!data.isEmpty()) {
@@ -71,60 +71,60 @@
     }
 }
 
-void HttpReply::endStream()
+void StandinReply::endStream()
 {
     write("0\r\n\r\n");
 }
 
-void HttpReply::abort()
+void StandinReply::abort()
 {
     if (m_socket) {
         m_socket->abort();
     }
 }
 
-bool HttpReply::isOpen() const
+bool StandinReply::isOpen() const
 {
     return m_socket && m_socket->state() == QAbstractSocket::ConnectedState;
 }
 
-qint64 HttpReply::pendingBytes() const
+qint64 StandinReply::pendingBytes() const
 {
     return m_socket ? m_socket->bytesToWrite() : 0;
 }
 
-void HttpReply::onClosed(std::function<void()> callback)
+void StandinReply::onClosed(std::function<void()> callback)
 {
     if (m_socket) {
         QObject::connect(m_socket, &QTcpSocket::disconnected, m_socket, std::move(callback));
     }
 }
 
-void HttpReply::setDelay(Duration delay)
+void StandinReply::setDelay(Duration delay)
 {
     m_delay = delay;
 }
 
-void HttpReply::loseAfter(qint64 bytes)
+void StandinReply::loseAfter(qint64 bytes)
 {
     m_loseAfter = bytes;
 }
 
-void HttpReply::hold()
+void StandinReply::hold()
 {
     m_held = true;
 }
 
-void HttpReply::cross(HttpReply &first, HttpReply &second)
+void StandinReply::cross(StandinReply &first, StandinReply &second)
 {
     std::swap(first.m_socket, second.m_socket);
-    for (HttpReply *reply : {&first, &second}) {
+    for (StandinReply *reply : {&first, &second}) {
         reply->m_held = false;
         reply->write(std::exchange(reply->m_heldData, {}));
     }
 }
 
-void HttpReply::write(const QByteArray &data)
+void StandinReply::write(const QByteArray &data)
 {
     if (m_held) {
         m_heldData += data;
@@ -140,7 +140,7 @@
     });
 }
 
-void HttpReply::writeDelayed()
+void StandinReply::writeDelayed()
 {
     // Timers of equal length may fire in any order; the queue keeps the order of the bytes.
     const QByteArray data = std::move(m_delayed.front());
@@ -148,7 +148,7 @@
     writeNow(data);
 }
 
-void HttpReply::writeNow(const QByteArray &data)
+void StandinReply::writeNow(const QByteArray &data)
 {
     if (!isOpen() || data.isEmpty()) {
         return;
--- a/standins/common/httpreply.h
+++ b/standins/common/standinreply.h
@@ -19,12 +19,12 @@
 /// Answer to one HTTP request, written to the socket directly so that faults can be injected at the byte level.
 ///
 /// Writing after the client has left is safe and does nothing.
-class HttpReply : public std::enable_shared_from_this<HttpReply>
+class StandinReply : public std::enable_shared_from_this<StandinReply>
 {
 public:
     using Headers = QList<QPair<QByteArray, QByteArray>>;
 
-    explicit HttpReply(QTcpSocket *socket);
+    explicit StandinReply(QTcpSocket *socket);
 
     /// Sends a whole answer.
     void send(int status, const QByteArray &contentType, const QByteArray &body, const Headers &headers = {});
@@ -53,7 +53,7 @@
     /// Fault: keeps writes back until `cross`.
     void hold();
     /// Fault: @p first and @p second answer each other's request from now on, and writes kept back are sent.
-    static void cross(HttpReply &first, HttpReply &second);
+    static void cross(StandinReply &first, StandinReply &second);
 
 private:
     void write(const QByteArray &data);
--- a/standins/common/standinserver.cpp
+++ b/standins/common/standinserver.cpp
@@ -33,7 +33,7 @@
 
 } // namespace
 
-QByteArray HttpRequest::header(const QByteArray &name) const
+QByteArray StandinRequest::header(const QByteArray &name) const
 {
     for (const auto &[key, value] : headers) {
         if (key.compare(name, Qt::CaseInsensitive) == 0) {
@@ -43,7 +43,7 @@
     return {};
 }
 
-std::optional<QJsonObject> HttpRequest::json() const
+std::optional<QJsonObject> StandinRequest::json() const
 {
     const QJsonDocument document = QJsonDocument::fromJson(body);
     if (!document.isObject()) {
@@ -87,12 +87,12 @@
 
 bool StandinServer::handleRequest(const QHttpServerRequest &request, QTcpSocket *socket)
 {
-    const HttpRequest copy {methodName(request.method()),
-                            request.url().path().toUtf8(),
-                            request.url().query().toUtf8(),
-                            request.headers(),
-                            request.body()};
-    const auto reply = std::make_shared<HttpReply>(socket);
+    const StandinRequest copy {methodName(request.method()),
+                               request.url().path().toUtf8(),
+                               request.url().query().toUtf8(),
+                               request.headers(),
+                               request.body()};
+    const auto reply = std::make_shared<StandinReply>(socket);
     if (copy.path == "/control") {
         handleControl(copy, *reply);
         return true;
@@ -117,7 +117,7 @@
         reply->hold();
         handle(copy, reply);
         if (m_crossing && m_crossing->isOpen()) {
-            HttpReply::cross(*m_crossing, *reply);
+            StandinReply::cross(*m_crossing, *reply);
             m_crossing.reset();
         } else {
             m_crossing = reply;
@@ -133,7 +133,7 @@
     // handleRequest takes every request.
 }
 
-void StandinServer::handleControl(const HttpRequest &request, HttpReply &reply)
+void StandinServer::handleControl(const StandinRequest &request, StandinReply &reply)
 {
     if (request.method == "GET") {
         reply.sendJson(200, status());
--- a/standins/common/standinserver.h
+++ b/standins/common/standinserver.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "standins/common/faultplan.h"
-#include "standins/common/httpreply.h"
+#include "standins/common/standinreply.h"
 
 #include <QAbstractHttpServer>
 #include <QHttpServerRequest>
@@ -12,12 +12,12 @@
 {
 
 /// Request to a stand-in, independent of the connection's life.
-struct HttpRequest
+struct StandinRequest
 {
     QByteArray method;
     QByteArray path;
     QByteArray query;
-    HttpReply::Headers headers;
+    StandinReply::Headers headers;
     QByteArray body;
 
     /// Returns the value of header @p name, compared without case; empty if it is missing.
@@ -26,7 +26,7 @@
     [[nodiscard]] std::optional<QJsonObject> json() const;
 };
 
-using HttpReplyPointer = std::shared_ptr<HttpReply>;
+using StandinReplyPointer = std::shared_ptr<StandinReply>;
 
 /// HTTP server on loopback with a control path that injects faults.
 ///
@@ -42,7 +42,7 @@
 
 protected:
     /// Answers @p request through @p reply, at once or later.
-    virtual void handle(const HttpRequest &request, const HttpReplyPointer &reply) = 0;
+    virtual void handle(const StandinRequest &request, const StandinReplyPointer &reply) = 0;
     /// Carries out a command that is not a common fault. The default knows none.
     virtual Result<QJsonObject> executeOwn(const QJsonObject &command);
     /// Counters of the server.
@@ -51,10 +51,10 @@
 private:
     bool handleRequest(const QHttpServerRequest &request, QTcpSocket *socket) override;
     void missingHandler(const QHttpServerRequest &request, QTcpSocket *socket) override;
-    void handleControl(const HttpRequest &request, HttpReply &reply);
+    void handleControl(const StandinRequest &request, StandinReply &reply);
 
     FaultPlan m_faults;
-    HttpReplyPointer m_crossing;
+    StandinReplyPointer m_crossing;
 };
 
 /// Time on the process's monotonic clock.
--- a/standins/instancelist/instancelistserver.cpp
+++ b/standins/instancelist/instancelistserver.cpp
@@ -37,7 +37,7 @@
 
 InstanceListServer::InstanceListServer(const InstanceListSettings &settings) : m_settings(settings) { }
 
-void InstanceListServer::handle(const HttpRequest &request, const HttpReplyPointer &reply)
+void InstanceListServer::handle(const StandinRequest &request, const StandinReplyPointer &reply)
 {
     if (request.path != "/instances") {
         reply->sendJson(404, {{"error", "no such path"}});
--- a/standins/instancelist/instancelistserver.h
+++ b/standins/instancelist/instancelistserver.h
@@ -26,7 +26,7 @@
     explicit InstanceListServer(const InstanceListSettings &settings = {});
 
 protected:
-    void handle(const HttpRequest &request, const HttpReplyPointer &reply) override;
+    void handle(const StandinRequest &request, const StandinReplyPointer &reply) override;
     Result<QJsonObject> executeOwn(const QJsonObject &command) override;
     [[nodiscard]] QJsonObject status() const override;
 
--- a/standins/keyvalue/keyvalueserver.cpp
+++ b/standins/keyvalue/keyvalueserver.cpp
@@ -18,7 +18,7 @@
 constexpr int GrpcNotFound = 5;
 constexpr int GrpcResourceExhausted = 8;
 
-void fail(HttpReply &reply, int status, int grpcCode, const std::string &message)
+void fail(StandinReply &reply, int status, int grpcCode, const std::string &message)
 {
     const QString text = QString::fromStdString("etcdserver: " + message);
     reply.sendJson(status, {{"error", text}, {"code", grpcCode}, {"message", text}});
@@ -44,9 +44,9 @@
     m_expiryTimer.start(std::chrono::milliseconds(50));
 }
 
-void KeyValueServer::handle(const HttpRequest &request, const HttpReplyPointer &reply)
+void KeyValueServer::handle(const StandinRequest &request, const StandinReplyPointer &reply)
 {
-    using Method = void (KeyValueServer::*)(const QJsonObject &, HttpReply &);
+    using Method = void (KeyValueServer::*)(const QJsonObject &, StandinReply &);
     struct Route
     {
         const char *path;
@@ -149,19 +149,19 @@
     return result;
 }
 
-void KeyValueServer::range(const QJsonObject &body, HttpReply &reply)
+void KeyValueServer::range(const QJsonObject &body, StandinReply &reply)
 {
     reply.sendJson(200, rangeResult(body));
 }
 
-void KeyValueServer::put(const QJsonObject &body, HttpReply &reply)
+void KeyValueServer::put(const QJsonObject &body, StandinReply &reply)
 {
     if (write({etcdjson::parsePut(body)}, reply)) {
         reply.sendJson(200, {{"header", header()}});
     }
 }
 
-void KeyValueServer::deleteRange(const QJsonObject &body, HttpReply &reply)
+void KeyValueServer::deleteRange(const QJsonObject &body, StandinReply &reply)
 {
     const KeyValueWrite deletion = etcdjson::parseDeletion(body);
     const std::size_t count = m_model.range(deletion.key, deletion.rangeEnd).size();
@@ -170,7 +170,7 @@
     }
 }
 
-void KeyValueServer::transaction(const QJsonObject &body, HttpReply &reply)
+void KeyValueServer::transaction(const QJsonObject &body, StandinReply &reply)
 {
     bool succeeded = true;
     for (const auto &value : body["compare"].toArray()) {
@@ -213,7 +213,7 @@
     reply.sendJson(200, result);
 }
 
-void KeyValueServer::leaseGrant(const QJsonObject &body, HttpReply &reply)
+void KeyValueServer::leaseGrant(const QJsonObject &body, StandinReply &reply)
 {
     const std::int64_t seconds = etcdjson::integerField(body, "TTL");
     if (seconds <= 0) {
@@ -225,7 +225,7 @@
     reply.sendJson(200, {{"header", header()}, {"ID", QString::number(id)}, {"TTL", QString::number(seconds)}});
 }
 
-void KeyValueServer::leaseKeepAlive(const QJsonObject &body, HttpReply &reply)
+void KeyValueServer::leaseKeepAlive(const QJsonObject &body, StandinReply &reply)
 {
     const std::int64_t id = etcdjson::integerField(body, "ID");
     const Duration timeToLive = m_model.keepLeaseAlive(id, monotonicNow());
@@ -236,7 +236,7 @@
     reply.send(200, "application/json", streamLine(result));
 }
 
-void KeyValueServer::leaseRevoke(const QJsonObject &body, HttpReply &reply)
+void KeyValueServer::leaseRevoke(const QJsonObject &body, StandinReply &reply)
 {
     if (!m_model.revokeLease(etcdjson::integerField(body, "ID"))) {
         fail(reply, 404, GrpcNotFound, "requested lease not found");
@@ -245,7 +245,7 @@
     reply.sendJson(200, {{"header", header()}});
 }
 
-void KeyValueServer::watch(const QJsonObject &body, const HttpReplyPointer &reply)
+void KeyValueServer::watch(const QJsonObject &body, const StandinReplyPointer &reply)
 {
     const QJsonObject request = etcdjson::field(body, "create_request").toObject();
     Watch watch;
@@ -268,7 +268,7 @@
     deliverChanges(m_watches.back());
 }
 
-bool KeyValueServer::write(const std::vector<KeyValueWrite> &writes, HttpReply &reply)
+bool KeyValueServer::write(const std::vector<KeyValueWrite> &writes, StandinReply &reply)
 {
     for (const KeyValueWrite &write : writes) {
         if (write.value.size() > m_settings.maxValueBytes) {
--- a/standins/keyvalue/keyvalueserver.h
+++ b/standins/keyvalue/keyvalueserver.h
@@ -33,33 +33,33 @@
     explicit KeyValueServer(const KeyValueServerSettings &settings = {});
 
 protected:
-    void handle(const HttpRequest &request, const HttpReplyPointer &reply) override;
+    void handle(const StandinRequest &request, const StandinReplyPointer &reply) override;
     Result<QJsonObject> executeOwn(const QJsonObject &command) override;
     [[nodiscard]] QJsonObject status() const override;
 
 private:
     struct Watch
     {
-        HttpReplyPointer reply;
+        StandinReplyPointer reply;
         std::string key;
         std::string rangeEnd;
         std::int64_t nextRevision = 0;
         int eventsToDrop = 0;
     };
 
-    void range(const QJsonObject &body, HttpReply &reply);
-    void put(const QJsonObject &body, HttpReply &reply);
-    void deleteRange(const QJsonObject &body, HttpReply &reply);
-    void transaction(const QJsonObject &body, HttpReply &reply);
-    void leaseGrant(const QJsonObject &body, HttpReply &reply);
-    void leaseKeepAlive(const QJsonObject &body, HttpReply &reply);
-    void leaseRevoke(const QJsonObject &body, HttpReply &reply);
-    void watch(const QJsonObject &body, const HttpReplyPointer &reply);
+    void range(const QJsonObject &body, StandinReply &reply);
+    void put(const QJsonObject &body, StandinReply &reply);
+    void deleteRange(const QJsonObject &body, StandinReply &reply);
+    void transaction(const QJsonObject &body, StandinReply &reply);
+    void leaseGrant(const QJsonObject &body, StandinReply &reply);
+    void leaseKeepAlive(const QJsonObject &body, StandinReply &reply);
+    void leaseRevoke(const QJsonObject &body, StandinReply &reply);
+    void watch(const QJsonObject &body, const StandinReplyPointer &reply);
 
     [[nodiscard]] QJsonObject header() const;
     [[nodiscard]] QJsonObject rangeResult(const QJsonObject &body) const;
     /// Checks the limits, applies the writes and answers with an error if that fails.
-    bool write(const std::vector<KeyValueWrite> &writes, HttpReply &reply);
+    bool write(const std::vector<KeyValueWrite> &writes, StandinReply &reply);
     void deliverChanges();
     void deliverChanges(Watch &watch);
 
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -1,3 +1,4 @@
+#include "standins/engine/engineserver.h"
 #include "standins/instancelist/instancelistserver.h"
 #include "standins/keyvalue/keyvalueserver.h"
 #include "standins/plainservice/plainserviceserver.h"
@@ -30,7 +31,7 @@
 }
 
 /// Starts @p server, prints its port and runs the event loop.
-int serve(StandinServer &server, const CommonOptions &options)
+template<typename Server> int serve(Server &server, const CommonOptions &options)
 {
     const quint16 port = server.start(options.port);
     if (port == 0) {
@@ -54,6 +55,57 @@
     return std::chrono::milliseconds(count);
 }
 
+/// Options of the engine whose types differ from those of the settings.
+struct EngineOptions
+{
+    std::vector<std::string> models {"model"};
+    std::int64_t capacity = 400'000;
+    std::int64_t stepUs = 10'000;
+    std::int64_t tokenUs = 20;
+    std::int64_t loadLagMs = 500;
+    bool ignorePriorities = false;
+    bool ignoreFencing = false;
+
+    void applyTo(EngineServerSettings &settings) const
+    {
+        EngineModelSettings &model = settings.model;
+        model.models.clear();
+        for (const std::string &name : models) {
+            model.models.emplace_back(name);
+        }
+        model.memoryCapacity = Tokens(capacity);
+        model.cacheCapacity = Tokens(std::min(model.cacheCapacity.value(), capacity / 4));
+        model.stepTime = Duration(stepUs);
+        model.timePerToken = Duration(tokenUs);
+        model.loadLag = milliseconds(loadLagMs);
+        model.honourPriorities = !ignorePriorities;
+        model.checkFencingTokens = !ignoreFencing;
+    }
+};
+
+void addEngineOptions(CLI::App &command, EngineServerSettings &settings, EngineOptions &options)
+{
+    EngineModelSettings &model = settings.model;
+    command.add_option("--model", options.models, "Model that is loaded at the start; repeatable")
+        ->capture_default_str();
+    command.add_option("--capacity", options.capacity, "KV memory in tokens")->capture_default_str();
+    command.add_option("--step-tokens", model.tokensPerStep, "Largest number of tokens in a step")
+        ->capture_default_str();
+    command.add_option("--step-us", options.stepUs, "Time of an empty step in microseconds")->capture_default_str();
+    command.add_option("--token-us", options.tokenUs, "Further time for each token of a step in microseconds")
+        ->capture_default_str();
+    command.add_option("--max-running", model.maxRunning, "Largest number of attempts in a batch")
+        ->capture_default_str();
+    command.add_option("--load-lag-ms", options.loadLagMs, "Age of load reports")->capture_default_str();
+    command.add_option("--cache-event-loss", model.cacheEventLoss, "Fraction of cache events that is lost")
+        ->check(CLI::Range(0.0, 1.0))
+        ->capture_default_str();
+    command.add_option("--seed", settings.seed, "Seed of the random source")->capture_default_str();
+    command.add_flag("--ignore-priorities", options.ignorePriorities, "Run attempts in order of arrival");
+    command.add_flag("--ignore-fencing", options.ignoreFencing, "Carry out orders with old fencing tokens");
+    command.add_flag("--cancel-on-disconnect", settings.cancelOnDisconnect, "Cancel an attempt when its client leaves");
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -85,8 +137,20 @@
     addCommonOptions(*instanceList, common);
     instanceList->add_option("--lag-ms", lagMs, "Time until a change becomes visible")->capture_default_str();
 
+    CLI::App *engine = app.add_subcommand("engine", "Model engine with continuous batching");
+    EngineServerSettings engineSettings;
+    EngineOptions engineOptions;
+    addCommonOptions(*engine, common);
+    addEngineOptions(*engine, engineSettings, engineOptions);
+
     CLI11_PARSE(app, argc, argv);
 
+    if (engine->parsed()) {
+        engineOptions.applyTo(engineSettings);
+        EngineServer server(engineSettings);
+        return serve(server, common);
+    }
+
     if (keyValue->parsed()) {
         KeyValueServer server(keyValueSettings);
         return serve(server, common);
--- a/standins/plainservice/plainserviceserver.cpp
+++ b/standins/plainservice/plainserviceserver.cpp
@@ -16,7 +16,7 @@
     });
 }
 
-void PlainServiceServer::handle(const HttpRequest &request, const HttpReplyPointer &reply)
+void PlainServiceServer::handle(const StandinRequest &request, const StandinReplyPointer &reply)
 {
     const std::optional<QJsonObject> body = request.json();
     QByteArray reference = body ? (*body)["reference"].toString().toUtf8() : QByteArray();
@@ -46,11 +46,11 @@
     return {{"runs", runs}, {"calls", m_number}, {"double_runs", doubleRuns()}};
 }
 
-void PlainServiceServer::run(const QByteArray &reference, const HttpRequest &request, HttpReply &reply)
+void PlainServiceServer::run(const QByteArray &reference, const StandinRequest &request, StandinReply &reply)
 {
     const int count = ++m_runs[reference];
     ++m_number;
-    HttpReply::Headers headers;
+    StandinReply::Headers headers;
     if (const QByteArray operation = request.header("Operation-Id"); !operation.isEmpty()) {
         headers.append({"Operation-Id", operation});
     }
--- a/standins/plainservice/plainserviceserver.h
+++ b/standins/plainservice/plainserviceserver.h
@@ -29,11 +29,11 @@
     [[nodiscard]] qint64 doubleRuns() const;
 
 protected:
-    void handle(const HttpRequest &request, const HttpReplyPointer &reply) override;
+    void handle(const StandinRequest &request, const StandinReplyPointer &reply) override;
     [[nodiscard]] QJsonObject status() const override;
 
 private:
-    void run(const QByteArray &reference, const HttpRequest &request, HttpReply &reply);
+    void run(const QByteArray &reference, const StandinRequest &request, StandinReply &reply);
 
     PlainServiceSettings m_settings;
     std::map<QByteArray, int> m_runs;
