--- a/load/requestrun.cpp
+++ b/load/requestrun.cpp
@@ -162,17 +162,14 @@
     if (m_outcome.httpStatus != 200) {
         m_error = QJsonDocument::fromJson(m_body).object()["error"].toObject();
     }
-    if (m_check->state() == AnswerState::Wrong) {
-        finish(Verdict::Wrong);
-    } else if (m_check->state() == AnswerState::Duplicate) {
+    const AnswerState state = m_check->state();
+    if (state == AnswerState::Duplicate) {
         finish(Verdict::Duplicate);
-    } else if (m_error) {
+    } else if (state != AnswerState::Wrong && m_error) {
         handleError(*m_error);
-    } else if (m_check->state() == AnswerState::Complete) {
-        finish(Verdict::Answered);
     } else {
-        // The stream ended in good form without an end marker.
-        finish(Verdict::Wrong);
+        // A stream that ended in good form but without an end marker is as wrong as one with foreign tokens.
+        finish(state == AnswerState::Complete ? Verdict::Answered : Verdict::Wrong);
     }
 }
 
