--- a/standins/common/standinserver.h
+++ b/standins/common/standinserver.h
@@ -12,7 +12,7 @@
 {
 
 /// Request to a stand-in, independent of the connection's life.
-struct HttpRequest
+struct StandinRequest
 {
     QByteArray method;
     QByteArray path;
@@ -26,7 +26,7 @@
     [[nodiscard]] std::optional<QJsonObject> json() const;
 };
 
-using HttpReplyPointer = std::shared_ptr<StandinReply>;
+using StandinReplyPointer = std::shared_ptr<StandinReply>;
 
 /// HTTP server on loopback with a control path that injects faults.
 ///
@@ -42,7 +42,7 @@
 
 protected:
     /// Answers @p request through @p reply, at once or later.
-    virtual void handle(const HttpRequest &request, const HttpReplyPointer &reply) = 0;
+    virtual void handle(const StandinRequest &request, const StandinReplyPointer &reply) = 0;
     /// Carries out a command that is not a common fault. The default knows none.
     virtual Result<QJsonObject> executeOwn(const QJsonObject &command);
     /// Counters of the server.
@@ -51,10 +51,10 @@
 private:
     bool handleRequest(const QHttpServerRequest &request, QTcpSocket *socket) override;
     void missingHandler(const QHttpServerRequest &request, QTcpSocket *socket) override;
-    void handleControl(const HttpRequest &request, StandinReply &reply);
+    void handleControl(const StandinRequest &request, StandinReply &reply);
 
     FaultPlan m_faults;
-    HttpReplyPointer m_crossing;
+    StandinReplyPointer m_crossing;
 };
 
 /// Time on the process's monotonic clock.
