--- a/adapters/guardedsocket.h
+++ b/adapters/guardedsocket.h
@@ -49,6 +49,8 @@
     /// Tells that the last byte of the answer has been written; the next request may be read.
     void answerEnded();
 
+    /// True if an answer is due or has not been sent completely.
+    [[nodiscard]] bool isAnswering() const;
     /// Refuses or closes the connection if its current phase has lasted too long at @p now.
     void enforceTimes(TimePoint now);
     /// Closes the connection if no request is being read or answered.
