--- a/UnitTests/harness/faultmatrix.cpp
+++ b/UnitTests/harness/faultmatrix.cpp
@@ -165,6 +165,10 @@
          [](Fleet &, const Step &) {
              return Fate {.delay = milliseconds(1'500)};
          }},
+        {"message-crossed",
+         [](Fleet &, const Step &) {
+             return Fate {.crossed = true};
+         }},
         {"link-cut",
          [](Fleet &fleet, const Step &step) {
              return later(fleet, [&fleet, entry = entryOf(fleet, step), agent = agentOf(fleet, step)] {
@@ -211,6 +215,7 @@
                 fate.deliver = fate.deliver && injected.deliver;
                 fate.copies += injected.copies;
                 fate.delay += injected.delay;
+                fate.crossed = fate.crossed || injected.crossed;
             }
         }
         return fate;
--- a/UnitTests/harness/fleet.h
+++ b/UnitTests/harness/fleet.h
@@ -31,6 +31,8 @@
     /// Number of further copies.
     int copies = 0;
     Duration delay {};
+    /// Delivers a copy to the other entries as well, as if answers were crossed.
+    bool crossed = false;
 };
 
 /// Size and settings of a `Fleet`.
