Route by cost and prefix claims, retry within the budget, reduce admission after a joint loss

Cause: the router knew no prefix claims, refusals were retried without limit, and a mass loss did not reduce admission.

--- a/ibismast/entry/completion.cpp
+++ b/ibismast/entry/completion.cpp
@@ -32,4 +32,31 @@
     return !attempts.empty() && attempts.back().id == attempt ? &attempts.back() : nullptr;
 }
 
+Tokens Completion::work() const
+{
+    return request.promptTokens + request.maxOutputTokens;
+}
+
+RefusalMemory::Demand Completion::demand(TimePoint now) const
+{
+    return {request.customer, priorityClass, request.promptTokens, deadline - now};
+}
+
+DispatchRequest Completion::dispatch(const AttemptId &attempt, TimePoint now) const
+{
+    return DispatchRequest {.attempt = attempt,
+                            .customer = request.customer,
+                            .customerWeight = request.customerWeight,
+                            .model = request.model,
+                            .promptTokens = request.promptTokens,
+                            .maxOutputTokens = request.maxOutputTokens,
+                            .timeLeft = deadline - now,
+                            .prefixHashes = request.prefixHashes,
+                            .resumeFrom = assembler.tokenCount(),
+                            .resumeText = assembler.text(),
+                            .chat = request.chat,
+                            .body = request.body,
+                            .group = {}};
+}
+
 } // namespace ibismast
--- a/ibismast/entry/completion.h
+++ b/ibismast/entry/completion.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibismast/entry/entryactions.h"
+#include "ibismast/entry/refusalmemory.h"
 #include "ibismast/streams/streamassembler.h"
 
 namespace ibismast
@@ -18,6 +19,12 @@
     MayHaveRun,
 };
 
+/// True if the attempt may be queued or running at the upstream.
+[[nodiscard]] constexpr bool isOpen(PlaceState state)
+{
+    return state == PlaceState::Sent || state == PlaceState::Accepted;
+}
+
 /// One upstream to which an attempt was dispatched.
 struct AttemptPlace
 {
@@ -67,6 +74,14 @@
     std::optional<Error> failureAfterCancel;
     /// Reason of the last failed attempt.
     std::optional<Error> lastError;
+    /// Upstream of the first attempt that failed, as opposed to being refused.
+    std::optional<InstanceId> firstFailed;
+    /// Agents that the last refusal named as more likely to accept.
+    std::vector<InstanceId> betterPlaces;
+    /// True if the next attempt must be taken from the retry budget when it starts.
+    bool needsBudget = false;
+    /// When a failed request stops waiting for an upstream that may take it.
+    std::optional<TimePoint> upstreamPatience;
 
     /// True if every attempt was refused before dispatch or has a confirmed tombstone.
     [[nodiscard]] bool provenNotRun() const;
@@ -74,6 +89,12 @@
     [[nodiscard]] bool tried(const InstanceId &upstream) const;
     /// Returns the last attempt if it has the given id, or null.
     [[nodiscard]] Attempt *current(const AttemptId &attempt);
+    /// Tokens that the request adds to an upstream's queue.
+    [[nodiscard]] Tokens work() const;
+    /// What the request asks of an agent.
+    [[nodiscard]] RefusalMemory::Demand demand(TimePoint now) const;
+    /// Returns the message that dispatches the request as @p attempt.
+    [[nodiscard]] DispatchRequest dispatch(const AttemptId &attempt, TimePoint now) const;
 };
 
 } // namespace ibismast
--- a/ibismast/entry/completionflow.cpp
+++ b/ibismast/entry/completionflow.cpp
@@ -8,38 +8,14 @@
 namespace
 {
 
-/// Accepts upstreams at which the request was not tried.
-class UntriedFilter : public RouteFilter
-{
-public:
-    explicit UntriedFilter(const Completion &completion) : m_completion(completion) { }
-
-    [[nodiscard]] bool accepts(const Upstream &upstream) const override
-    {
-        return !m_completion.tried(upstream.id);
-    }
-
-private:
-    const Completion &m_completion;
-};
-
-bool isOpen(PlaceState state)
-{
-    return state == PlaceState::Sent || state == PlaceState::Accepted;
-}
-
 bool isNotRunCode(ResultCode code)
 {
     return resultCodeInfo(code).notRun;
 }
 
-/// Cancellations kept for one unreachable agent; more are dropped, since the agent itself cancels the attempts of an
-/// entry whose heartbeats have stopped.
-constexpr std::size_t MaxUnsentCancels = 1'000;
-
 } // namespace
 
-CompletionFlow::CompletionFlow(EntryContext &context) : m_context(context) { }
+CompletionFlow::CompletionFlow(EntryContext &context) : m_context(context), m_dispatcher(context) { }
 
 RequestId CompletionFlow::submit(CompletionRequest request, TimePoint now, EntryActions &out)
 {
@@ -58,6 +34,9 @@
     completion.deadline = now + request.timeLeft;
     completion.priorityClass = classifyPrompt(request.promptTokens);
     completion.request = std::move(request);
+    if (!admitCapacity(completion, now, out)) {
+        return id;
+    }
     m_context.retryBudget.noteRequest(now);
     m_timers.schedule(m_context.tombstoneTime(now, completion.deadline), id);
     m_timers.schedule(m_context.watchdogTime(now, completion.deadline), id);
@@ -67,6 +46,23 @@
     return id;
 }
 
+bool CompletionFlow::admitCapacity(Completion &completion, TimePoint now, EntryActions &out)
+{
+    const CompletionRequest &request = completion.request;
+    Error error {ResultCode::NoUpstream, "no live upstream serves " + request.model.value(), {}};
+    if (m_context.upstreams.liveCount(request.model) > 0) {
+        if (m_context.capacity.admit(request.model, request.customer, request.customerWeight, completion.work(), now)) {
+            return true;
+        }
+        error = Error {ResultCode::CustomerOverShare,
+                       "upstreams were lost and the customer has used its share of the rest",
+                       std::chrono::seconds(1)};
+    }
+    out.emplace_back(DeliverFailure {completion.id, std::move(error), {}});
+    m_completions.erase(completion.id);
+    return false;
+}
+
 void CompletionFlow::callerLeft(const RequestId &request, EntryActions &out)
 {
     if (Completion *completion = find(request)) {
@@ -77,9 +73,7 @@
 
 void CompletionFlow::handle(const PeerFrame &frame, const DispatchAccepted &message, TimePoint /*now*/)
 {
-    Completion *completion = find(message.attempt.request);
-    Attempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
-    AttemptPlace *place = attempt != nullptr ? attempt->find(frame.sender) : nullptr;
+    const auto [completion, attempt, place] = locate(frame, message.attempt);
     if (place == nullptr || place->state != PlaceState::Sent) {
         return;
     }
@@ -87,6 +81,7 @@
     if (Upstream *upstream = m_context.upstreams.find(frame.sender)) {
         m_context.upstreams.noteAccepted(*upstream, completion->priorityClass, attempt->work);
     }
+    m_context.refusals.forget(frame.sender, completion->request.customer, completion->priorityClass);
     if (completion->phase == CompletionPhase::Running) {
         setPhase(*completion, CompletionPhase::Running, TimePoint::max());
     }
@@ -97,26 +92,27 @@
     if (message.error.code == ResultCode::UpstreamLeaving) {
         m_context.upstreams.markLeaving(frame.sender);
     }
-    Completion *completion = find(message.attempt.request);
-    Attempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
-    AttemptPlace *place = attempt != nullptr ? attempt->find(frame.sender) : nullptr;
-    if (place == nullptr || !isOpen(place->state)) {
+    const auto [completion, attempt, place] = locate(frame, message.attempt);
+    if (place == nullptr) {
         return;
     }
     if (Upstream *upstream = m_context.upstreams.find(frame.sender);
         upstream != nullptr && place->state == PlaceState::Sent) {
         m_context.upstreams.noteRefused(*upstream, completion->priorityClass, attempt->work);
     }
+    const RetryCause cause = causeOfRefusal(message.error.code);
+    if (cause == RetryCause::Overload) {
+        m_context.refusals.note(frame.sender, completion->demand(now), message.error, now);
+    }
     place->state = PlaceState::NotRun;
-    attemptEnded(*completion, PlaceState::NotRun, message.error, now, out);
+    completion->betterPlaces = message.betterPlaces;
+    attemptEnded(*completion, cause, message.error, now, out);
 }
 
 void CompletionFlow::handle(const PeerFrame &frame, const StreamPart &message, TimePoint now, EntryActions &out)
 {
-    Completion *completion = find(message.attempt.request);
-    Attempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
-    AttemptPlace *place = attempt != nullptr ? attempt->find(frame.sender) : nullptr;
-    if (place == nullptr || !isOpen(place->state)) {
+    const auto [completion, attempt, place] = locate(frame, message.attempt);
+    if (place == nullptr) {
         return;
     }
     DeliverTokens delivery {completion->id, {}};
@@ -138,21 +134,21 @@
 
 void CompletionFlow::handle(const PeerFrame &frame, const StreamEnd &message, TimePoint now, EntryActions &out)
 {
-    Completion *completion = find(message.attempt.request);
-    Attempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
-    AttemptPlace *place = attempt != nullptr ? attempt->find(frame.sender) : nullptr;
-    if (place == nullptr || !isOpen(place->state)) {
+    const auto [completion, attempt, place] = locate(frame, message.attempt);
+    if (place == nullptr) {
         return;
     }
     place->state = PlaceState::MayHaveRun;
     if (!completion->assembler.completes(message)) {
+        failedAt(*completion, frame.sender, now);
         attemptEnded(*completion,
-                     PlaceState::MayHaveRun,
+                     RetryCause::Failure,
                      Error {ResultCode::StreamIncomplete, "the answer's token count does not match its end marker", {}},
                      now,
                      out);
         return;
     }
+    m_context.health.noteSuccess(frame.sender);
     out.emplace_back(DeliverEnd {completion->id,
                                  message.finishReason,
                                  completion->request.promptTokens,
@@ -162,14 +158,13 @@
 
 void CompletionFlow::handle(const PeerFrame &frame, const AttemptFailed &message, TimePoint now, EntryActions &out)
 {
-    Completion *completion = find(message.attempt.request);
-    Attempt *attempt = completion != nullptr ? completion->current(message.attempt) : nullptr;
-    AttemptPlace *place = attempt != nullptr ? attempt->find(frame.sender) : nullptr;
-    if (place == nullptr || !isOpen(place->state)) {
+    const auto [completion, attempt, place] = locate(frame, message.attempt);
+    if (place == nullptr) {
         return;
     }
     place->state = message.mayHaveStarted ? PlaceState::MayHaveRun : PlaceState::NotRun;
-    attemptEnded(*completion, place->state, message.error, now, out);
+    failedAt(*completion, frame.sender, now);
+    attemptEnded(*completion, RetryCause::Failure, message.error, now, out);
 }
 
 void CompletionFlow::handle(const PeerFrame &frame, const CancelResult &message, TimePoint now, EntryActions &out)
@@ -193,7 +188,7 @@
             if (place->state == PlaceState::NotRun && !isNotRunCode(error.code)) {
                 error.code = ResultCode::AttemptCancelled;
             }
-            attemptEnded(*completion, place->state, error, now, out);
+            attemptEnded(*completion, RetryCause::Failure, error, now, out);
         }
         return;
     }
@@ -211,12 +206,10 @@
     }
     for (const RequestId &id : affected) {
         Completion *completion = find(id);
-        std::vector<UnsentCancel> &unsent = m_unsentCancels[upstream];
-        if (unsent.size() < MaxUnsentCancels) {
-            unsent.push_back(UnsentCancel {completion->attempts.back().id, completion->deadline});
-        }
+        m_unsentCancels.add(upstream, completion->attempts.back().id, completion->deadline);
+        failedAt(*completion, upstream, now);
         attemptEnded(*completion,
-                     PlaceState::MayHaveRun,
+                     RetryCause::Failure,
                      Error {ResultCode::OutcomeUnknown, "the connection to the upstream's agent was lost", {}},
                      now,
                      out);
@@ -225,16 +218,7 @@
 
 void CompletionFlow::upstreamConnected(const InstanceId &upstream, TimePoint now, EntryActions &out)
 {
-    const auto unsent = m_unsentCancels.find(upstream);
-    if (unsent == m_unsentCancels.end()) {
-        return;
-    }
-    for (const UnsentCancel &cancel : unsent->second) {
-        if (cancel.deadline > now) {
-            out.emplace_back(SendToPeer {upstream, CancelAttempt {cancel.attempt}});
-        }
-    }
-    m_unsentCancels.erase(unsent);
+    m_unsentCancels.send(upstream, now, out);
 }
 
 void CompletionFlow::runDue(TimePoint now, EntryActions &out)
@@ -265,6 +249,14 @@
     }
 }
 
+CompletionFlow::Located CompletionFlow::locate(const PeerFrame &frame, const AttemptId &id)
+{
+    Completion *completion = find(id.request);
+    Attempt *attempt = completion != nullptr ? completion->current(id) : nullptr;
+    AttemptPlace *place = attempt != nullptr ? attempt->find(frame.sender) : nullptr;
+    return place != nullptr && isOpen(place->state) ? Located {completion, attempt, place} : Located {};
+}
+
 Completion *CompletionFlow::find(const RequestId &request)
 {
     const auto completion = m_completions.find(request);
@@ -273,44 +265,22 @@
 
 void CompletionFlow::startAttempt(Completion &completion, TimePoint now, EntryActions &out)
 {
-    const RouteQuery query {completion.priorityClass, completion.request.promptTokens};
-    Upstream *upstream = m_context.router.choose(
-        m_context.upstreams.modelSubset(completion.request.model), query, UntriedFilter(completion), m_context.random);
-    if (upstream == nullptr) {
-        fail(completion,
-             completion.lastError.value_or(
-                 Error {ResultCode::NoUpstream, "no live upstream serves " + completion.request.model.value(), {}}),
-             out);
+    const std::optional<Error> refusal = m_dispatcher.dispatch(completion, now, out);
+    if (!refusal) {
+        completion.upstreamPatience.reset();
+        setPhase(completion, CompletionPhase::Running, now + m_context.settings.answerTimeout);
         return;
     }
-    sendAttempt(completion, *upstream, now, out);
-}
-
-void CompletionFlow::sendAttempt(Completion &completion, Upstream &upstream, TimePoint now, EntryActions &out)
-{
-    const CompletionRequest &request = completion.request;
-    const AttemptId id {completion.id, static_cast<std::uint32_t>(completion.attempts.size() + 1)};
-    const Tokens work = request.promptTokens + request.maxOutputTokens;
-    completion.attempts.push_back(
-        Attempt {id, {AttemptPlace {upstream.id, upstream.incarnation, PlaceState::Sent}}, work});
-    completion.assembler.beginAttempt(id);
-    m_context.upstreams.noteDispatched(upstream, completion.priorityClass, work);
-    setPhase(completion, CompletionPhase::Running, now + m_context.settings.answerTimeout);
-    out.emplace_back(SendToPeer {upstream.id,
-                                 DispatchRequest {.attempt = id,
-                                                  .customer = request.customer,
-                                                  .customerWeight = request.customerWeight,
-                                                  .model = request.model,
-                                                  .promptTokens = request.promptTokens,
-                                                  .maxOutputTokens = request.maxOutputTokens,
-                                                  .timeLeft = completion.deadline - now,
-                                                  .prefixHashes = request.prefixHashes,
-                                                  .resumeFrom = completion.assembler.tokenCount(),
-                                                  .resumeText = completion.assembler.text(),
-                                                  .chat = request.chat,
-                                                  .body = request.body,
-                                                  .group = {}}});
-    m_context.report("attempt_dispatched", {{"attempt", toString(id)}, {"upstream", upstream.id.value()}});
+    if (completion.firstFailed) {
+        // Other upstreams may become free or return; a refused request gets its answer at once instead.
+        const TimePoint until = completion.upstreamPatience.value_or(now + m_context.settings.noUpstreamPatience);
+        completion.upstreamPatience = until;
+        if (now < until) {
+            setPhase(completion, CompletionPhase::Waiting, now + m_context.settings.noUpstreamPatience / 20);
+            return;
+        }
+    }
+    fail(completion, completion.lastError.value_or(*refusal), out);
 }
 
 void CompletionFlow::setPhase(Completion &completion, CompletionPhase phase, TimePoint until)
@@ -333,28 +303,52 @@
     setPhase(completion, CompletionPhase::Cancelling, now + m_context.settings.answerTimeout);
 }
 
+void CompletionFlow::failedAt(Completion &completion, const InstanceId &upstream, TimePoint now)
+{
+    m_context.health.noteFailure(upstream, now);
+    if (!completion.firstFailed) {
+        completion.firstFailed = upstream;
+    }
+}
+
 void CompletionFlow::attemptEnded(
-    Completion &completion, PlaceState state, const Error &error, TimePoint now, EntryActions &out)
+    Completion &completion, RetryCause cause, const Error &error, TimePoint now, EntryActions &out)
 {
     completion.assembler.endAttempt();
     completion.lastError = error;
-    m_context.report("attempt_ended",
-                     {{"attempt", toString(completion.attempts.back().id)},
-                      {"code", std::string(resultCodeInfo(error.code).name)},
-                      {"not_run", state == PlaceState::NotRun ? "true" : "false"}});
+    m_context.report(
+        "attempt_ended",
+        {{"attempt", toString(completion.attempts.back().id)}, {"code", std::string(resultCodeInfo(error.code).name)}});
     if (completion.failureAfterCancel) {
         fail(completion, *completion.failureAfterCancel, out);
         return;
     }
-    retryOrFail(completion, error, now, out);
+    const auto pause = m_context.retryPolicy.pauseBefore(
+        cause, static_cast<std::uint32_t>(completion.attempts.size()), completion.deadline - now, m_context.random);
+    const bool needsBudget = RetryPolicy::needsBudget(cause);
+    // A failed request waits for the budget. A refused one does not: under overload the caller needs its answer.
+    if (!pause || (needsBudget && cause == RetryCause::Overload && !m_context.retryBudget.take(now))) {
+        fail(completion, error, out);
+        return;
+    }
+    completion.needsBudget = needsBudget && cause != RetryCause::Overload;
+    if (*pause == Duration::zero()) {
+        startAttempt(completion, now, out);
+    } else {
+        setPhase(completion, CompletionPhase::Waiting, now + *pause);
+    }
 }
 
-void CompletionFlow::retryOrFail(Completion &completion, const Error &error, TimePoint now, EntryActions &out)
+void CompletionFlow::endWaiting(Completion &completion, TimePoint now, EntryActions &out)
 {
-    if (completion.attempts.size() >= m_context.settings.retryPolicy.maxAttempts) {
-        fail(completion, error, out);
+    if (completion.needsBudget && !m_context.retryBudget.take(now)) {
+        const double jitter = 0.5 + m_context.random.uniform();
+        setPhase(completion,
+                 CompletionPhase::Waiting,
+                 now + fromSeconds(toSeconds(m_context.settings.budgetPause) * jitter));
         return;
     }
+    completion.needsBudget = false;
     startAttempt(completion, now, out);
 }
 
@@ -369,7 +363,7 @@
         completion.failureAfterCancel =
             Error {ResultCode::DeadlineNotFeasible, "no upstream started the request before its deadline", {}};
         if (completion.phase == CompletionPhase::Waiting) {
-            fail(completion, *completion.failureAfterCancel, out);
+            fail(completion, completion.lastError.value_or(*completion.failureAfterCancel), out);
         } else if (completion.phase == CompletionPhase::Running) {
             cancelAttempt(completion, now, out);
         }
@@ -384,23 +378,29 @@
         cancelAttempt(completion, now, out);
         break;
     case CompletionPhase::Cancelling:
-        for (AttemptPlace &place : completion.attempts.back().places) {
-            if (isOpen(place.state)) {
-                place.state = PlaceState::MayHaveRun;
-            }
-        }
-        attemptEnded(completion,
-                     PlaceState::MayHaveRun,
-                     Error {ResultCode::OutcomeUnknown, "the agent did not confirm the cancellation", {}},
-                     now,
-                     out);
+        abandonAttempt(completion, now, out);
         break;
     case CompletionPhase::Waiting:
-        startAttempt(completion, now, out);
+        endWaiting(completion, now, out);
         break;
     }
 }
 
+void CompletionFlow::abandonAttempt(Completion &completion, TimePoint now, EntryActions &out)
+{
+    for (AttemptPlace &place : completion.attempts.back().places) {
+        if (isOpen(place.state)) {
+            place.state = PlaceState::MayHaveRun;
+            failedAt(completion, place.upstream, now);
+        }
+    }
+    attemptEnded(completion,
+                 RetryCause::Failure,
+                 Error {ResultCode::OutcomeUnknown, "the agent did not confirm the cancellation", {}},
+                 now,
+                 out);
+}
+
 void CompletionFlow::fail(Completion &completion, Error error, EntryActions &out)
 {
     if (isNotRunCode(error.code) && !completion.provenNotRun()) {
@@ -426,6 +426,8 @@
             }
         }
     }
+    const CompletionRequest &request = completion.request;
+    m_context.capacity.release(request.model, request.customer, completion.work());
     m_completions.erase(completion.id);
 }
 
--- a/ibismast/entry/completionflow.h
+++ b/ibismast/entry/completionflow.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include "ibismast/entry/attemptdispatcher.h"
 #include "ibismast/entry/completion.h"
 #include "ibismast/entry/entrycontext.h"
 #include "ibismast/entry/timerqueue.h"
+#include "ibismast/entry/unsentcancels.h"
+
+#include <set>
 
 namespace ibismast
 {
@@ -37,29 +41,37 @@
 private:
     using Completions = std::map<RequestId, Completion>;
 
-    /// Attempt whose agent was unreachable when it had to be cancelled.
-    struct UnsentCancel
+    /// The open place that a message of an agent is about; all null if there is none.
+    struct Located
     {
-        AttemptId attempt;
-        TimePoint deadline;
+        Completion *completion = nullptr;
+        Attempt *attempt = nullptr;
+        AttemptPlace *place = nullptr;
     };
 
+    Located locate(const PeerFrame &frame, const AttemptId &id);
     Completion *find(const RequestId &request);
+    /// Refuses the request if the live capacity cannot bear it; returns false if it did.
+    bool admitCapacity(Completion &completion, TimePoint now, EntryActions &out);
     void startAttempt(Completion &completion, TimePoint now, EntryActions &out);
-    void sendAttempt(Completion &completion, Upstream &upstream, TimePoint now, EntryActions &out);
     void setPhase(Completion &completion, CompletionPhase phase, TimePoint until);
     void cancelAttempt(Completion &completion, TimePoint now, EntryActions &out);
-    /// The last attempt has ended with @p state; retries or fails.
-    void attemptEnded(Completion &completion, PlaceState state, const Error &error, TimePoint now, EntryActions &out);
-    void retryOrFail(Completion &completion, const Error &error, TimePoint now, EntryActions &out);
+    /// Notes a failure, as opposed to a refusal, at @p upstream.
+    void failedAt(Completion &completion, const InstanceId &upstream, TimePoint now);
+    /// The last attempt has ended; plans the next one or fails.
+    void attemptEnded(Completion &completion, RetryCause cause, const Error &error, TimePoint now, EntryActions &out);
+    /// Gives up an attempt whose cancellation was not answered.
+    void abandonAttempt(Completion &completion, TimePoint now, EntryActions &out);
+    void endWaiting(Completion &completion, TimePoint now, EntryActions &out);
     void onTimer(Completion &completion, TimePoint now, EntryActions &out);
     void fail(Completion &completion, Error error, EntryActions &out);
     void finish(Completion &completion, EntryActions &out);
 
     EntryContext &m_context;
+    AttemptDispatcher m_dispatcher;
     Completions m_completions;
     TimerQueue m_timers;
-    std::map<InstanceId, std::vector<UnsentCancel>> m_unsentCancels;
+    UnsentCancels m_unsentCancels;
 };
 
 } // namespace ibismast
--- a/ibismast/entry/entrycontext.h
+++ b/ibismast/entry/entrycontext.h
@@ -4,6 +4,7 @@
 #include "ibismast/core/seededrandom.h"
 #include "ibismast/entry/entryactions.h"
 #include "ibismast/entry/entrycoresettings.h"
+#include "ibismast/entry/refusalmemory.h"
 #include "ibismast/entry/upstreamhealth.h"
 
 namespace ibismast
@@ -35,6 +36,9 @@
     EventListener *listener;
     UpstreamView upstreams;
     Router router;
+    PrefixIndex prefixes;
+    RefusalMemory refusals;
+    CapacityGate capacity;
     UpstreamHealth health;
     RetryBudget retryBudget;
     RetryPolicy retryPolicy;
--- a/ibismast/entry/entrycore.cpp
+++ b/ibismast/entry/entrycore.cpp
@@ -22,11 +22,27 @@
         services.runDue(now, out);
     }
 
-    /// @p announced is true if the agent had said that it was leaving.
-    void upstreamLost(const InstanceId &agent, bool announced, TimePoint now, EntryActions &out)
+    /// State of an upstream before it is lost.
+    struct Loss
     {
-        if (!announced) {
+        /// True if the agent had said that it was leaving, or its loss was noted already.
+        bool expected = true;
+        std::vector<ModelName> models;
+    };
+
+    Loss describeLoss(const InstanceId &agent)
+    {
+        const Upstream *upstream = context.upstreams.find(agent);
+        return upstream == nullptr ? Loss() : Loss {upstream->leaving || !upstream->connected, upstream->load.models};
+    }
+
+    void upstreamLost(const InstanceId &agent, const Loss &loss, TimePoint now, EntryActions &out)
+    {
+        if (!loss.expected) {
             context.health.noteLost(agent, context.upstreams.all().size(), now);
+            for (const ModelName &model : loss.models) {
+                context.capacity.noteLost(model, context.upstreams.liveCount(model), now);
+            }
         }
         context.report("upstream_lost", {{"upstream", agent.value()}});
         completions.upstreamLost(agent, now, out);
@@ -119,20 +135,24 @@
         return;
     }
     const Upstream *known = d->context.upstreams.find(frame.sender);
-    // A loss that was announced, or noted when the connection ended, is not counted as a failure again.
-    const bool announced = known != nullptr && (known->leaving || !known->connected);
+    Private::Loss loss;
+    if (known != nullptr && known->incarnation != frame.incarnation) {
+        loss = d->describeLoss(frame.sender);
+    }
     switch (d->context.upstreams.noteFrame(frame.sender, frame.incarnation, now)) {
     case UpstreamView::Change::Stale:
         return;
     case UpstreamView::Change::Restarted:
-        d->upstreamLost(frame.sender, announced, now, out);
+        d->upstreamLost(frame.sender, loss, now, out);
         break;
     case UpstreamView::Change::None:
         break;
     }
     if (heartbeat != nullptr) {
         d->context.upstreams.applyHeartbeat(*heartbeat, now);
-        d->services.agentReported(*d->context.upstreams.find(frame.sender), now, out);
+        Upstream &upstream = *d->context.upstreams.find(frame.sender);
+        d->context.prefixes.update(upstream, upstream.load.cachedPrefixes, now);
+        d->services.agentReported(upstream, now, out);
         return;
     }
     std::visit(
@@ -160,10 +180,9 @@
 void EntryCore::peerDisconnected(const InstanceId &peer, TimePoint now, EntryActions &out)
 {
     d->runDue(now, out);
-    const Upstream *known = d->context.upstreams.find(peer);
-    const bool announced = known == nullptr || known->leaving || !known->connected;
+    const Private::Loss loss = d->describeLoss(peer);
     d->context.upstreams.setConnected(peer, false, now);
-    d->upstreamLost(peer, announced, now, out);
+    d->upstreamLost(peer, loss, now, out);
 }
 
 void EntryCore::instanceLeaving(const InstanceId &instance, TimePoint now, EntryActions &out)
@@ -176,8 +195,10 @@
 {
     d->runDue(now, out);
     for (const InstanceId &agent : d->context.upstreams.checkSilence(now)) {
-        d->upstreamLost(agent, d->context.upstreams.find(agent)->leaving, now, out);
+        const Upstream &upstream = *d->context.upstreams.find(agent);
+        d->upstreamLost(agent, Private::Loss {upstream.leaving, upstream.load.models}, now, out);
     }
+    d->context.refusals.dropOld(now);
     d->sendHeartbeats(now, out);
 }
 
--- a/ibismast/entry/entrycoresettings.cpp
+++ b/ibismast/entry/entrycoresettings.cpp
@@ -56,6 +56,17 @@
     check.require(
         settings.tombstoneLead >= settings.watchdogLead, "tombstoneLead", "must not be shorter than watchdogLead");
     check.positive(settings.answerTimeout, "answerTimeout");
+    check.positive(settings.prefixes.halfLife, "prefixes.halfLife");
+    check.positive(settings.prefixes.longestAge, "prefixes.longestAge");
+    check.require(settings.prefixes.maxPrefixes > 0, "prefixes.maxPrefixes", "must be positive");
+    check.require(settings.capacity.jointLossShare > 0.0 && settings.capacity.jointLossShare <= 1.0,
+                  "capacity.jointLossShare",
+                  "must lie between 0 and 1");
+    check.positive(settings.capacity.reductionTime, "capacity.reductionTime");
+    check.require(settings.capacity.workPerUpstream >= Tokens(), "capacity.workPerUpstream", "must not be negative");
+    check.positive(settings.refusalHold, "refusalHold");
+    check.positive(settings.budgetPause, "budgetPause");
+    check.positive(settings.noUpstreamPatience, "noUpstreamPatience");
     check.require(settings.breaker.failureThreshold > 0, "breaker.failureThreshold", "must be positive");
     check.positive(settings.breaker.openTime, "breaker.openTime");
     check.require(settings.breaker.longestOpenTime >= settings.breaker.openTime,
--- a/ibismast/entry/entrycoresettings.h
+++ b/ibismast/entry/entrycoresettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibismast/core/result.h"
+#include "ibismast/entry/capacitygate.h"
 #include "ibismast/operations/claimbatcher.h"
 #include "ibismast/retry/circuitbreaker.h"
 #include "ibismast/retry/retrybudget.h"
@@ -17,6 +18,8 @@
 {
     UpstreamViewSettings upstreams;
     RouterSettings router;
+    PrefixIndexSettings prefixes;
+    CapacityGateSettings capacity;
     CircuitBreakerSettings breaker;
     JointFailureTrackerSettings jointFailures;
     RetryBudgetSettings retryBudget;
@@ -31,6 +34,13 @@
     Duration tombstoneLead = std::chrono::milliseconds(150);
     /// Time after which an unanswered dispatch is cancelled and an unanswered cancellation is given up.
     Duration answerTimeout = std::chrono::seconds(1);
+    /// Longest time for which an agent's refusal stands for requests that are not sent; its own retry-after may be
+    /// less.
+    Duration refusalHold = std::chrono::milliseconds(200);
+    /// Mean pause before a failed request asks the retry budget again.
+    Duration budgetPause = std::chrono::milliseconds(200);
+    /// Time for which a failed request waits for an upstream that may take it.
+    Duration noUpstreamPatience = std::chrono::seconds(5);
     /// Number of operation ids requested at once from an agent of a plain service.
     std::uint32_t operationBlock = 256;
     /// Pause before an operation that is in progress is asked for again; doubles up to ten times this value.
--- a/ibismast/routing/router.cpp
+++ b/ibismast/routing/router.cpp
@@ -1,5 +1,7 @@
 #include "ibismast/routing/router.h"
 
+#include <algorithm>
+
 namespace ibismast
 {
 
@@ -36,6 +38,19 @@
     return {first, first == nullptr ? nullptr : pick(subset, filter, first, random)};
 }
 
+/// Returns the accepted member with the largest hit, or null.
+Upstream *prefixHolder(const std::vector<Upstream *> &subset, const RouteQuery &query, const RouteFilter &filter)
+{
+    const PrefixHit *best = nullptr;
+    for (const PrefixHit &hit : query.hits) {
+        const bool better = hit.upstream != nullptr && (best == nullptr || hit.tokens > best->tokens);
+        if (better && std::ranges::find(subset, hit.upstream) != subset.end() && filter.accepts(*hit.upstream)) {
+            best = &hit;
+        }
+    }
+    return best == nullptr ? nullptr : best->upstream;
+}
+
 } // namespace
 
 Router::Router(const RouterSettings &settings) : m_settings(settings) { }
@@ -46,7 +61,19 @@
                          SeededRandom &random) const
 {
     const auto [first, second] = pickTwo(subset, filter, random);
-    return second != nullptr && cost(*second, query) < cost(*first, query) ? second : first;
+    Upstream *best = first;
+    double bestCost = best != nullptr ? cost(*best, query) : 0.0;
+    for (Upstream *candidate : {second, prefixHolder(subset, query, filter)}) {
+        if (candidate == nullptr || candidate == best) {
+            continue;
+        }
+        const double candidateCost = cost(*candidate, query);
+        if (candidateCost < bestCost) {
+            best = candidate;
+            bestCost = candidateCost;
+        }
+    }
+    return best;
 }
 
 Upstream *Router::chooseForCall(const std::vector<Upstream *> &subset, const RouteFilter &filter, SeededRandom &random)
@@ -63,7 +90,10 @@
         queued += weight * static_cast<double>(upstream.outstanding(priorityClass).value());
     }
     const double rate = upstream.load.prefillRate > 0.0 ? upstream.load.prefillRate : m_settings.defaultRate;
-    return (queued + static_cast<double>(query.promptTokens.value())) / rate;
+    const auto hit = std::ranges::find(query.hits, &upstream, &PrefixHit::upstream);
+    const auto prompt = static_cast<double>(query.promptTokens.value());
+    const double cached = hit == query.hits.end() ? 0.0 : std::min(hit->tokens, prompt);
+    return (queued + prompt - cached) / rate;
 }
 
 } // namespace ibismast
--- a/ibismast/routing/router.h
+++ b/ibismast/routing/router.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "ibismast/core/seededrandom.h"
-#include "ibismast/routing/upstream.h"
+#include "ibismast/routing/prefixindex.h"
 
 namespace ibismast
 {
@@ -20,6 +20,8 @@
 {
     PriorityClass priorityClass = PriorityClass::Short;
     Tokens promptTokens;
+    /// Hits of the prompt in the prefix index.
+    PrefixHits hits {};
 };
 
 /// Decides which members of a subset may be chosen.
@@ -31,7 +33,8 @@
     [[nodiscard]] virtual bool accepts(const Upstream &upstream) const = 0;
 };
 
-/// Chooses an upstream out of a subset: the cheaper one of two random candidates.
+/// Chooses an upstream out of a subset: the cheapest one of two random candidates and the best prefix holder. The cost
+/// of a choice depends on the size of the subset only, never on the number of upstreams.
 class Router
 {
 public:
@@ -45,7 +48,7 @@
     /// Like `choose` for a call of a plain service: the candidate with fewer open calls of this entry.
     [[nodiscard]] static Upstream *
     chooseForCall(const std::vector<Upstream *> &subset, const RouteFilter &filter, SeededRandom &random);
-    /// Expected seconds until @p upstream would have prefilled the prompt of @p query.
+    /// Expected seconds until @p upstream would have prefilled the uncached part of the prompt of @p query.
     [[nodiscard]] double cost(const Upstream &upstream, const RouteQuery &query) const;
 
 private:
--- a/ibismast/routing/subsetselector.cpp
+++ b/ibismast/routing/subsetselector.cpp
@@ -17,7 +17,7 @@
 
 void SubsetSelector::add(Upstream &upstream)
 {
-    m_domains[upstream.domain].insert(rank(upstream));
+    m_total += m_domains[upstream.domain].insert(rank(upstream)).second ? 1 : 0;
     rebuild();
 }
 
@@ -27,7 +27,7 @@
     if (domain == m_domains.end()) {
         return;
     }
-    domain->second.erase(rank(upstream));
+    m_total -= domain->second.erase(rank(upstream));
     if (domain->second.empty()) {
         m_domains.erase(domain);
     }
@@ -39,6 +39,11 @@
     return m_members;
 }
 
+std::size_t SubsetSelector::size() const
+{
+    return m_total;
+}
+
 bool SubsetSelector::empty() const
 {
     return m_domains.empty();
--- a/ibismast/routing/subsetselector.h
+++ b/ibismast/routing/subsetselector.h
@@ -25,6 +25,8 @@
 
     /// Members of the subset, ordered by rank within their domains.
     [[nodiscard]] const std::vector<Upstream *> &members() const;
+    /// Number of upstreams, in the subset or not.
+    [[nodiscard]] std::size_t size() const;
     /// True if no upstream was added.
     [[nodiscard]] bool empty() const;
 
@@ -44,6 +46,7 @@
     std::size_t m_size;
     std::map<FailureDomain, std::set<Ranked>> m_domains;
     std::vector<Upstream *> m_members;
+    std::size_t m_total = 0;
 };
 
 } // namespace ibismast
--- a/ibismast/routing/upstreamview.cpp
+++ b/ibismast/routing/upstreamview.cpp
@@ -185,6 +185,12 @@
     return membersOf(m_services, service);
 }
 
+std::size_t UpstreamView::liveCount(const ModelName &model) const
+{
+    const auto selector = m_models.find(model);
+    return selector == m_models.end() ? 0 : selector->second.size();
+}
+
 bool UpstreamView::isInSubset(const Upstream &upstream) const
 {
     const auto contains = [&](const std::vector<Upstream *> &members) {
--- a/ibismast/routing/upstreamview.h
+++ b/ibismast/routing/upstreamview.h
@@ -58,6 +58,8 @@
     /// Members of the subset for a model or service, empty if there is none.
     [[nodiscard]] const std::vector<Upstream *> &modelSubset(const ModelName &model) const;
     [[nodiscard]] const std::vector<Upstream *> &serviceSubset(const ServiceName &service) const;
+    /// Number of upstreams that can take work for a model, in the subset or not.
+    [[nodiscard]] std::size_t liveCount(const ModelName &model) const;
     /// True if the upstream is in the subset of any model or service.
     [[nodiscard]] bool isInSubset(const Upstream &upstream) const;
     /// All known upstreams by id.
