--- a/ibismast/entry/attemptdispatcher.cpp
+++ b/ibismast/entry/attemptdispatcher.cpp
@@ -47,7 +47,7 @@
     const AttemptId id {completion.id, static_cast<std::uint32_t>(completion.attempts.size() + 1)};
     const Tokens work = completion.work();
     completion.attempts.push_back(
-        Attempt {id, {AttemptPlace {upstream.id, upstream.incarnation, PlaceState::Sent}}, work});
+        UpstreamAttempt {id, {AttemptPlace {upstream.id, upstream.incarnation, PlaceState::Sent}}, work});
     completion.assembler.beginAttempt(id);
     m_context.upstreams.noteDispatched(upstream, completion.priorityClass, work);
     m_context.health.noteDispatch(upstream.id, now);
--- a/ibismast/entry/completionflow.cpp
+++ b/ibismast/entry/completionflow.cpp
@@ -173,7 +173,7 @@
     if (completion == nullptr) {
         return;
     }
-    for (Attempt &attempt : completion->attempts) {
+    for (UpstreamAttempt &attempt : completion->attempts) {
         AttemptPlace *place = attempt.id == message.attempt ? attempt.find(frame.sender) : nullptr;
         // A later incarnation of the agent knows nothing of the attempt.
         if (place == nullptr || place->incarnation != frame.incarnation) {
@@ -252,7 +252,7 @@
 CompletionFlow::Located CompletionFlow::locate(const PeerFrame &frame, const AttemptId &id)
 {
     Completion *completion = find(id.request);
-    Attempt *attempt = completion != nullptr ? completion->current(id) : nullptr;
+    UpstreamAttempt *attempt = completion != nullptr ? completion->current(id) : nullptr;
     AttemptPlace *place = attempt != nullptr ? attempt->find(frame.sender) : nullptr;
     return place != nullptr && isOpen(place->state) ? Located {completion, attempt, place} : Located {};
 }
@@ -294,7 +294,7 @@
 
 void CompletionFlow::cancelAttempt(Completion &completion, TimePoint now, EntryActions &out)
 {
-    const Attempt &attempt = completion.attempts.back();
+    const UpstreamAttempt &attempt = completion.attempts.back();
     for (const AttemptPlace &place : attempt.places) {
         if (isOpen(place.state)) {
             out.emplace_back(SendToPeer {place.upstream, CancelAttempt {attempt.id}});
@@ -419,7 +419,7 @@
 void CompletionFlow::finish(Completion &completion, EntryActions &out)
 {
     if (!completion.attempts.empty()) {
-        const Attempt &attempt = completion.attempts.back();
+        const UpstreamAttempt &attempt = completion.attempts.back();
         for (const AttemptPlace &place : attempt.places) {
             if (isOpen(place.state)) {
                 out.emplace_back(SendToPeer {place.upstream, CancelAttempt {attempt.id}});
--- a/ibismast/entry/completionflow.h
+++ b/ibismast/entry/completionflow.h
@@ -45,7 +45,7 @@
     struct Located
     {
         Completion *completion = nullptr;
-        Attempt *attempt = nullptr;
+        UpstreamAttempt *attempt = nullptr;
         AttemptPlace *place = nullptr;
     };
 
