--- a/ibismast/config/configrelay.cpp
+++ b/ibismast/config/configrelay.cpp
@@ -1,5 +1,7 @@
 #include "ibismast/config/configrelay.h"
 
+#include "ibismast/core/stablehash.h"
+
 #include <algorithm>
 
 namespace ibismast
@@ -8,19 +10,9 @@
 namespace
 {
 
-// FNV-1a, 64 bits.
-std::uint64_t hashText(std::string_view text)
-{
-    std::uint64_t hash = 0xcbf29ce484222325ULL;
-    for (const char character : text) {
-        hash = (hash ^ static_cast<unsigned char>(character)) * 0x100000001b3ULL;
-    }
-    return hash;
-}
-
 std::uint64_t relayScore(const InstanceId &instance, const FailureDomain &domain)
 {
-    return mixBits(hashText(instance.value()) ^ mixBits(hashText(domain.value())));
+    return combineHashes(stableHash(instance.value()), stableHash(domain.value()));
 }
 
 } // namespace
