Add the lease holder

Change: LeaseHolder claims a key attached to a store lease by CAS; the fencing token is the revision of the record. The holder counts from the sending of each granting or renewing call, by its own clock, with a margin. A claim whose answer is lost is resolved by reading the record back; TransactionApplied carries its revision.

--- /dev/null
+++ b/ibismast/leases/leaseholder.cpp
@@ -0,0 +1,161 @@
+#include "ibismast/leases/leaseholder.h"
+
+#include <algorithm>
+
+namespace ibismast
+{
+
+Result<Success> LeaseHolderSettings::validate() const
+{
+    const auto invalid = [](const std::string &field) {
+        return Error {ResultCode::SettingsInvalid, "LeaseHolderSettings::" + field, std::nullopt};
+    };
+    if (margin <= Duration::zero()) {
+        return invalid("margin must be positive");
+    }
+    if (renewInterval <= Duration::zero() || retryInterval <= Duration::zero()) {
+        return invalid("renewInterval and retryInterval must be positive");
+    }
+    // Two renewals must fit, so that one lost answer does not end the lease.
+    if (timeToLive < margin + 2 * renewInterval) {
+        return invalid("timeToLive must be at least margin and two renewIntervals");
+    }
+    return Success();
+}
+
+LeaseHolder::LeaseHolder(
+    const LeaseHolderSettings &settings, std::string key, std::string holder, StoreCallIds &ids, std::uint64_t seed)
+    : m_settings(settings), m_key(std::move(key)), m_holder(std::move(holder)), m_ids(&ids), m_random(seed)
+{
+}
+
+std::optional<FencingToken> LeaseHolder::token(TimePoint now) const
+{
+    return m_state == State::Holding && now < m_heldUntil ? std::optional(m_token) : std::nullopt;
+}
+
+TimePoint LeaseHolder::heldUntil() const
+{
+    return m_state == State::Holding ? m_heldUntil : TimePoint();
+}
+
+void LeaseHolder::send(StoreOperation operation, TimePoint now, StoreCalls &out)
+{
+    m_pending = m_ids->next();
+    m_sentAt = now;
+    appendCall(out, m_pending, std::move(operation));
+}
+
+void LeaseHolder::wait(TimePoint now)
+{
+    m_state = State::Waiting;
+    m_pending = StoreCallId();
+    m_nextAt = now + fromSeconds(toSeconds(m_settings.retryInterval) * (0.5 + m_random.uniform()));
+}
+
+void LeaseHolder::dropLease(StoreCalls &out)
+{
+    if (m_lease != StoreLeaseId()) {
+        // The answer does not matter: without renewals the lease ends by itself.
+        appendCall(out, m_ids->next(), StoreLeaseRevoke {m_lease});
+        m_lease = StoreLeaseId();
+    }
+}
+
+void LeaseHolder::release(StoreCalls &out)
+{
+    m_state = State::Released;
+    m_pending = StoreCallId();
+    m_transaction.reset();
+    dropLease(out);
+}
+
+void LeaseHolder::tick(TimePoint now, StoreCalls &out)
+{
+    if (m_transaction) {
+        m_transaction->tick(now);
+        if (m_transaction->outcome()) {
+            claimEnded(*m_transaction->outcome(), now, out);
+        }
+    }
+    if (m_state == State::Waiting && now >= m_nextAt) {
+        m_state = State::Granting;
+        send(StoreLeaseGrant {m_settings.timeToLive}, now, out);
+    } else if (m_state == State::Granting && now - m_sentAt >= m_settings.timeToLive) {
+        // The answer is lost; a lease that was granted ends by itself.
+        wait(now);
+    } else if (m_state == State::Holding && now >= m_nextAt) {
+        m_nextAt = now + m_settings.renewInterval;
+        send(StoreLeaseKeepAlive {m_lease}, now, out);
+    }
+}
+
+void LeaseHolder::claim(StoreCalls &out)
+{
+    m_state = State::Claiming;
+    m_claims += 1;
+    const std::string record = m_holder + '/' + std::to_string(m_claims);
+    StoreTransactionPlan plan;
+    plan.evidenceKey = m_key;
+    plan.call.compares = {{m_key, StoreRevision()}};
+    plan.call.puts = {{m_key, record, m_lease}};
+    plan.evidence = [record](const std::string &value) {
+        return value == record ? ChangeEvidence::Applied : ChangeEvidence::NotApplied;
+    };
+    plan.giveUpAt = m_heldUntil;
+    plan.lastCallPatience = Duration::zero();
+    m_transaction.emplace(std::move(plan), *m_ids);
+    m_transaction->start(out);
+}
+
+void LeaseHolder::claimEnded(const TransactionOutcome &outcome, TimePoint now, StoreCalls &out)
+{
+    const auto *applied = std::get_if<TransactionApplied>(&outcome);
+    if (applied) {
+        m_token = FencingToken(applied->evidenceRevision.value());
+        m_state = State::Holding;
+        m_nextAt = std::min(m_sentAt + m_settings.renewInterval, m_heldUntil);
+    } else {
+        dropLease(out);
+        wait(now);
+    }
+    m_transaction.reset();
+}
+
+void LeaseHolder::handleLease(const StoreLeaseResult &result, TimePoint now, StoreCalls &out)
+{
+    if (result.timeToLive <= Duration::zero()) {
+        m_lease = StoreLeaseId();
+        wait(now);
+        return;
+    }
+    m_lease = result.lease;
+    m_heldUntil =
+        std::max(m_heldUntil, m_sentAt + std::min(result.timeToLive, m_settings.timeToLive) - m_settings.margin);
+    if (m_state == State::Granting) {
+        claim(out);
+    }
+}
+
+bool LeaseHolder::handle(const StoreAnswer &answer, TimePoint now, StoreCalls &out)
+{
+    if (m_transaction && m_transaction->handle(answer, now, out)) {
+        if (m_transaction->outcome()) {
+            claimEnded(*m_transaction->outcome(), now, out);
+        }
+        return true;
+    }
+    if (m_pending == StoreCallId() || answer.id != m_pending) {
+        return false;
+    }
+    m_pending = StoreCallId();
+    if (const auto *result = std::get_if<StoreLeaseResult>(&answer.outcome)) {
+        handleLease(*result, now, out);
+    } else if (m_state == State::Granting) {
+        wait(now);
+    }
+    // A failed renewal is repeated at the next interval; the lease may still be there.
+    return true;
+}
+
+} // namespace ibismast
--- a/ibismast/store/keyvaluestore.cpp
+++ b/ibismast/store/keyvaluestore.cpp
@@ -5,6 +5,13 @@
 namespace ibismast
 {
 
+void appendCall(StoreCalls &calls, StoreCallId id, StoreOperation operation)
+{
+    StoreCall &call = calls.emplace_back();
+    call.id = id;
+    call.operation = std::move(operation);
+}
+
 std::string prefixEnd(std::string prefix)
 {
     assert(!prefix.empty());
--- a/ibismast/store/keyvaluestore.h
+++ b/ibismast/store/keyvaluestore.h
@@ -43,6 +43,9 @@
     std::uint64_t m_next;
 };
 
+/// Appends a call to @p calls.
+void appendCall(StoreCalls &calls, StoreCallId id, StoreOperation operation);
+
 /// Returns true if @p operation counts against the store's limit of writes; all others count as reads.
 [[nodiscard]] inline bool isWrite(const StoreOperation &operation)
 {
--- a/ibismast/store/storetransaction.cpp
+++ b/ibismast/store/storetransaction.cpp
@@ -46,7 +46,7 @@
     const auto entry = std::ranges::find(entries, m_plan.evidenceKey, &StoreEntry::key);
     const auto evidence = entry == entries.end() ? ChangeEvidence::NotApplied : m_plan.evidence(entry->value);
     if (evidence == ChangeEvidence::Applied) {
-        m_outcome = TransactionApplied {};
+        m_outcome = TransactionApplied {StoreRevision(), entry->modRevision};
     } else if (evidence == ChangeEvidence::CannotTell && m_lostAnswer) {
         m_outcome = TransactionUncertain {"too many other changes were made before the outcome could be read"};
     } else {
@@ -86,7 +86,7 @@
         handleFailure(*failure, now, out);
     } else if (const auto *result = std::get_if<StoreTransactionResult>(&answer.outcome)) {
         if (result->succeeded) {
-            m_outcome = TransactionApplied {result->revision};
+            m_outcome = TransactionApplied {result->revision, result->revision};
         } else {
             conflictOrApplied(result->entries);
         }
--- a/ibismast/store/storetransaction.h
+++ b/ibismast/store/storetransaction.h
@@ -35,6 +35,8 @@
 {
     /// Store revision of the write; 0 if the outcome was read back and later writes may have followed.
     StoreRevision revision;
+    /// Revision at which the evidence key was found; as `revision`, or as read back.
+    StoreRevision evidenceRevision;
 };
 
 /// Another write came first; the transaction did not and will not take effect.
