--- a/adapters/declaredconfig.cpp
+++ b/adapters/declaredconfig.cpp
@@ -41,19 +41,19 @@
     return Revision(0);
 }
 
-const CustomerDeclaration *DeclaredConfig::customerOfKey(std::string_view keyHash) const
+const CustomerConfig *DeclaredConfig::customerOfKey(std::string_view keyHash) const
 {
     const auto customer = m_keys.find(keyHash);
     return customer == m_keys.end() ? nullptr : &m_customers.at(customer->second);
 }
 
-const ModelDeclaration *DeclaredConfig::model(const ModelName &name) const
+const ModelConfig *DeclaredConfig::model(const ModelName &name) const
 {
     const auto found = m_models.find(name);
     return found == m_models.end() ? nullptr : &found->second;
 }
 
-const ServiceDeclaration *DeclaredConfig::service(const ServiceName &name) const
+const ServiceConfig *DeclaredConfig::service(const ServiceName &name) const
 {
     const auto found = m_services.find(name);
     return found == m_services.end() ? nullptr : &found->second;
@@ -72,7 +72,7 @@
 void DeclaredConfig::readCustomer(SettingsFile &file, const std::string &name)
 {
     const std::string section = "customer." + name;
-    CustomerDeclaration customer;
+    CustomerConfig customer;
     customer.id = CustomerId(name);
     customer.weight = file.number(section, "weight", 1.0, 0.001, 1000.0);
     customer.keyHashes = file.list(section, "key_sha256");
@@ -89,7 +89,7 @@
 void DeclaredConfig::readModel(SettingsFile &file, const std::string &name)
 {
     const std::string section = "model." + name;
-    ModelDeclaration model;
+    ModelConfig model;
     model.name = ModelName(name);
     model.maxPromptTokens =
         Tokens(file.integer(section, "max_prompt_tokens", model.maxPromptTokens.value(), 1, 100'000'000));
@@ -102,7 +102,7 @@
 {
     static constexpr std::array<std::string_view, 6> Methods {"GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
     const std::string section = "service." + name;
-    ServiceDeclaration service;
+    ServiceConfig service;
     service.name = ServiceName(name);
     service.idempotentMethods = {"GET", "OPTIONS"};
     if (file.has(section, "idempotent_methods")) {
--- a/adapters/declaredconfig.h
+++ b/adapters/declaredconfig.h
@@ -15,9 +15,9 @@
 
     [[nodiscard]] bool ready() const override;
     [[nodiscard]] Revision revision() const override;
-    [[nodiscard]] const CustomerDeclaration *customerOfKey(std::string_view keyHash) const override;
-    [[nodiscard]] const ModelDeclaration *model(const ModelName &name) const override;
-    [[nodiscard]] const ServiceDeclaration *service(const ServiceName &name) const override;
+    [[nodiscard]] const CustomerConfig *customerOfKey(std::string_view keyHash) const override;
+    [[nodiscard]] const ModelConfig *model(const ModelName &name) const override;
+    [[nodiscard]] const ServiceConfig *service(const ServiceName &name) const override;
     [[nodiscard]] std::vector<ModelName> models() const override;
 
 private:
@@ -25,10 +25,10 @@
     void readModel(SettingsFile &file, const std::string &name);
     void readService(SettingsFile &file, const std::string &name);
 
-    std::map<CustomerId, CustomerDeclaration> m_customers;
+    std::map<CustomerId, CustomerConfig> m_customers;
     std::map<std::string, CustomerId, std::less<>> m_keys;
-    std::map<ModelName, ModelDeclaration> m_models;
-    std::map<ServiceName, ServiceDeclaration> m_services;
+    std::map<ModelName, ModelConfig> m_models;
+    std::map<ServiceName, ServiceConfig> m_services;
 };
 
 } // namespace ibismast
--- a/adapters/entrydaemon.h
+++ b/adapters/entrydaemon.h
@@ -26,7 +26,7 @@
     std::vector<AgentAddress> agents;
     std::optional<QSslConfiguration> peerTls;
     EntryProcessSettings process;
-    std::optional<InstanceListSettings> instances;
+    std::optional<InstanceListClientSettings> instances;
     EntryCoreSettings core;
     /// Time that requests have to end after the first stop signal.
     Duration stopTimeout = std::chrono::minutes(10);
--- a/adapters/entrysettings.cpp
+++ b/adapters/entrysettings.cpp
@@ -55,9 +55,9 @@
     return agents;
 }
 
-std::optional<InstanceListSettings> readInstances(SettingsFile &file)
+std::optional<InstanceListClientSettings> readInstances(SettingsFile &file)
 {
-    InstanceListSettings settings;
+    InstanceListClientSettings settings;
     const std::string url = file.text("instances", "url", "-");
     settings.interval =
         file.milliseconds("instances", "interval_ms", settings.interval, milliseconds(10), milliseconds(600'000));
--- a/adapters/instancelistclient.cpp
+++ b/adapters/instancelistclient.cpp
@@ -75,7 +75,7 @@
     return instances;
 }
 
-InstanceListClient::InstanceListClient(const InstanceListSettings &settings, Handler handler)
+InstanceListClient::InstanceListClient(const InstanceListClientSettings &settings, Handler handler)
     : m_settings(settings), m_handler(std::move(handler))
 {
     m_manager.setProxy(QNetworkProxy::NoProxy);
--- a/adapters/instancelistclient.h
+++ b/adapters/instancelistclient.h
@@ -12,7 +12,7 @@
 {
 
 /// Settings of the client of the platform's instance list.
-struct InstanceListSettings
+struct InstanceListClientSettings
 {
     QUrl url;
     Duration interval = std::chrono::seconds(1);
@@ -28,7 +28,7 @@
 public:
     using Handler = std::function<void(const std::vector<PeerSummary> &instances)>;
 
-    InstanceListClient(const InstanceListSettings &settings, Handler handler);
+    InstanceListClient(const InstanceListClientSettings &settings, Handler handler);
 
     void start();
     void stop();
@@ -36,7 +36,7 @@
 private:
     void read();
 
-    InstanceListSettings m_settings;
+    InstanceListClientSettings m_settings;
     Handler m_handler;
     QNetworkAccessManager m_manager;
     QTimer m_timer;
