--- a/adapters/entrydaemon.cpp
+++ b/adapters/entrydaemon.cpp
@@ -22,6 +22,7 @@
                 incarnation.value(),
                 &m_listener,
                 &m_metrics)
+    , m_seed(incarnation.value())
     , m_supervisor(SupervisorSettings(), processNow, std::move(onFailure))
     , m_httpPort(m_settings.httpListen.port)
 {
@@ -64,6 +65,14 @@
 
 void EntryDaemon::addParts()
 {
+    if (m_settings.store) {
+        m_store = std::make_unique<EtcdGatewayClient>(*m_settings.store, m_seed, [this](const StoreAnswer &answer) {
+            m_process.storeAnswered(answer);
+        });
+        m_process.setStore([this](const StoreCall &call) {
+            m_store->execute(call);
+        });
+    }
     m_supervisor.add({"core",
                       [this] {
                           m_process.start();
--- a/adapters/entrydaemon.h
+++ b/adapters/entrydaemon.h
@@ -6,6 +6,7 @@
 #include "adapters/instancelistclient.h"
 #include "adapters/logging.h"
 #include "adapters/metrics.h"
+#include "adapters/store/etcdgatewayclient.h"
 #include "adapters/supervisor.h"
 #include "adapters/tls.h"
 
@@ -27,6 +28,8 @@
     std::optional<QSslConfiguration> peerTls;
     EntryProcessSettings process;
     std::optional<InstanceListClientSettings> instances;
+    /// Key-value service, if there is one. Without it `Idempotency-Key` is refused with `StoreUnavailable`.
+    std::optional<EtcdGatewayClientSettings> store;
     EntryCoreSettings core;
     /// Time that requests have to end after the first stop signal.
     Duration stopTimeout = std::chrono::minutes(10);
@@ -68,8 +71,10 @@
     Metrics m_metrics;
     LoggingListener m_listener;
     EntryProcess m_process;
+    std::unique_ptr<EtcdGatewayClient> m_store;
     std::unique_ptr<HttpFront> m_front;
     std::unique_ptr<InstanceListClient> m_instances;
+    std::uint64_t m_seed;
     Supervisor m_supervisor;
     /// Port that the system chose, kept over a restart of the front end.
     quint16 m_httpPort = 0;
--- a/adapters/entryprocess.cpp
+++ b/adapters/entryprocess.cpp
@@ -41,9 +41,9 @@
     m_tls = configuration;
 }
 
-void EntryProcess::setStore(StorePort *store)
+void EntryProcess::setStore(std::function<void(const StoreCall &call)> store)
 {
-    m_store = store;
+    m_store = std::move(store);
 }
 
 void EntryProcess::storeAnswered(const StoreAnswer &answer)
@@ -210,8 +210,8 @@
                                sendToPeer(send);
                            },
                            [this](const StoreCall &call) {
-                               if (m_store != nullptr) {
-                                   m_store->execute(call);
+                               if (m_store) {
+                                   m_store(call);
                                } else {
                                    storeAnswered({call.id, StoreFailure {"no key-value service is configured", false}});
                                }
--- a/adapters/entryprocess.h
+++ b/adapters/entryprocess.h
@@ -15,16 +15,6 @@
 class Metrics;
 struct EntryCoreSettings;
 
-/// Client of the key-value service.
-class StorePort
-{
-public:
-    virtual ~StorePort() = default;
-
-    /// Starts @p call; its answers go to the handler that the process gave to the client.
-    virtual void execute(const StoreCall &call) = 0;
-};
-
 /// Address of an agent.
 struct AgentAddress
 {
@@ -58,8 +48,8 @@
 
     /// Encrypts links that are opened from now on.
     void setTls(const QSslConfiguration &configuration);
-    /// Sets the client of the key-value service. Without one its calls fail as not executed.
-    void setStore(StorePort *store);
+    /// Sets the function that starts a call of the key-value service. Without one the calls fail as not executed.
+    void setStore(std::function<void(const StoreCall &call)> store);
     /// Passes an answer of the key-value service on.
     void storeAnswered(const StoreAnswer &answer);
 
@@ -117,7 +107,7 @@
     EntryCore m_core;
     ActionLoop<EntryAction> m_loop;
     std::optional<QSslConfiguration> m_tls;
-    StorePort *m_store = nullptr;
+    std::function<void(const StoreCall &call)> m_store;
     std::map<InstanceId, Link> m_links;
     std::map<RequestId, OpenRequest> m_open;
     QTimer m_timer;
