--- a/load/loadreport.cpp
+++ b/load/loadreport.cpp
@@ -124,6 +124,16 @@
     for (const auto &[name, group] : byCustomer) {
         printGroup(out, "customer=" + name, group);
     }
+    for (const auto &[name, group] : byCustomer) {
+        out << "caller customer=" << name;
+        for (const auto &[verdict, title] : VerdictNames) {
+            const auto isVerdict = [verdict](const Outcome *outcome) {
+                return outcome->verdict == verdict;
+            };
+            out << ' ' << title << '=' << std::ranges::count_if(group, isVerdict);
+        }
+        out << '\n';
+    }
     printHeadOfLine(out);
     for (const auto &[code, number] : byCode) {
         out << "failure code=" << code << " name=" << codeName(code) << " count=" << number << '\n';
