--- a/ibismast/scheduling/fairqueue.cpp
+++ b/ibismast/scheduling/fairqueue.cpp
@@ -209,46 +209,37 @@
 
 std::optional<QueuedAttempt> FairQueue::popClass(ClassQueue &queue, const Filter &mayLeave)
 {
-    if (queue.round.empty()) {
-        return std::nullopt;
+    // The filter is asked once for each head: its answers may depend on the heads that it saw before. Heads that may
+    // not leave get no deficit, so that a blocked customer does not gather credit.
+    std::vector<Candidate> candidates;
+    for (auto key = queue.round.begin(); key != queue.round.end(); ++key) {
+        Customer &customer = queue.customers.at(*key);
+        if (mayLeave(customer.waiting.front())) {
+            candidates.push_back({key, &customer});
+        }
     }
-    // Whether any head may leave is checked before deficits grow, so that a blocked class does not gather credit.
-    const bool anyMayLeave = std::ranges::any_of(queue.round, [&](const CustomerId &key) {
-        return mayLeave(queue.customers.at(key).waiting.front());
-    });
-    if (!anyMayLeave) {
+    if (candidates.empty()) {
         return std::nullopt;
     }
-    // Rounds needed until some accepted head is covered, in one step: a long prompt would need hundreds of rounds.
-    while (true) {
-        double roundsNeeded = 0.0;
-        bool first = true;
-        for (auto key = queue.round.begin(); key != queue.round.end(); ++key) {
-            Customer &customer = queue.customers.at(*key);
-            const QueuedAttempt &head = customer.waiting.front();
-            if (!mayLeave(head)) {
-                continue;
-            }
-            const double missing = static_cast<double>(head.work.value()) - customer.deficit;
-            // A millionth of a token absorbs rounding, which could otherwise keep the sum just below the work forever.
-            if (missing <= 1e-6) {
-                customer.deficit = std::max(0.0, -missing);
-                // The customer keeps its turn while its deficit lasts.
-                queue.round.splice(queue.round.begin(), queue.round, key);
-                return take(AttemptId(head.attempt));
-            }
-            const double perRound = static_cast<double>(m_settings.quantum.value()) * customer.weight;
-            const double rounds = missing / perRound;
-            roundsNeeded = first ? rounds : std::min(roundsNeeded, rounds);
-            first = false;
-        }
-        for (const CustomerId &key : queue.round) {
-            Customer &customer = queue.customers.at(key);
-            if (mayLeave(customer.waiting.front())) {
-                customer.deficit += roundsNeeded * static_cast<double>(m_settings.quantum.value()) * customer.weight;
-            }
-        }
+    // The rounds until some head is covered are made in one step: a long prompt would need hundreds of them.
+    const auto missing = [](const Candidate &candidate) {
+        return static_cast<double>(candidate.customer->waiting.front().work.value()) - candidate.customer->deficit;
+    };
+    const auto perRound = [this](const Candidate &candidate) {
+        return static_cast<double>(m_settings.quantum.value()) * candidate.customer->weight;
+    };
+    const auto next = std::ranges::min_element(candidates, {}, [&](const Candidate &candidate) {
+        return std::max(0.0, missing(candidate) / perRound(candidate));
+    });
+    const double rounds = std::max(0.0, missing(*next) / perRound(*next));
+    for (const Candidate &candidate : candidates) {
+        candidate.customer->deficit += rounds * perRound(candidate);
     }
+    Customer &served = *next->customer;
+    served.deficit = std::max(0.0, served.deficit - static_cast<double>(served.waiting.front().work.value()));
+    // The customer keeps its turn while its deficit lasts.
+    queue.round.splice(queue.round.begin(), queue.round, next->key);
+    return take(AttemptId(served.waiting.front().attempt));
 }
 
 QueuedAttempt FairQueue::take(const AttemptId &attempt)
--- a/ibismast/scheduling/fairqueue.h
+++ b/ibismast/scheduling/fairqueue.h
@@ -81,6 +81,12 @@
         double service = 0.0;
         bool inService = false;
     };
+    /// Customer whose head may leave the queue.
+    struct Candidate
+    {
+        std::list<CustomerId>::iterator key;
+        Customer *customer = nullptr;
+    };
     struct Position
     {
         std::size_t classQueue = 0;
--- a/standins/engine/enginemodel.cpp
+++ b/standins/engine/enginemodel.cpp
@@ -258,6 +258,9 @@
 {
     for (const AttemptId &id : m_stepDecode) {
         if (const auto found = m_attempts.find(id); found != m_attempts.end()) {
+            if (m_workObserver) {
+                m_workObserver(id, 1);
+            }
             generate(found->second, out);
         }
     }
@@ -267,6 +270,9 @@
             continue;
         }
         m_prefilled += static_cast<std::uint64_t>(chunk);
+        if (m_workObserver) {
+            m_workObserver(id, chunk);
+        }
         found->second.prefill -= chunk;
         if (found->second.prefill == 0) {
             finishPrefill(found->second, now, out);
@@ -370,6 +376,11 @@
     m_segmentSource = std::move(source);
 }
 
+void EngineModel::setWorkObserver(WorkObserver observer)
+{
+    m_workObserver = std::move(observer);
+}
+
 Tokens EngineModel::usedMemory() const
 {
     return Tokens(m_usedMemory);
--- a/standins/engine/enginemodel.h
+++ b/standins/engine/enginemodel.h
@@ -67,6 +67,9 @@
     /// Fetches the segment of a handle from the engine that exported it.
     using SegmentSource = std::function<std::optional<KvSegment>(const std::string &handle)>;
 
+    /// Receives the tokens that the engine has computed for an attempt at the end of a step.
+    using WorkObserver = std::function<void(const AttemptId &attempt, std::int64_t tokens)>;
+
     EngineModel(EngineModelSettings settings, std::uint64_t seed);
 
     /// Carries out @p command at @p now.
@@ -89,6 +92,8 @@
     void importSegment(const std::string &handle, const KvSegment &segment);
     /// Sets where segments that were not imported before a submit are fetched from.
     void setSegmentSource(SegmentSource source);
+    /// Sets who is told of the work done, for measurements.
+    void setWorkObserver(WorkObserver observer);
 
     /// KV memory held by attempts.
     [[nodiscard]] Tokens usedMemory() const;
@@ -135,6 +140,7 @@
     EngineModelSettings m_settings;
     SeededRandom m_random;
     SegmentSource m_segmentSource;
+    WorkObserver m_workObserver;
     Attempts m_attempts;
     std::uint64_t m_arrivals = 0;
     std::int64_t m_usedMemory = 0;
