Reserve groups for prompts larger than one upstream

Cause: a prompt that fits into no upstream was refused as NoUpstream. Change: GroupFlow plans the fewest members, GroupReservation asks them in ascending order, one at a time, and releases all after a refusal, a missing answer or a loss; segments pass from member to member and each member is released when its successor has imported the KV segment. RetryPlanner, CompletionTable and CompletionAdmission are split from CompletionFlow. A cancelled group is 'not run' only if every member confirms its tombstone. Conclusion: unit tests of a group of three, of each way a member fails, and of the end of a running group pass.

--- /dev/null
+++ b/UnitTests/entry/grouptest.cpp
@@ -0,0 +1,174 @@
+#include "UnitTests/entry/entryfixture.h"
+
+using namespace ibismast;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Three agents with memory for 500,000 tokens each, of which a long prompt may use 425,000.
+class GroupFixture : public EntryFixture
+{
+public:
+    GroupFixture()
+    {
+        heartbeats();
+    }
+
+    void heartbeats()
+    {
+        for (const char *agent : {"a1", "a2", "a3"}) {
+            heartbeat(agent, 1, InstanceState::Ready, 500'000);
+        }
+    }
+
+    void answerReservation(std::size_t number, bool granted)
+    {
+        const auto request = sent<ReserveMemory>().at(number);
+        ReserveResult result {request.message.owner, std::nullopt};
+        if (!granted) {
+            result.error = Error {ResultCode::MemoryExhausted, "", {}};
+        }
+        fromAgent(request.receiver, result);
+    }
+
+    /// Grants all reservations of a group of three.
+    void grantAll()
+    {
+        for (std::size_t number = 0; number < 3; ++number) {
+            answerReservation(number, true);
+        }
+    }
+
+    [[nodiscard]] std::vector<std::string> released() const
+    {
+        std::vector<std::string> receivers;
+        for (const auto &release : sent<ReleaseReservation>()) {
+            receivers.push_back(release.receiver);
+        }
+        std::ranges::sort(receivers);
+        return receivers;
+    }
+};
+
+} // namespace
+
+// Guards against deadlocks and partial groups: members must be asked in order, one at a time, before any dispatch.
+TEST_CASE("a prompt for three upstreams passes from member to member", "[entry]")
+{
+    GroupFixture entry;
+    entry.submit(300s, 1'000'000);
+    for (std::size_t number = 0; number < 3; ++number) {
+        const auto requests = entry.sent<ReserveMemory>();
+        REQUIRE(requests.size() == number + 1);
+        CHECK(requests[number].receiver == "a" + std::to_string(number + 1));
+        CHECK(requests[number].message.amount <= Tokens(425'000));
+        CHECK(entry.sent<DispatchRequest>().empty());
+        entry.answerReservation(number, true);
+    }
+    Tokens offset;
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        const auto dispatches = entry.sent<DispatchRequest>();
+        REQUIRE(dispatches.size() == index + 1);
+        const auto &dispatch = dispatches[index];
+        REQUIRE(dispatch.message.group);
+        const GroupSegment &segment = *dispatch.message.group;
+        CHECK(dispatch.receiver == segment.members.at(index).value());
+        CHECK(segment.index == index);
+        CHECK(segment.offset == offset);
+        CHECK(segment.importHandle == (index == 0 ? "" : "h" + std::to_string(index - 1)));
+        offset += segment.length;
+        entry.fromAgent(dispatch.receiver, DispatchAccepted {dispatch.message.attempt, 1s});
+        if (index < 2) {
+            entry.fromAgent(dispatch.receiver,
+                            SegmentExported {dispatch.message.attempt, index, "h" + std::to_string(index)});
+        }
+    }
+    CHECK(offset == Tokens(1'000'000));
+    CHECK(entry.released() == std::vector<std::string> {"a1"});
+    const auto last = entry.sent<DispatchRequest>().back();
+    entry.fromAgent("a3", StreamPart {last.message.attempt, 0, {"x"}});
+    CHECK(entry.released() == std::vector<std::string> {"a1", "a2"});
+    entry.fromAgent("a3", StreamEnd {last.message.attempt, 1, "stop"});
+    CHECK(entry.actions<DeliverEnd>().size() == 1);
+    CHECK(entry.sent<CancelAttempt>().empty());
+}
+
+// Guards against memory that stays reserved after one member refuses, does not answer or is lost.
+TEST_CASE("a member that cannot reserve releases all others", "[entry]")
+{
+    GroupFixture entry;
+    const int fault = GENERATE(0, 1, 2);
+    entry.submit(20s, 1'000'000);
+    entry.answerReservation(0, true);
+    entry.answerReservation(1, true);
+    if (fault == 0) {
+        entry.answerReservation(2, false);
+    } else if (fault == 1) {
+        entry.core.peerDisconnected(InstanceId("a2"), entry.now, entry.out);
+    } else {
+        for (int step = 0; step < 31; ++step) {
+            entry.heartbeats();
+            entry.advance(100ms);
+        }
+    }
+    CHECK(entry.released() == std::vector<std::string> {"a1", "a2", "a3"});
+    const std::size_t asked = entry.sent<ReserveMemory>().size();
+    for (int step = 0; step < 60; ++step) {
+        if (fault != 1) {
+            entry.heartbeats();
+        }
+        entry.advance(100ms);
+    }
+    if (fault != 1) {
+        // The group is tried again under another attempt id.
+        REQUIRE(entry.sent<ReserveMemory>().size() > asked);
+        CHECK(entry.sent<ReserveMemory>().at(asked).message.owner.number == 2);
+    }
+    entry.advance(20s);
+    const auto failures = entry.actions<DeliverFailure>();
+    REQUIRE(failures.size() == 1);
+    CHECK(failures[0].error.code == ResultCode::GroupUnavailable);
+    CHECK(entry.released().size() == entry.sent<ReserveMemory>().size());
+}
+
+// Guards against memory and work that outlive a group whose member failed or whose caller has left.
+TEST_CASE("the end of a running group releases every member", "[entry]")
+{
+    GroupFixture entry;
+    const int end = GENERATE(0, 1, 2);
+    const RequestId request = entry.submit(300s, 1'000'000);
+    entry.grantAll();
+    const auto first = entry.sent<DispatchRequest>().at(0);
+    entry.fromAgent("a1", DispatchAccepted {first.message.attempt, 1s});
+    entry.fromAgent("a1", SegmentExported {first.message.attempt, 0, "h"});
+    entry.fromAgent("a2", DispatchAccepted {first.message.attempt, 1s});
+    if (end == 0) {
+        entry.fromAgent("a2", AttemptFailed {first.message.attempt, Error {ResultCode::UpstreamFailed, "", {}}, true});
+    } else if (end == 1) {
+        entry.core.callerLeft(request, entry.now, entry.out);
+    } else {
+        // A member that only holds its reservation.
+        entry.core.peerDisconnected(InstanceId("a3"), entry.now, entry.out);
+    }
+    std::vector<std::string> cancelled;
+    for (const auto &cancel : entry.sent<CancelAttempt>()) {
+        cancelled.push_back(cancel.receiver);
+    }
+    CHECK(cancelled == (end == 0 ? std::vector<std::string> {"a1"} : std::vector<std::string> {"a1", "a2"}));
+    CHECK(entry.released() == std::vector<std::string> {"a3"});
+}
+
+// Guards against prompts that wait for a group that can never exist.
+TEST_CASE("a prompt beyond the largest group is refused at once", "[entry]")
+{
+    GroupFixture entry;
+    const auto [tokens, code] = GENERATE(table<std::int64_t, ResultCode>(
+        {{1'300'000, ResultCode::GroupUnavailable}, {7'000'000, ResultCode::PromptTooLong}}));
+    entry.submit(1s, tokens);
+    entry.advance(1s);
+    const auto failures = entry.actions<DeliverFailure>();
+    REQUIRE(failures.size() == 1);
+    CHECK(failures[0].error.code == code);
+    CHECK(entry.sent<ReserveMemory>().empty());
+}
--- a/ibismast/entry/completion.h
+++ b/ibismast/entry/completion.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibismast/entry/entryactions.h"
+#include "ibismast/entry/groupreservation.h"
 #include "ibismast/entry/refusalmemory.h"
 #include "ibismast/streams/streamassembler.h"
 
@@ -52,6 +53,8 @@
     Running,
     /// A cancellation of the last attempt was sent and is not answered.
     Cancelling,
+    /// The members of a group are asked to reserve memory.
+    Reserving,
     /// The next attempt starts later.
     Waiting,
 };
@@ -80,6 +83,11 @@
     std::vector<InstanceId> betterPlaces;
     /// True if the next attempt must be taken from the retry budget when it starts.
     bool needsBudget = false;
+    /// Group that serves the present attempt, and the index of its running member.
+    std::optional<GroupReservation> group;
+    std::uint32_t segment = 0;
+    /// Pause after the last refusal of a group.
+    Duration groupPause {};
     /// When a failed request stops waiting for an upstream that may take it.
     std::optional<TimePoint> upstreamPatience;
 
--- a/ibismast/entry/completionfilter.cpp
+++ b/ibismast/entry/completionfilter.cpp
@@ -17,8 +17,8 @@
     if (m_completion.firstFailed && m_context.health.shareSet(*m_completion.firstFailed, upstream.id, m_now)) {
         return false;
     }
-    const Tokens capacity = upstream.load.memoryCapacity;
-    if (capacity > Tokens() && capacity < m_completion.work()) {
+    if (upstream.load.memoryCapacity > Tokens()
+        && m_context.usableMemory(upstream, m_completion.priorityClass) < m_completion.work()) {
         return false;
     }
     const Error *refusal = m_context.refusals.find(upstream.id, m_demand, m_now);
--- a/ibismast/entry/completionflow.cpp
+++ b/ibismast/entry/completionflow.cpp
@@ -15,57 +15,34 @@
 
 } // namespace
 
-CompletionFlow::CompletionFlow(EntryContext &context) : m_context(context), m_dispatcher(context) { }
+CompletionFlow::CompletionFlow(EntryContext &context)
+    : m_context(context), m_admission(context), m_dispatcher(context), m_groups(context), m_retries(context)
+{
+}
 
 RequestId CompletionFlow::submit(CompletionRequest request, TimePoint now, EntryActions &out)
 {
     const RequestId id = m_context.nextRequest();
-    if (m_context.shuttingDown) {
-        out.emplace_back(DeliverFailure {id, Error {ResultCode::ShuttingDown, "this instance is leaving", {}}, {}});
-        return id;
-    }
-    if (request.timeLeft <= Duration::zero()) {
-        out.emplace_back(DeliverFailure {id, Error {ResultCode::DeadlineNotFeasible, "no time is left", {}}, {}});
+    if (std::optional<Error> refusal = m_admission.admit(request, now)) {
+        out.emplace_back(DeliverFailure {id, std::move(*refusal), {}});
         return id;
     }
-    Completion &completion = m_completions[id];
-    completion.id = id;
+    Completion &completion = m_table.add(id);
     completion.admitted = now;
     completion.deadline = now + request.timeLeft;
     completion.priorityClass = classifyPrompt(request.promptTokens);
     completion.request = std::move(request);
-    if (!admitCapacity(completion, now, out)) {
-        return id;
-    }
-    m_context.retryBudget.noteRequest(now);
-    m_timers.schedule(m_context.tombstoneTime(now, completion.deadline), id);
-    m_timers.schedule(m_context.watchdogTime(now, completion.deadline), id);
+    m_table.schedule(m_context.tombstoneTime(now, completion.deadline), id);
+    m_table.schedule(m_context.watchdogTime(now, completion.deadline), id);
     m_context.report("request_admitted",
                      {{"request", toString(id)}, {"customer", completion.request.customer.value()}});
     startAttempt(completion, now, out);
     return id;
 }
 
-bool CompletionFlow::admitCapacity(Completion &completion, TimePoint now, EntryActions &out)
-{
-    const CompletionRequest &request = completion.request;
-    Error error {ResultCode::NoUpstream, "no live upstream serves " + request.model.value(), {}};
-    if (m_context.upstreams.liveCount(request.model) > 0) {
-        if (m_context.capacity.admit(request.model, request.customer, request.customerWeight, completion.work(), now)) {
-            return true;
-        }
-        error = Error {ResultCode::CustomerOverShare,
-                       "upstreams were lost and the customer has used its share of the rest",
-                       std::chrono::seconds(1)};
-    }
-    out.emplace_back(DeliverFailure {completion.id, std::move(error), {}});
-    m_completions.erase(completion.id);
-    return false;
-}
-
 void CompletionFlow::callerLeft(const RequestId &request, EntryActions &out)
 {
-    if (Completion *completion = find(request)) {
+    if (Completion *completion = m_table.find(request)) {
         m_context.report("caller_left", {{"request", toString(request)}});
         finish(*completion, out);
     }
@@ -73,7 +50,7 @@
 
 void CompletionFlow::handle(const PeerFrame &frame, const DispatchAccepted &message, TimePoint /*now*/)
 {
-    const auto [completion, attempt, place] = locate(frame, message.attempt);
+    const auto [completion, attempt, place] = m_table.locate(frame, message.attempt);
     if (place == nullptr || place->state != PlaceState::Sent) {
         return;
     }
@@ -83,7 +60,7 @@
     }
     m_context.refusals.forget(frame.sender, completion->request.customer, completion->priorityClass);
     if (completion->phase == CompletionPhase::Running) {
-        setPhase(*completion, CompletionPhase::Running, TimePoint::max());
+        m_table.setPhase(*completion, CompletionPhase::Running, TimePoint::max());
     }
 }
 
@@ -92,7 +69,7 @@
     if (message.error.code == ResultCode::UpstreamLeaving) {
         m_context.upstreams.markLeaving(frame.sender);
     }
-    const auto [completion, attempt, place] = locate(frame, message.attempt);
+    const auto [completion, attempt, place] = m_table.locate(frame, message.attempt);
     if (place == nullptr) {
         return;
     }
@@ -111,13 +88,16 @@
 
 void CompletionFlow::handle(const PeerFrame &frame, const StreamPart &message, TimePoint now, EntryActions &out)
 {
-    const auto [completion, attempt, place] = locate(frame, message.attempt);
+    const auto [completion, attempt, place] = m_table.locate(frame, message.attempt);
     if (place == nullptr) {
         return;
     }
     DeliverTokens delivery {completion->id, {}};
     switch (completion->assembler.addPart(message, delivery.tokens)) {
     case StreamAssembler::PartOutcome::Added:
+        if (completion->group) {
+            m_groups.releaseImported(*completion, out);
+        }
         out.emplace_back(std::move(delivery));
         break;
     case StreamAssembler::PartOutcome::Gap:
@@ -134,13 +114,13 @@
 
 void CompletionFlow::handle(const PeerFrame &frame, const StreamEnd &message, TimePoint now, EntryActions &out)
 {
-    const auto [completion, attempt, place] = locate(frame, message.attempt);
+    const auto [completion, attempt, place] = m_table.locate(frame, message.attempt);
     if (place == nullptr) {
         return;
     }
     place->state = PlaceState::MayHaveRun;
     if (!completion->assembler.completes(message)) {
-        failedAt(*completion, frame.sender, now);
+        m_retries.noteFailure(*completion, frame.sender, now);
         attemptEnded(*completion,
                      RetryCause::Failure,
                      Error {ResultCode::StreamIncomplete, "the answer's token count does not match its end marker", {}},
@@ -158,18 +138,52 @@
 
 void CompletionFlow::handle(const PeerFrame &frame, const AttemptFailed &message, TimePoint now, EntryActions &out)
 {
-    const auto [completion, attempt, place] = locate(frame, message.attempt);
+    const auto [completion, attempt, place] = m_table.locate(frame, message.attempt);
     if (place == nullptr) {
         return;
     }
     place->state = message.mayHaveStarted ? PlaceState::MayHaveRun : PlaceState::NotRun;
-    failedAt(*completion, frame.sender, now);
+    m_retries.noteFailure(*completion, frame.sender, now);
     attemptEnded(*completion, RetryCause::Failure, message.error, now, out);
 }
 
+void CompletionFlow::handle(const PeerFrame &frame, const ReserveResult &message, TimePoint now, EntryActions &out)
+{
+    Completion *completion = m_table.find(message.owner.request);
+    if (completion == nullptr || completion->phase != CompletionPhase::Reserving) {
+        return;
+    }
+    completion->group->handle(frame, message, now, out);
+    switch (completion->group->state()) {
+    case GroupReservation::State::Reserving:
+        m_table.setPhase(*completion, CompletionPhase::Reserving, now + m_context.settings.reserveTimeout);
+        break;
+    case GroupReservation::State::Reserved:
+        m_groups.dispatchSegment(*completion, 0, {}, now, out);
+        m_table.setPhase(*completion, CompletionPhase::Running, now + m_context.settings.answerTimeout);
+        break;
+    case GroupReservation::State::Failed:
+        groupRefused(*completion, Error(completion->group->error()), now, out);
+        break;
+    }
+}
+
+void CompletionFlow::handle(const PeerFrame &frame, const SegmentExported &message, TimePoint now, EntryActions &out)
+{
+    const auto [completion, attempt, place] = m_table.locate(frame, message.attempt);
+    const bool expected = place != nullptr && completion->group && completion->phase == CompletionPhase::Running
+        && message.index == completion->segment && message.index + 1 < completion->group->members().size();
+    if (!expected) {
+        return;
+    }
+    m_groups.releaseImported(*completion, out);
+    m_groups.dispatchSegment(*completion, message.index + 1, message.handle, now, out);
+    m_table.setPhase(*completion, CompletionPhase::Running, now + m_context.settings.answerTimeout);
+}
+
 void CompletionFlow::handle(const PeerFrame &frame, const CancelResult &message, TimePoint now, EntryActions &out)
 {
-    Completion *completion = find(message.attempt.request);
+    Completion *completion = m_table.find(message.attempt.request);
     if (completion == nullptr) {
         return;
     }
@@ -182,7 +196,10 @@
         const bool wasOpen = isOpen(place->state);
         // An attempt whose connection was lost can be proven not to have run later, by its tombstone.
         place->state = message.outcome == CancelOutcome::NeverStarted ? PlaceState::NotRun : PlaceState::MayHaveRun;
-        if (wasOpen) {
+        const bool allAnswered = std::ranges::none_of(attempt.places, [](const AttemptPlace &each) {
+            return isOpen(each.state);
+        });
+        if (wasOpen && allAnswered) {
             Error error =
                 completion->lastError.value_or(Error {ResultCode::AttemptCancelled, "the attempt was cancelled", {}});
             if (place->state == PlaceState::NotRun && !isNotRunCode(error.code)) {
@@ -196,18 +213,19 @@
 
 void CompletionFlow::upstreamLost(const InstanceId &upstream, TimePoint now, EntryActions &out)
 {
-    std::vector<RequestId> affected;
-    for (auto &[id, completion] : m_completions) {
-        AttemptPlace *place = completion.attempts.empty() ? nullptr : completion.attempts.back().find(upstream);
-        if (place != nullptr && isOpen(place->state)) {
+    for (const RequestId &id : m_table.atUpstream(upstream)) {
+        Completion *completion = m_table.find(id);
+        if (completion->phase == CompletionPhase::Reserving) {
+            completion->group->release({}, out);
+            groupRefused(
+                *completion, Error {ResultCode::GroupUnavailable, "a member of the group was lost", {}}, now, out);
+            continue;
+        }
+        if (AttemptPlace *place = completion->attempts.back().find(upstream)) {
             place->state = PlaceState::MayHaveRun;
-            affected.push_back(id);
         }
-    }
-    for (const RequestId &id : affected) {
-        Completion *completion = find(id);
         m_unsentCancels.add(upstream, completion->attempts.back().id, completion->deadline);
-        failedAt(*completion, upstream, now);
+        m_retries.noteFailure(*completion, upstream, now);
         attemptEnded(*completion,
                      RetryCause::Failure,
                      Error {ResultCode::OutcomeUnknown, "the connection to the upstream's agent was lost", {}},
@@ -223,75 +241,58 @@
 
 void CompletionFlow::runDue(TimePoint now, EntryActions &out)
 {
-    while (const auto request = m_timers.popDue(now)) {
-        if (Completion *completion = find(*request)) {
-            onTimer(*completion, now, out);
-        }
+    while (Completion *completion = m_table.popDue(now)) {
+        onTimer(*completion, now, out);
     }
 }
 
-std::size_t CompletionFlow::openRequests() const
+const CompletionTable &CompletionFlow::table() const
 {
-    return m_completions.size();
+    return m_table;
 }
 
-void CompletionFlow::collectActive(std::set<InstanceId> &upstreams) const
+void CompletionFlow::startGroup(Completion &completion, TimePoint now, EntryActions &out)
 {
-    for (const auto &[id, completion] : m_completions) {
-        if (completion.attempts.empty()) {
-            continue;
-        }
-        for (const AttemptPlace &place : completion.attempts.back().places) {
-            if (isOpen(place.state)) {
-                upstreams.insert(place.upstream);
-            }
-        }
+    if (const std::optional<Error> refusal = m_groups.start(completion, now, out)) {
+        groupRefused(completion, *refusal, now, out);
+        return;
     }
+    m_table.setPhase(completion, CompletionPhase::Reserving, now + m_context.settings.reserveTimeout);
 }
 
-CompletionFlow::Located CompletionFlow::locate(const PeerFrame &frame, const AttemptId &id)
+void CompletionFlow::groupRefused(Completion &completion, const Error &error, TimePoint now, EntryActions &out)
 {
-    Completion *completion = find(id.request);
-    UpstreamAttempt *attempt = completion != nullptr ? completion->current(id) : nullptr;
-    AttemptPlace *place = attempt != nullptr ? attempt->find(frame.sender) : nullptr;
-    return place != nullptr && isOpen(place->state) ? Located {completion, attempt, place} : Located {};
-}
-
-Completion *CompletionFlow::find(const RequestId &request)
-{
-    const auto completion = m_completions.find(request);
-    return completion == m_completions.end() ? nullptr : &completion->second;
+    const bool tooLong = error.code == ResultCode::PromptTooLong;
+    completion.lastError = Error {tooLong ? error.code : ResultCode::GroupUnavailable, error.message, error.retryAfter};
+    completion.group.reset();
+    completion.assembler.endAttempt();
+    const auto pause = tooLong ? std::nullopt : m_retries.pauseAfterGroup(completion, now);
+    if (pause) {
+        m_table.setPhase(completion, CompletionPhase::Waiting, now + *pause);
+    } else {
+        fail(completion, *completion.lastError, out);
+    }
 }
 
 void CompletionFlow::startAttempt(Completion &completion, TimePoint now, EntryActions &out)
 {
+    if (m_groups.needsGroup(completion)) {
+        startGroup(completion, now, out);
+        return;
+    }
     const std::optional<Error> refusal = m_dispatcher.dispatch(completion, now, out);
     if (!refusal) {
         completion.upstreamPatience.reset();
-        setPhase(completion, CompletionPhase::Running, now + m_context.settings.answerTimeout);
+        m_table.setPhase(completion, CompletionPhase::Running, now + m_context.settings.answerTimeout);
         return;
     }
-    if (completion.firstFailed) {
-        // Other upstreams may become free or return; a refused request gets its answer at once instead.
-        const TimePoint until = completion.upstreamPatience.value_or(now + m_context.settings.noUpstreamPatience);
-        completion.upstreamPatience = until;
-        if (now < until) {
-            setPhase(completion, CompletionPhase::Waiting, now + m_context.settings.noUpstreamPatience / 20);
-            return;
-        }
+    if (const auto until = m_retries.waitForUpstream(completion, now)) {
+        m_table.setPhase(completion, CompletionPhase::Waiting, *until);
+        return;
     }
     fail(completion, completion.lastError.value_or(*refusal), out);
 }
 
-void CompletionFlow::setPhase(Completion &completion, CompletionPhase phase, TimePoint until)
-{
-    completion.phase = phase;
-    completion.phaseUntil = until;
-    if (until != TimePoint::max()) {
-        m_timers.schedule(until, completion.id);
-    }
-}
-
 void CompletionFlow::cancelAttempt(Completion &completion, TimePoint now, EntryActions &out)
 {
     const UpstreamAttempt &attempt = completion.attempts.back();
@@ -300,15 +301,7 @@
             out.emplace_back(SendToPeer {place.upstream, CancelAttempt {attempt.id}});
         }
     }
-    setPhase(completion, CompletionPhase::Cancelling, now + m_context.settings.answerTimeout);
-}
-
-void CompletionFlow::failedAt(Completion &completion, const InstanceId &upstream, TimePoint now)
-{
-    m_context.health.noteFailure(upstream, now);
-    if (!completion.firstFailed) {
-        completion.firstFailed = upstream;
-    }
+    m_table.setPhase(completion, CompletionPhase::Cancelling, now + m_context.settings.answerTimeout);
 }
 
 void CompletionFlow::attemptEnded(
@@ -316,6 +309,9 @@
 {
     completion.assembler.endAttempt();
     completion.lastError = error;
+    if (completion.group) {
+        m_groups.close(completion, out);
+    }
     m_context.report(
         "attempt_ended",
         {{"attempt", toString(completion.attempts.back().id)}, {"code", std::string(resultCodeInfo(error.code).name)}});
@@ -323,32 +319,24 @@
         fail(completion, *completion.failureAfterCancel, out);
         return;
     }
-    const auto pause = m_context.retryPolicy.pauseBefore(
-        cause, static_cast<std::uint32_t>(completion.attempts.size()), completion.deadline - now, m_context.random);
-    const bool needsBudget = RetryPolicy::needsBudget(cause);
-    // A failed request waits for the budget. A refused one does not: under overload the caller needs its answer.
-    if (!pause || (needsBudget && cause == RetryCause::Overload && !m_context.retryBudget.take(now))) {
+    const auto pause = m_retries.pauseAfter(completion, cause, now);
+    if (!pause) {
         fail(completion, error, out);
         return;
     }
-    completion.needsBudget = needsBudget && cause != RetryCause::Overload;
     if (*pause == Duration::zero()) {
         startAttempt(completion, now, out);
     } else {
-        setPhase(completion, CompletionPhase::Waiting, now + *pause);
+        m_table.setPhase(completion, CompletionPhase::Waiting, now + *pause);
     }
 }
 
 void CompletionFlow::endWaiting(Completion &completion, TimePoint now, EntryActions &out)
 {
-    if (completion.needsBudget && !m_context.retryBudget.take(now)) {
-        const double jitter = 0.5 + m_context.random.uniform();
-        setPhase(completion,
-                 CompletionPhase::Waiting,
-                 now + fromSeconds(toSeconds(m_context.settings.budgetPause) * jitter));
+    if (const auto pause = m_retries.waitForBudget(completion, now)) {
+        m_table.setPhase(completion, CompletionPhase::Waiting, now + *pause);
         return;
     }
-    completion.needsBudget = false;
     startAttempt(completion, now, out);
 }
 
@@ -362,7 +350,7 @@
     if (tombstoneDue && completion.assembler.tokenCount() == 0 && !completion.failureAfterCancel) {
         completion.failureAfterCancel =
             Error {ResultCode::DeadlineNotFeasible, "no upstream started the request before its deadline", {}};
-        if (completion.phase == CompletionPhase::Waiting) {
+        if (completion.phase == CompletionPhase::Waiting || completion.phase == CompletionPhase::Reserving) {
             fail(completion, completion.lastError.value_or(*completion.failureAfterCancel), out);
         } else if (completion.phase == CompletionPhase::Running) {
             cancelAttempt(completion, now, out);
@@ -373,6 +361,10 @@
         return;
     }
     switch (completion.phase) {
+    case CompletionPhase::Reserving:
+        completion.group->timeOut(out);
+        groupRefused(completion, Error(completion.group->error()), now, out);
+        break;
     case CompletionPhase::Running:
         completion.lastError = Error {ResultCode::OutcomeUnknown, "the agent did not answer the dispatch", {}};
         cancelAttempt(completion, now, out);
@@ -391,7 +383,7 @@
     for (AttemptPlace &place : completion.attempts.back().places) {
         if (isOpen(place.state)) {
             place.state = PlaceState::MayHaveRun;
-            failedAt(completion, place.upstream, now);
+            m_retries.noteFailure(completion, place.upstream, now);
         }
     }
     attemptEnded(completion,
@@ -403,13 +395,7 @@
 
 void CompletionFlow::fail(Completion &completion, Error error, EntryActions &out)
 {
-    if (isNotRunCode(error.code) && !completion.provenNotRun()) {
-        const bool late = completion.failureAfterCancel.has_value();
-        const ResultCode code = completion.assembler.tokenCount() > 0 ? ResultCode::StreamIncomplete
-            : late                                                    ? ResultCode::DeadlineExceeded
-                                                                      : ResultCode::OutcomeUnknown;
-        error = Error {code, "an upstream may have run the request; last reason: " + error.message, {}};
-    }
+    error = RetryPlanner::finalError(completion, std::move(error));
     m_context.report("request_failed",
                      {{"request", toString(completion.id)}, {"code", std::string(resultCodeInfo(error.code).name)}});
     out.emplace_back(DeliverFailure {completion.id, std::move(error), {}});
@@ -418,6 +404,9 @@
 
 void CompletionFlow::finish(Completion &completion, EntryActions &out)
 {
+    if (completion.group) {
+        m_groups.close(completion, out);
+    }
     if (!completion.attempts.empty()) {
         const UpstreamAttempt &attempt = completion.attempts.back();
         for (const AttemptPlace &place : attempt.places) {
@@ -426,9 +415,8 @@
             }
         }
     }
-    const CompletionRequest &request = completion.request;
-    m_context.capacity.release(request.model, request.customer, completion.work());
-    m_completions.erase(completion.id);
+    m_admission.release(completion.request);
+    m_table.erase(completion.id);
 }
 
 } // namespace ibismast
--- a/ibismast/entry/completionflow.h
+++ b/ibismast/entry/completionflow.h
@@ -1,13 +1,12 @@
 #pragma once
 
 #include "ibismast/entry/attemptdispatcher.h"
-#include "ibismast/entry/completion.h"
-#include "ibismast/entry/entrycontext.h"
-#include "ibismast/entry/timerqueue.h"
+#include "ibismast/entry/completionadmission.h"
+#include "ibismast/entry/completiontable.h"
+#include "ibismast/entry/groupflow.h"
+#include "ibismast/entry/retryplanner.h"
 #include "ibismast/entry/unsentcancels.h"
 
-#include <set>
-
 namespace ibismast
 {
 
@@ -25,6 +24,8 @@
     void handle(const PeerFrame &frame, const StreamPart &message, TimePoint now, EntryActions &out);
     void handle(const PeerFrame &frame, const StreamEnd &message, TimePoint now, EntryActions &out);
     void handle(const PeerFrame &frame, const AttemptFailed &message, TimePoint now, EntryActions &out);
+    void handle(const PeerFrame &frame, const ReserveResult &message, TimePoint now, EntryActions &out);
+    void handle(const PeerFrame &frame, const SegmentExported &message, TimePoint now, EntryActions &out);
     void handle(const PeerFrame &frame, const CancelResult &message, TimePoint now, EntryActions &out);
 
     /// The agent's connection or process ended; its attempts continue on other upstreams.
@@ -34,30 +35,14 @@
     /// Does what is due: deadlines, retries, unanswered messages.
     void runDue(TimePoint now, EntryActions &out);
 
-    [[nodiscard]] std::size_t openRequests() const;
-    /// Adds the upstreams that hold an attempt that has not ended to @p upstreams.
-    void collectActive(std::set<InstanceId> &upstreams) const;
+    [[nodiscard]] const CompletionTable &table() const;
 
 private:
-    using Completions = std::map<RequestId, Completion>;
-
-    /// The open place that a message of an agent is about; all null if there is none.
-    struct Located
-    {
-        Completion *completion = nullptr;
-        UpstreamAttempt *attempt = nullptr;
-        AttemptPlace *place = nullptr;
-    };
-
-    Located locate(const PeerFrame &frame, const AttemptId &id);
-    Completion *find(const RequestId &request);
-    /// Refuses the request if the live capacity cannot bear it; returns false if it did.
-    bool admitCapacity(Completion &completion, TimePoint now, EntryActions &out);
+    /// Reserves a group for the next attempt, or waits to try again, or fails.
+    void startGroup(Completion &completion, TimePoint now, EntryActions &out);
+    void groupRefused(Completion &completion, const Error &error, TimePoint now, EntryActions &out);
     void startAttempt(Completion &completion, TimePoint now, EntryActions &out);
-    void setPhase(Completion &completion, CompletionPhase phase, TimePoint until);
     void cancelAttempt(Completion &completion, TimePoint now, EntryActions &out);
-    /// Notes a failure, as opposed to a refusal, at @p upstream.
-    void failedAt(Completion &completion, const InstanceId &upstream, TimePoint now);
     /// The last attempt has ended; plans the next one or fails.
     void attemptEnded(Completion &completion, RetryCause cause, const Error &error, TimePoint now, EntryActions &out);
     /// Gives up an attempt whose cancellation was not answered.
@@ -68,9 +53,11 @@
     void finish(Completion &completion, EntryActions &out);
 
     EntryContext &m_context;
+    CompletionAdmission m_admission;
     AttemptDispatcher m_dispatcher;
-    Completions m_completions;
-    TimerQueue m_timers;
+    GroupFlow m_groups;
+    RetryPlanner m_retries;
+    CompletionTable m_table;
     UnsentCancels m_unsentCancels;
 };
 
--- a/ibismast/entry/entrycontext.cpp
+++ b/ibismast/entry/entrycontext.cpp
@@ -49,6 +49,12 @@
     return deadline - std::min(settings.tombstoneLead, (deadline - admitted) / 5);
 }
 
+Tokens EntryContext::usableMemory(const Upstream &upstream, PriorityClass priorityClass) const
+{
+    const double share = priorityClass >= PriorityClass::Long ? settings.longPromptMemoryShare : 1.0;
+    return Tokens(static_cast<std::int64_t>(static_cast<double>(upstream.load.memoryCapacity.value()) * share));
+}
+
 void EntryContext::report(std::string_view name, const std::vector<LogField> &fields) const
 {
     if (listener != nullptr) {
--- a/ibismast/entry/entrycontext.h
+++ b/ibismast/entry/entrycontext.h
@@ -30,6 +30,9 @@
     /// When a request that has not started is cancelled, so that a tombstone can be confirmed before the watchdog.
     [[nodiscard]] TimePoint tombstoneTime(TimePoint admitted, TimePoint deadline) const;
 
+    /// KV memory of @p upstream that one attempt of a class may use.
+    [[nodiscard]] Tokens usableMemory(const Upstream &upstream, PriorityClass priorityClass) const;
+
     EntryCoreSettings settings;
     PeerSummary self;
     SeededRandom random;
--- a/ibismast/entry/entrycore.cpp
+++ b/ibismast/entry/entrycore.cpp
@@ -64,7 +64,7 @@
     void sendHeartbeats(TimePoint now, EntryActions &out)
     {
         std::set<InstanceId> receivers;
-        completions.collectActive(receivers);
+        completions.table().collectActive(receivers);
         services.collectActive(receivers);
         for (const auto &[id, upstream] : context.upstreams.all()) {
             if (!upstream.connected) {
@@ -213,7 +213,7 @@
 
 std::size_t EntryCore::openRequests() const
 {
-    return d->completions.openRequests() + d->services.openRequests();
+    return d->completions.table().size() + d->services.openRequests();
 }
 
 } // namespace ibismast
--- a/ibismast/entry/entrycoresettings.cpp
+++ b/ibismast/entry/entrycoresettings.cpp
@@ -65,6 +65,14 @@
     check.positive(settings.capacity.reductionTime, "capacity.reductionTime");
     check.require(settings.capacity.workPerUpstream >= Tokens(), "capacity.workPerUpstream", "must not be negative");
     check.positive(settings.refusalHold, "refusalHold");
+    check.require(settings.maxGroupMembers >= 2, "maxGroupMembers", "must be at least 2");
+    check.require(settings.longPromptMemoryShare > 0.0 && settings.longPromptMemoryShare <= 1.0,
+                  "longPromptMemoryShare",
+                  "must lie between 0 and 1");
+    check.positive(settings.reserveTimeout, "reserveTimeout");
+    check.positive(settings.groupPause, "groupPause");
+    check.require(
+        settings.groupPatience > 0.0 && settings.groupPatience <= 1.0, "groupPatience", "must lie between 0 and 1");
     check.positive(settings.budgetPause, "budgetPause");
     check.positive(settings.noUpstreamPatience, "noUpstreamPatience");
     check.require(settings.breaker.failureThreshold > 0, "breaker.failureThreshold", "must be positive");
--- a/ibismast/entry/entrycoresettings.h
+++ b/ibismast/entry/entrycoresettings.h
@@ -37,6 +37,16 @@
     /// Longest time for which an agent's refusal stands for requests that are not sent; its own retry-after may be
     /// less.
     Duration refusalHold = std::chrono::milliseconds(200);
+    /// Largest number of upstreams in a group.
+    std::size_t maxGroupMembers = 16;
+    /// Part of an upstream's KV memory that one long prompt may use; agents keep the rest free for short ones.
+    double longPromptMemoryShare = 0.85;
+    /// Time for which a member's answer to a reservation is awaited; agents let a reservation wait for 2 s.
+    Duration reserveTimeout = std::chrono::seconds(3);
+    /// Pause before a refused group is tried again; doubles up to ten times this value.
+    Duration groupPause = std::chrono::milliseconds(500);
+    /// Part of a request's time after which no further group is tried.
+    double groupPatience = 0.5;
     /// Mean pause before a failed request asks the retry budget again.
     Duration budgetPause = std::chrono::milliseconds(200);
     /// Time for which a failed request waits for an upstream that may take it.
