--- a/ibismast/entry/entrycore.cpp
+++ b/ibismast/entry/entrycore.cpp
@@ -1,6 +1,7 @@
 #include "ibismast/entry/entrycore.h"
 
 #include "ibismast/entry/completionflow.h"
+#include "ibismast/entry/serviceflow.h"
 
 namespace ibismast
 {
@@ -10,7 +11,7 @@
 {
 public:
     Private(const EntryCoreSettings &settings, PeerSummary self, std::uint64_t seed, EventListener *listener)
-        : context(settings, std::move(self), seed, listener), completions(context)
+        : context(settings, std::move(self), seed, listener), completions(context), services(context)
     {
     }
 
@@ -18,12 +19,34 @@
     void runDue(TimePoint now, EntryActions &out)
     {
         completions.runDue(now, out);
+        services.runDue(now, out);
     }
 
-    void upstreamLost(const InstanceId &agent, TimePoint now, EntryActions &out)
+    /// State of an upstream before it is lost.
+    struct Loss
     {
+        /// True if the agent had said that it was leaving, or its loss was noted already.
+        bool expected = true;
+        std::vector<ModelName> models;
+    };
+
+    Loss describeLoss(const InstanceId &agent)
+    {
+        const Upstream *upstream = context.upstreams.find(agent);
+        return upstream == nullptr ? Loss() : Loss {upstream->leaving || !upstream->connected, upstream->load.models};
+    }
+
+    void upstreamLost(const InstanceId &agent, const Loss &loss, TimePoint now, EntryActions &out)
+    {
+        if (!loss.expected) {
+            context.health.noteLost(agent, context.upstreams.all().size(), now);
+            for (const ModelName &model : loss.models) {
+                context.capacity.noteLost(model, context.upstreams.liveCount(model), now);
+            }
+        }
         context.report("upstream_lost", {{"upstream", agent.value()}});
         completions.upstreamLost(agent, now, out);
+        services.agentLost(agent, now, out);
     }
 
     template<typename Message>
@@ -33,6 +56,8 @@
             completions.handle(frame, message, now);
         } else if constexpr (requires { completions.handle(frame, message, now, out); }) {
             completions.handle(frame, message, now, out);
+        } else if constexpr (requires { services.handle(frame, message, now, out); }) {
+            services.handle(frame, message, now, out);
         }
     }
 
@@ -40,6 +65,7 @@
     {
         std::set<InstanceId> receivers;
         completions.collectActive(receivers);
+        services.collectActive(receivers);
         for (const auto &[id, upstream] : context.upstreams.all()) {
             if (!upstream.connected) {
                 continue;
@@ -65,6 +91,7 @@
 
     EntryContext context;
     CompletionFlow completions;
+    ServiceFlow services;
     std::map<InstanceId, TimePoint> nextHeartbeat;
 };
 
@@ -81,31 +108,23 @@
     return d->completions.submit(std::move(request), now, out);
 }
 
-RequestId EntryCore::callService(ServiceRequest request, // NOLINT(performance-unnecessary-value-param)
-                                 TimePoint now,
-                                 EntryActions &out)
+RequestId EntryCore::callService(ServiceRequest request, TimePoint now, EntryActions &out)
 {
     d->runDue(now, out);
-    const RequestId id = d->context.nextRequest();
-    out.emplace_back(DeliverFailure {
-        id, Error {ResultCode::NoUpstream, "no live upstream serves the service", {}}, request.operation});
-    return id;
+    return d->services.call(std::move(request), now, out);
 }
 
-RequestId
-EntryCore::requestOperationId(const ServiceName &service, Duration /*timeLeft*/, TimePoint now, EntryActions &out)
+RequestId EntryCore::requestOperationId(const ServiceName &service, Duration timeLeft, TimePoint now, EntryActions &out)
 {
     d->runDue(now, out);
-    const RequestId id = d->context.nextRequest();
-    out.emplace_back(
-        DeliverFailure {id, Error {ResultCode::NoUpstream, "no live upstream serves " + service.value(), {}}, {}});
-    return id;
+    return d->services.requestOperationId(service, timeLeft, now, out);
 }
 
 void EntryCore::callerLeft(const RequestId &request, TimePoint now, EntryActions &out)
 {
     d->runDue(now, out);
     d->completions.callerLeft(request, out);
+    d->services.callerLeft(request, out);
 }
 
 void EntryCore::handlePeer(const PeerFrame &frame, TimePoint now, EntryActions &out)
@@ -115,17 +134,25 @@
     if (heartbeat != nullptr && heartbeat->self.role != InstanceRole::Agent) {
         return;
     }
+    const Upstream *known = d->context.upstreams.find(frame.sender);
+    Private::Loss loss;
+    if (known != nullptr && known->incarnation != frame.incarnation) {
+        loss = d->describeLoss(frame.sender);
+    }
     switch (d->context.upstreams.noteFrame(frame.sender, frame.incarnation, now)) {
     case UpstreamView::Change::Stale:
         return;
     case UpstreamView::Change::Restarted:
-        d->upstreamLost(frame.sender, now, out);
+        d->upstreamLost(frame.sender, loss, now, out);
         break;
     case UpstreamView::Change::None:
         break;
     }
     if (heartbeat != nullptr) {
         d->context.upstreams.applyHeartbeat(*heartbeat, now);
+        Upstream &upstream = *d->context.upstreams.find(frame.sender);
+        d->context.prefixes.update(upstream, upstream.load.cachedPrefixes, now);
+        d->services.agentReported(upstream, now, out);
         return;
     }
     std::visit(
@@ -135,9 +162,10 @@
         frame.message);
 }
 
-void EntryCore::handleStore(const StoreAnswer & /*answer*/, TimePoint now, EntryActions &out)
+void EntryCore::handleStore(const StoreAnswer &answer, TimePoint now, EntryActions &out)
 {
     d->runDue(now, out);
+    d->services.handleStore(answer, now, out);
 }
 
 void EntryCore::peerConnected(const InstanceId &peer, TimePoint now, EntryActions &out)
@@ -152,8 +180,9 @@
 void EntryCore::peerDisconnected(const InstanceId &peer, TimePoint now, EntryActions &out)
 {
     d->runDue(now, out);
+    const Private::Loss loss = d->describeLoss(peer);
     d->context.upstreams.setConnected(peer, false, now);
-    d->upstreamLost(peer, now, out);
+    d->upstreamLost(peer, loss, now, out);
 }
 
 void EntryCore::instanceLeaving(const InstanceId &instance, TimePoint now, EntryActions &out)
@@ -166,8 +195,10 @@
 {
     d->runDue(now, out);
     for (const InstanceId &agent : d->context.upstreams.checkSilence(now)) {
-        d->upstreamLost(agent, now, out);
+        const Upstream &upstream = *d->context.upstreams.find(agent);
+        d->upstreamLost(agent, Private::Loss {upstream.leaving, upstream.load.models}, now, out);
     }
+    d->context.refusals.dropOld(now);
     d->sendHeartbeats(now, out);
 }
 
@@ -182,7 +213,7 @@
 
 std::size_t EntryCore::openRequests() const
 {
-    return d->completions.openRequests();
+    return d->completions.openRequests() + d->services.openRequests();
 }
 
 } // namespace ibismast
--- a/ibismast/routing/router.cpp
+++ b/ibismast/routing/router.cpp
@@ -1,5 +1,7 @@
 #include "ibismast/routing/router.h"
 
+#include <algorithm>
+
 namespace ibismast
 {
 
@@ -20,6 +22,35 @@
     return nullptr;
 }
 
+struct Candidates
+{
+    Upstream *first = nullptr;
+    Upstream *second = nullptr;
+};
+
+/// Returns up to two different accepted members; `first` is null if there is none.
+Candidates pickTwo(const std::vector<Upstream *> &subset, const RouteFilter &filter, SeededRandom &random)
+{
+    if (subset.empty()) {
+        return {};
+    }
+    Upstream *first = pick(subset, filter, nullptr, random);
+    return {first, first == nullptr ? nullptr : pick(subset, filter, first, random)};
+}
+
+/// Returns the accepted member with the largest hit, or null.
+Upstream *prefixHolder(const std::vector<Upstream *> &subset, const RouteQuery &query, const RouteFilter &filter)
+{
+    const PrefixHit *best = nullptr;
+    for (const PrefixHit &hit : query.hits) {
+        const bool better = hit.upstream != nullptr && (best == nullptr || hit.tokens > best->tokens);
+        if (better && std::ranges::find(subset, hit.upstream) != subset.end() && filter.accepts(*hit.upstream)) {
+            best = &hit;
+        }
+    }
+    return best == nullptr ? nullptr : best->upstream;
+}
+
 } // namespace
 
 Router::Router(const RouterSettings &settings) : m_settings(settings) { }
@@ -29,18 +60,26 @@
                          const RouteFilter &filter,
                          SeededRandom &random) const
 {
-    if (subset.empty()) {
-        return nullptr;
-    }
-    Upstream *first = pick(subset, filter, nullptr, random);
-    if (first == nullptr) {
-        return nullptr;
-    }
-    Upstream *second = pick(subset, filter, first, random);
-    if (second != nullptr && cost(*second, query) < cost(*first, query)) {
-        return second;
+    const auto [first, second] = pickTwo(subset, filter, random);
+    Upstream *best = first;
+    double bestCost = best != nullptr ? cost(*best, query) : 0.0;
+    for (Upstream *candidate : {second, prefixHolder(subset, query, filter)}) {
+        if (candidate == nullptr || candidate == best) {
+            continue;
+        }
+        const double candidateCost = cost(*candidate, query);
+        if (candidateCost < bestCost) {
+            best = candidate;
+            bestCost = candidateCost;
+        }
     }
-    return first;
+    return best;
+}
+
+Upstream *Router::chooseForCall(const std::vector<Upstream *> &subset, const RouteFilter &filter, SeededRandom &random)
+{
+    const auto [first, second] = pickTwo(subset, filter, random);
+    return second != nullptr && second->openCalls < first->openCalls ? second : first;
 }
 
 double Router::cost(const Upstream &upstream, const RouteQuery &query) const
@@ -51,7 +90,10 @@
         queued += weight * static_cast<double>(upstream.outstanding(priorityClass).value());
     }
     const double rate = upstream.load.prefillRate > 0.0 ? upstream.load.prefillRate : m_settings.defaultRate;
-    return (queued + static_cast<double>(query.promptTokens.value())) / rate;
+    const auto hit = std::ranges::find(query.hits, &upstream, &PrefixHit::upstream);
+    const auto prompt = static_cast<double>(query.promptTokens.value());
+    const double cached = hit == query.hits.end() ? 0.0 : std::min(hit->tokens, prompt);
+    return (queued + prompt - cached) / rate;
 }
 
 } // namespace ibismast
--- a/standins/keyvalue/keyvalueserver.cpp
+++ b/standins/keyvalue/keyvalueserver.cpp
@@ -44,7 +44,7 @@
     m_expiryTimer.start(std::chrono::milliseconds(50));
 }
 
-void KeyValueServer::handle(const HttpRequest &request, const HttpReplyPointer &reply)
+void KeyValueServer::handle(const StandinRequest &request, const StandinReplyPointer &reply)
 {
     using Method = void (KeyValueServer::*)(const QJsonObject &, StandinReply &);
     struct Route
@@ -245,7 +245,7 @@
     reply.sendJson(200, {{"header", header()}});
 }
 
-void KeyValueServer::watch(const QJsonObject &body, const HttpReplyPointer &reply)
+void KeyValueServer::watch(const QJsonObject &body, const StandinReplyPointer &reply)
 {
     const QJsonObject request = etcdjson::field(body, "create_request").toObject();
     Watch watch;
