--- a/adapters/completionbody.cpp
+++ b/adapters/completionbody.cpp
@@ -120,9 +120,7 @@
             violation = "the body must be a JSON object";
         } else if (m_depth == 1 && m_topKey == promptKey()) {
             notePrompt();
-        } else if (m_depth == 1) {
-            valueOfWrongType();
-        } else if (inPrompt() && !chat) {
+        } else if (m_depth == 1 || (inPrompt() && !chat)) {
             valueOfWrongType();
         }
         ++m_depth;
@@ -159,9 +157,7 @@
             noteModel();
         } else if (m_depth == 1 && m_topKey == promptKey() && !chat) {
             notePrompt();
-        } else if (m_depth == 1) {
-            valueOfWrongType();
-        } else if (m_depth == 2 && inPrompt()) {
+        } else if (m_depth == 1 || (m_depth == 2 && inPrompt())) {
             valueOfWrongType();
         }
         m_text.clear();
