--- a/load/requestrun.cpp
+++ b/load/requestrun.cpp
@@ -241,6 +241,9 @@
     const bool inTime = m_outcome.end <= m_outcome.request.deadline + m_settings.lateTolerance;
     const bool ended = verdict == Verdict::Answered || verdict == Verdict::Failed;
     m_outcome.verdict = ended && !inTime ? Verdict::Late : verdict;
+    if (m_outcome.request.service && verdict == Verdict::Answered) {
+        m_outcome.firstToken = m_outcome.end;
+    }
     onEnd(m_outcome);
     deleteLater();
 }
