--- a/UnitTests/load/loadrunnertest.cpp
+++ b/UnitTests/load/loadrunnertest.cpp
@@ -154,6 +154,20 @@
     }));
 }
 
+TEST_CASE("a request that an entry refuses because it shuts down is sent to the next entry", "[load]")
+{
+    ensureApplication();
+    FakeEntry stopping;
+    FakeEntry good;
+    stopping.errorCode = 2011;
+    const LoadSettings settings = settingsFor({stopping.start(0), good.start(0)});
+    const std::vector<Outcome> outcomes = run(settings);
+    CHECK(count(outcomes, Verdict::Answered) == outcomes.size());
+    CHECK(std::ranges::any_of(outcomes, [](const Outcome &outcome) {
+        return outcome.failovers > 0;
+    }));
+}
+
 TEST_CASE("a failure is counted by its code", "[load]")
 {
     ensureApplication();
--- a/load/loadreport.cpp
+++ b/load/loadreport.cpp
@@ -103,10 +103,12 @@
     std::map<std::string, std::vector<const Outcome *>> byCustomer;
     std::map<int, std::size_t> byCode;
     int broken = 0;
+    int failovers = 0;
     for (const Outcome &outcome : m_outcomes) {
         byClass[std::string(className(outcome))].push_back(&outcome);
         byCustomer[m_settings.customers[outcome.request.customer].name].push_back(&outcome);
         broken += outcome.brokenConnections;
+        failovers += outcome.failovers;
         if (outcome.code != 0) {
             ++byCode[outcome.code];
         }
@@ -138,7 +140,7 @@
     for (const auto &[code, number] : byCode) {
         out << "failure code=" << code << " name=" << codeName(code) << " count=" << number << '\n';
     }
-    out << "total requests=" << m_outcomes.size() << " broken_connections=" << broken;
+    out << "total requests=" << m_outcomes.size() << " broken_connections=" << broken << " failovers=" << failovers;
     for (const auto &[verdict, name] : VerdictNames) {
         out << ' ' << name << '=' << count(verdict);
     }
--- a/load/outcome.h
+++ b/load/outcome.h
@@ -42,6 +42,8 @@
     std::uint64_t tokens = 0;
     /// Connections that broke before the answer ended, each followed by another try.
     int brokenConnections = 0;
+    /// Refusals by entries that were not ready or shutting down, each followed by another try.
+    int failovers = 0;
     /// True if a prompt above 32,000 tokens was open when the request started.
     bool besideLong = false;
     /// Entry of the last try.
--- a/load/requestrun.cpp
+++ b/load/requestrun.cpp
@@ -226,7 +226,16 @@
 
 void RequestRun::handleError(const QJsonObject &error)
 {
-    m_outcome.code = error["code"].toInt();
+    const int code = error["code"].toInt();
+    const bool entryUnavailable = code == int(ResultCode::ShuttingDown) || code == int(ResultCode::NotReady);
+    if (entryUnavailable && m_outcome.request.deadline > elapsed()) {
+        // As a load balancer does with an entry that is not ready.
+        m_targets.markUnreachable(m_outcome.target, now());
+        ++m_outcome.failovers;
+        retryLater();
+        return;
+    }
+    m_outcome.code = code;
     finish(Verdict::Failed);
 }
 
