--- a/PerformanceTest/figures.cpp
+++ b/PerformanceTest/figures.cpp
@@ -37,35 +37,12 @@
     return shares;
 }
 
-/// Returns the smallest ratio of work to fair share during the peak.
-double worstShareOf(const std::vector<WorkItem> &items, const WorkloadSettings &settings, const ServingResult &result)
-{
-    std::map<CustomerId, double> demands;
-    std::map<CustomerId, double> work;
-    double total = 0.0;
-    for (const WorkItem &item : items) {
-        const auto done = static_cast<double>(result.peakWork[item.sequence]);
-        // Work from before the peak counts as demand as far as it was left for the peak.
-        demands[item.customer] += item.inPeak(settings) ? static_cast<double>(item.work()) : done;
-        work[item.customer] += done;
-        total += done;
-    }
-    double worst = 1.0;
-    for (const auto &[customer, share] : fairShares(demands, total)) {
-        if (share > 0.0) {
-            worst = std::min(worst, work[customer] / share);
-        }
-    }
-    return worst;
-}
-
 } // namespace
 
 void FigureCollector::add(const std::vector<WorkItem> &items,
                           const WorkloadSettings &settings,
                           const ServingResult &result)
 {
-    ++m_runs;
     for (const WorkItem &item : items) {
         const ServedItem &served = result.items[item.sequence];
         const TimePoint deadline = item.arrival + item.timeLeft;
@@ -88,9 +65,42 @@
             m_longServed += inTime ? static_cast<double>(item.prompt.value()) : 0.0;
         }
     }
-    const double share = worstShareOf(items, settings, result);
-    m_sum.worstShare = std::min(m_sum.worstShare, share);
-    m_sum.averageWorstShare += share;
+    addShares(items, settings, result);
+}
+
+void FigureCollector::addShares(const std::vector<WorkItem> &items,
+                                const WorkloadSettings &settings,
+                                const ServingResult &result)
+{
+    std::map<CustomerId, double> offered;
+    std::map<CustomerId, double> possible;
+    double delivered = 0.0;
+    double computed = 0.0;
+    for (const WorkItem &item : items) {
+        const auto done = static_cast<double>(result.peakWork[item.sequence]);
+        const auto work = static_cast<double>(item.work());
+        m_computed[item.customer].work += done;
+        computed += done;
+        if (!item.inPeak(settings)) {
+            // Of earlier requests, only what was left for the peak is demand in it.
+            possible[item.customer] += done;
+            continue;
+        }
+        // No engine could do more of the request before the end of the peak.
+        possible[item.customer] += std::min(work, toSeconds(settings.peakEnd - item.arrival) * settings.engineRate);
+        offered[item.customer] += work;
+        const std::optional<TimePoint> &finished = result.items[item.sequence].finished;
+        if (finished && *finished <= item.arrival + item.timeLeft) {
+            m_delivered[item.customer].work += work;
+            delivered += work;
+        }
+    }
+    for (const auto &[customer, share] : fairShares(offered, delivered)) {
+        m_delivered[customer].fair += share;
+    }
+    for (const auto &[customer, share] : fairShares(possible, computed)) {
+        m_computed[customer].fair += share;
+    }
 }
 
 Figures FigureCollector::figures() const
@@ -102,7 +112,12 @@
         - static_cast<double>(m_shortFirstTokens.size())
             / static_cast<double>(std::max<std::size_t>(m_shortOffered, 1));
     figures.longGoodput = m_longOffered > 0.0 ? m_longServed / m_longOffered : 1.0;
-    figures.averageWorstShare = m_sum.averageWorstShare / static_cast<double>(std::max<std::size_t>(m_runs, 1));
+    for (const auto &entry : m_delivered) {
+        figures.deliveredShare = std::min(figures.deliveredShare, entry.second.work / std::max(entry.second.fair, 1.0));
+    }
+    for (const auto &entry : m_computed) {
+        figures.computedShare = std::min(figures.computedShare, entry.second.work / std::max(entry.second.fair, 1.0));
+    }
     return figures;
 }
 
