--- a/adapters/guardserver.cpp
+++ b/adapters/guardserver.cpp
@@ -22,6 +22,14 @@
     m_timer.start(CheckInterval);
 }
 
+GuardServer::~GuardServer()
+{
+    // QTcpServer deletes the sockets that nobody has taken after the members of this class are gone.
+    for (GuardedSocket *socket : m_sockets) {
+        socket->disconnect(this);
+    }
+}
+
 void GuardServer::setTls(const QSslConfiguration &configuration)
 {
     m_tls = configuration;
--- a/adapters/guardserver.h
+++ b/adapters/guardserver.h
@@ -20,6 +20,7 @@
 public:
     /// @p clock replaces the process clock in tests.
     explicit GuardServer(const HttpGuardSettings &settings, std::function<TimePoint()> clock);
+    ~GuardServer() override;
 
     /// Encrypts connections that are accepted from now on.
     void setTls(const QSslConfiguration &configuration);
--- a/adapters/peerlink.cpp
+++ b/adapters/peerlink.cpp
@@ -114,10 +114,12 @@
 
 void PeerLink::onFailed()
 {
+    const QString reason = m_socket->errorString();
     m_socket->disconnect(this);
     m_socket->abort();
     std::exchange(m_socket, nullptr)->deleteLater();
     retryLater();
+    Q_EMIT failed(reason);
 }
 
 void PeerLink::retryLater()
--- a/adapters/peerlink.h
+++ b/adapters/peerlink.h
@@ -47,6 +47,8 @@
 
 Q_SIGNALS:
     void connected();
+    /// An attempt to connect has failed; the next one follows after a pause.
+    void failed(const QString &reason);
     void disconnected(const QString &reason);
     void frameReceived(const ibismast::PeerFrame &frame);
 
