--- a/ibismast/entry/entrycontext.h
+++ b/ibismast/entry/entrycontext.h
@@ -4,6 +4,7 @@
 #include "ibismast/core/seededrandom.h"
 #include "ibismast/entry/entryactions.h"
 #include "ibismast/entry/entrycoresettings.h"
+#include "ibismast/entry/refusalmemory.h"
 #include "ibismast/entry/upstreamhealth.h"
 
 namespace ibismast
@@ -29,12 +30,18 @@
     /// When a request that has not started is cancelled, so that a tombstone can be confirmed before the watchdog.
     [[nodiscard]] TimePoint tombstoneTime(TimePoint admitted, TimePoint deadline) const;
 
+    /// KV memory of @p upstream that one attempt of a class may use.
+    [[nodiscard]] Tokens usableMemory(const Upstream &upstream, PriorityClass priorityClass) const;
+
     EntryCoreSettings settings;
     PeerSummary self;
     SeededRandom random;
     EventListener *listener;
     UpstreamView upstreams;
     Router router;
+    PrefixIndex prefixes;
+    RefusalMemory refusals;
+    CapacityGate capacity;
     UpstreamHealth health;
     RetryBudget retryBudget;
     RetryPolicy retryPolicy;
--- a/ibismast/entry/entrycoresettings.cpp
+++ b/ibismast/entry/entrycoresettings.cpp
@@ -56,6 +56,25 @@
     check.require(
         settings.tombstoneLead >= settings.watchdogLead, "tombstoneLead", "must not be shorter than watchdogLead");
     check.positive(settings.answerTimeout, "answerTimeout");
+    check.positive(settings.prefixes.halfLife, "prefixes.halfLife");
+    check.positive(settings.prefixes.longestAge, "prefixes.longestAge");
+    check.require(settings.prefixes.maxPrefixes > 0, "prefixes.maxPrefixes", "must be positive");
+    check.require(settings.capacity.jointLossShare > 0.0 && settings.capacity.jointLossShare <= 1.0,
+                  "capacity.jointLossShare",
+                  "must lie between 0 and 1");
+    check.positive(settings.capacity.reductionTime, "capacity.reductionTime");
+    check.require(settings.capacity.workPerUpstream >= Tokens(), "capacity.workPerUpstream", "must not be negative");
+    check.positive(settings.refusalHold, "refusalHold");
+    check.require(settings.maxGroupMembers >= 2, "maxGroupMembers", "must be at least 2");
+    check.require(settings.longPromptMemoryShare > 0.0 && settings.longPromptMemoryShare <= 1.0,
+                  "longPromptMemoryShare",
+                  "must lie between 0 and 1");
+    check.positive(settings.reserveTimeout, "reserveTimeout");
+    check.positive(settings.groupPause, "groupPause");
+    check.require(
+        settings.groupPatience > 0.0 && settings.groupPatience <= 1.0, "groupPatience", "must lie between 0 and 1");
+    check.positive(settings.budgetPause, "budgetPause");
+    check.positive(settings.noUpstreamPatience, "noUpstreamPatience");
     check.require(settings.breaker.failureThreshold > 0, "breaker.failureThreshold", "must be positive");
     check.positive(settings.breaker.openTime, "breaker.openTime");
     check.require(settings.breaker.longestOpenTime >= settings.breaker.openTime,
--- a/load/requestrun.cpp
+++ b/load/requestrun.cpp
@@ -226,7 +226,16 @@
 
 void RequestRun::handleError(const QJsonObject &error)
 {
-    m_outcome.code = error["code"].toInt();
+    const int code = error["code"].toInt();
+    const bool entryUnavailable = code == int(ResultCode::ShuttingDown) || code == int(ResultCode::NotReady);
+    if (entryUnavailable && m_outcome.request.deadline > elapsed()) {
+        // As a load balancer does with an entry that is not ready.
+        m_targets.markUnreachable(m_outcome.target, now());
+        ++m_outcome.failovers;
+        retryLater();
+        return;
+    }
+    m_outcome.code = code;
     finish(Verdict::Failed);
 }
 
@@ -241,6 +250,9 @@
     const bool inTime = m_outcome.end <= m_outcome.request.deadline + m_settings.lateTolerance;
     const bool ended = verdict == Verdict::Answered || verdict == Verdict::Failed;
     m_outcome.verdict = ended && !inTime ? Verdict::Late : verdict;
+    if (m_outcome.request.service && verdict == Verdict::Answered) {
+        m_outcome.firstToken = m_outcome.end;
+    }
     onEnd(m_outcome);
     deleteLater();
 }
