Refuse events of an engine's stream that name another attempt

Cause: an engine that crosses two streams gave each caller the other's answer, and a crossed refusal would have been reported as 'not run' for an attempt that runs.

--- a/adapters/enginejson.cpp
+++ b/adapters/enginejson.cpp
@@ -177,6 +177,10 @@
     if (!event) {
         return std::nullopt;
     }
+    // An engine that mixes up two streams must not give a caller the tokens, the end or the refusal of another request.
+    if (const std::string id = text(*event, "request_id"); !id.empty() && id != toString(attempt)) {
+        return std::nullopt;
+    }
     if (const std::optional<std::int64_t> sequence = integer(*event, "seq"); sequence && *sequence >= 0) {
         return EngineTokens {attempt, static_cast<std::uint64_t>(*sequence), texts(*event, "tokens")};
     }
--- a/adapters/enginejson.h
+++ b/adapters/enginejson.h
@@ -14,7 +14,8 @@
 /// Returns the JSON body of `POST /v1/orders`.
 [[nodiscard]] std::string engineOrderBody(const UpstreamOrder &order);
 
-/// Returns the event of one line of an engine's stream; nothing if it has none of the documented forms.
+/// Returns the event of one line of an engine's stream; nothing if it has none of the documented forms or names another
+/// attempt in `request_id`.
 [[nodiscard]] std::optional<EngineEvent> parseStreamEvent(const AttemptId &attempt, std::string_view json);
 
 /// Returns the error in the JSON answer of an engine that refused a call with @p httpStatus; @p notRun is set to what
--- a/standins/engine/engineserver.cpp
+++ b/standins/engine/engineserver.cpp
@@ -331,7 +331,9 @@
     }
     const StandinReplyPointer reply = stream->second;
     m_streams.erase(stream);
-    reply->writeChunk(eventLine(lastEvent) + "data: [DONE]\n\n");
+    QJsonObject event = lastEvent;
+    event["request_id"] = QString::fromStdString(toString(attempt));
+    reply->writeChunk(eventLine(event) + "data: [DONE]\n\n");
     reply->endStream();
 }
 
