--- a/UnitTests/load/loadrunnertest.cpp
+++ b/UnitTests/load/loadrunnertest.cpp
@@ -111,6 +111,7 @@
     LoadSettings settings = settingsFor({entry.start(0)});
     settings.service = "registration";
     settings.serviceFraction = 0.3;
+    settings.keyFraction = 0.5;
     const std::vector<Outcome> outcomes = run(settings);
     CHECK(outcomes.size() == planRequests(settings).size());
     CHECK(count(outcomes, Verdict::Answered) == outcomes.size());
--- a/load/loadsettings.cpp
+++ b/load/loadsettings.cpp
@@ -25,6 +25,7 @@
         std::pair {isFraction(settings.sharedPrefixFraction), "sharedPrefixFraction: must lie between 0 and 1"},
         std::pair {settings.deadline > Duration::zero(), "deadline: must be positive"},
         std::pair {isFraction(settings.serviceFraction), "serviceFraction: must lie between 0 and 1"},
+        std::pair {isFraction(settings.keyFraction), "keyFraction: must lie between 0 and 1"},
         std::pair {settings.serviceFraction <= 0.0 || !settings.service.empty(),
                    "service: must be named if serviceFraction is above 0"},
     };
--- a/load/loadsettings.h
+++ b/load/loadsettings.h
@@ -54,6 +54,8 @@
     /// Plain service that gets `serviceFraction` of the requests as calls under operation ids; empty for none.
     std::string service;
     double serviceFraction = 0.0;
+    /// Fraction of these calls that carry an idempotency key instead of an operation id.
+    double keyFraction = 0.0;
 };
 
 /// Returns an error that names the first invalid field.
--- a/load/main.cpp
+++ b/load/main.cpp
@@ -52,6 +52,8 @@
     app.add_option("--service", settings.service, "Plain service to call under operation ids");
     app.add_option("--service-fraction", settings.serviceFraction, "Fraction of requests that call it")
         ->capture_default_str();
+    app.add_option("--key-fraction", settings.keyFraction, "Fraction of these calls with an idempotency key")
+        ->capture_default_str();
     app.add_option("--csv", options.csv, "File for one line per request");
     app.add_option("--plot", options.plot, "File for an SVG plot of TTFT by prompt length");
     app.footer("Examples:\n"
--- a/load/requestplan.cpp
+++ b/load/requestplan.cpp
@@ -108,6 +108,7 @@
         request.start = fromSeconds(time);
         request.customer = drawCustomer(settings.customers, random);
         request.service = random.uniform() < settings.serviceFraction;
+        request.keyed = request.service && random.uniform() < settings.keyFraction;
         const std::int64_t tokens = drawPromptLength(settings, random);
         request.promptTokens = Tokens(tokens);
         if (random.uniform() < settings.sharedPrefixFraction) {
--- a/load/requestplan.h
+++ b/load/requestplan.h
@@ -17,6 +17,8 @@
     std::size_t customer = 0;
     /// True for a call of the plain service; the fields below are unused then, but for the deadline.
     bool service = false;
+    /// True for a call under an idempotency key.
+    bool keyed = false;
     Tokens promptTokens;
     /// Leading tokens that are the same for all requests of the customer.
     Tokens sharedTokens;
--- a/load/requestrun.cpp
+++ b/load/requestrun.cpp
@@ -103,14 +103,19 @@
     };
     const std::string &target = m_targets.address(m_outcome.target);
     const QByteArray service = QByteArray::fromStdString(m_settings.service);
-    if (m_operationId.isEmpty()) {
+    const bool keyed = m_outcome.request.keyed;
+    if (m_operationId.isEmpty() && !keyed) {
         call.start(target, "POST", "/v1/operations/" + service, headers(), "{}");
         return;
     }
     const QByteArray reference = QByteArray::number(qulonglong(m_settings.seed)) + '-'
         + QByteArray::number(qulonglong(m_outcome.request.number));
     HttpCall::Headers all = headers();
-    all.append({"Operation-Id", m_operationId});
+    if (keyed) {
+        all.append({"Idempotency-Key", reference});
+    } else {
+        all.append({"Operation-Id", m_operationId});
+    }
     call.start(target, "POST", "/services/" + service + "/registrations", all, R"({"reference":")" + reference + "\"}");
 }
 
@@ -178,7 +183,7 @@
     const QJsonObject body = QJsonDocument::fromJson(m_body).object();
     if (body["error"].isObject()) {
         handleError(body["error"].toObject());
-    } else if (m_operationId.isEmpty()) {
+    } else if (m_operationId.isEmpty() && !m_outcome.request.keyed) {
         m_operationId = body["operation_id"].toString().toLatin1();
         if (m_operationId.isEmpty()) {
             finish(Verdict::Wrong);
@@ -227,6 +232,11 @@
 void RequestRun::handleError(const QJsonObject &error)
 {
     const int code = error["code"].toInt();
+    if (m_outcome.request.service && code == int(ResultCode::OperationInProgress)) {
+        // The first try still runs; its result is fetched under the same id or key.
+        retryLater();
+        return;
+    }
     const bool entryUnavailable = code == int(ResultCode::ShuttingDown) || code == int(ResultCode::NotReady);
     if (entryUnavailable && m_outcome.request.deadline > elapsed()) {
         // As a load balancer does with an entry that is not ready.
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -112,6 +112,7 @@
         printf '[instance]\nid = %s\ndomain = %s\n' "${id}" "${domain}"
         printf '[http]\nlisten = 127.0.0.1:0\n'
         printf '[instances]\nurl = http://127.0.0.1:%s/instances\ninterval_ms = 200\n' "${FLEET_PORTS[instancelist]}"
+        printf '[store]\ngateway = http://127.0.0.1:%s\ncall_timeout_ms = 500\n' "${FLEET_PORTS[keyvalue]}"
         printf '[model.model]\nmax_prompt_tokens = 1000000\n'
         printf '[service.registration]\nidempotent_methods = GET\n'
         for customer in "${CUSTOMERS[@]}"; do
