Keep the KV segments of a group until the answer ends

Cause: the entry released a member once the next one had imported its segment. Decoding attends to the KV of the whole prompt, so a prompt of more than one engine's memory could not be decoded by the last member alone, and the loss of an earlier member went unnoticed. Change: members stay reserved until the answer ends and are cancelled then; the loss of any member ends the attempt.

--- a/UnitTests/harness/faultmatrixtest.cpp
+++ b/UnitTests/harness/faultmatrixtest.cpp
@@ -26,6 +26,16 @@
 
 } // namespace
 
+// Guards against a scenario in which nothing happens, and against a planned stop that cuts a request: one agent drains,
+// and every caller but the one that leaves is served.
+TEST_CASE("the scenario succeeds without faults", "[faults]")
+{
+    const CellResult result = runScenario({}, Seed);
+    INFO(describe({}, Seed, result));
+    CHECK(result.violations.empty());
+    CHECK(result.endings == "answer=10 connection-lost=1");
+}
+
 TEST_CASE("the scenario is deterministic", "[faults]")
 {
     CHECK(runScenario({}, Seed).steps == runScenario({}, Seed).steps);
--- a/ibismast/entry/completionflow.cpp
+++ b/ibismast/entry/completionflow.cpp
@@ -95,9 +95,6 @@
     DeliverTokens delivery {completion->id, {}};
     switch (completion->assembler.addPart(message, delivery.tokens)) {
     case StreamAssembler::PartOutcome::Added:
-        if (completion->group) {
-            m_groups.releaseImported(*completion, out);
-        }
         out.emplace_back(std::move(delivery));
         break;
     case StreamAssembler::PartOutcome::Gap:
@@ -176,7 +173,6 @@
     if (!expected) {
         return;
     }
-    m_groups.releaseImported(*completion, out);
     m_groups.dispatchSegment(*completion, message.index + 1, message.handle, now, out);
     m_table.setPhase(*completion, CompletionPhase::Running, now + m_context.settings.answerTimeout);
 }
--- a/ibismast/entry/groupflow.cpp
+++ b/ibismast/entry/groupflow.cpp
@@ -122,19 +122,6 @@
     out.emplace_back(SendToPeer {member.upstream, std::move(request)});
 }
 
-void GroupFlow::releaseImported(Completion &completion, EntryActions &out)
-{
-    if (completion.segment == 0) {
-        return;
-    }
-    UpstreamAttempt &attempt = completion.attempts.back();
-    AttemptPlace &before = attempt.places[completion.segment - 1];
-    if (isOpen(before.state)) {
-        before.state = PlaceState::MayHaveRun;
-        out.emplace_back(SendToPeer {before.upstream, ReleaseReservation {attempt.id}});
-    }
-}
-
 void GroupFlow::close(Completion &completion, EntryActions &out)
 {
     UpstreamAttempt &attempt = completion.attempts.back();
--- a/ibismast/entry/groupflow.h
+++ b/ibismast/entry/groupflow.h
@@ -20,8 +20,6 @@
     /// Dispatches the segment with index @p index, which imports the KV segment named by @p importHandle.
     void dispatchSegment(
         Completion &completion, std::uint32_t index, std::string importHandle, TimePoint now, EntryActions &out);
-    /// Gives back the member before the one that is running, whose KV segment has been imported.
-    void releaseImported(Completion &completion, EntryActions &out);
     /// Ends the group: cancels its running members and releases all others.
     void close(Completion &completion, EntryActions &out);
 
