--- a/ibismast/entry/completionflow.cpp
+++ b/ibismast/entry/completionflow.cpp
@@ -92,6 +92,10 @@
     if (place == nullptr) {
         return;
     }
+    if (place->state == PlaceState::Sent) {
+        // The tokens show what a lost `DispatchAccepted` would have said.
+        handle(frame, DispatchAccepted {message.attempt, {}}, now);
+    }
     DeliverTokens delivery {completion->id, {}};
     switch (completion->assembler.addPart(message, delivery.tokens)) {
     case StreamAssembler::PartOutcome::Added:
