--- a/PerformanceTest/config/main.cpp
+++ b/PerformanceTest/config/main.cpp
@@ -26,6 +26,7 @@
     int changes = 20;
     int seconds = 60;
     std::uint64_t seed = 1;
+    std::size_t fanOut = ConfigRelaySettings().fanOut;
 };
 
 struct Figures
@@ -46,6 +47,7 @@
     settings.domains = std::min<std::size_t>(16, nodes / 2);
     settings.loss = loss;
     settings.seed = options.seed;
+    settings.relay.fanOut = options.fanOut;
     ConfigFleet fleet(settings);
     Figures figures;
     if (!fleet.runUntilInForce(Revision(0), 30s)) {
@@ -108,6 +110,7 @@
     app.add_option("--seconds", options.seconds, "virtual seconds at 48,000 changes a day")
         ->check(CLI::Range(1, 86'400));
     app.add_option("--seed", options.seed, "seed of the random source");
+    app.add_option("--fan-out", options.fanOut, "peers that a new revision is pushed to")->check(CLI::Range(1, 64));
     CLI11_PARSE(app, argc, argv);
 
     std::printf("%6s %6s %9s %9s %9s %8s %8s %10s %10s\n",
