Push configuration changes to eight peers instead of four

Cause: with a fan-out of 4 a part of the replicas is reached only by anti-entropy, one second later.

--- a/ibismast/config/configrelay.h
+++ b/ibismast/config/configrelay.h
@@ -14,7 +14,7 @@
     /// Processes of each failure domain that hold a watch on the log.
     std::size_t relaysPerDomain = 2;
     /// Peers that a new revision is pushed to.
-    std::size_t fanOut = 4;
+    std::size_t fanOut = 8;
     /// Larger pushes send only the revision; the receiver asks for the records.
     std::size_t pushBytes = 16'384;
     /// Time between two questions to a random peer, which repair lost pushes.
