Keep a stopping instance open while its peers learn of it

Cause: an agent without open work ended at once on SIGTERM, so a request already on its way to it was lost, and a load balancer had no time to see /readyz fail. A received frame with a large body stayed in the reader until the next frame. Change: StopTimes::drain ([instance] drain_ms, 2 s for an entry, 1 s for an agent) is the least time of a stop; FrameReader frees a large buffer at once.

--- a/UnitTests/adapters/processpartstest.cpp
+++ b/UnitTests/adapters/processpartstest.cpp
@@ -134,7 +134,7 @@
                        [&status](int code) {
                            status = code;
                        }},
-                      std::chrono::seconds(10),
+                      {std::chrono::seconds(1), std::chrono::seconds(10)},
                       [&now] {
                           return now;
                       });
@@ -148,6 +148,9 @@
     {
         open = 0;
         stop.check();
+        CHECK_FALSE(status);
+        now += std::chrono::seconds(1);
+        stop.check();
         CHECK(status == 0);
     }
     SECTION("the time ends")
--- a/adapters/agentdaemon.cpp
+++ b/adapters/agentdaemon.cpp
@@ -13,8 +13,10 @@
     AgentDaemonSettings settings;
     settings.instance = InstanceId(file.text("instance", "id", std::nullopt));
     settings.domain = FailureDomain(file.text("instance", "domain", std::nullopt));
-    settings.stopTimeout = file.milliseconds(
-        "instance", "stop_timeout_ms", settings.stopTimeout, milliseconds(0), milliseconds(86'400'000));
+    settings.stop.drain =
+        file.milliseconds("instance", "drain_ms", settings.stop.drain, milliseconds(0), milliseconds(600'000));
+    settings.stop.timeout = file.milliseconds(
+        "instance", "stop_timeout_ms", settings.stop.timeout, milliseconds(0), milliseconds(86'400'000));
     settings.process.tickInterval = file.milliseconds(
         "instance", "tick_interval_ms", settings.process.tickInterval, milliseconds(1), milliseconds(1000));
     settings.peerListen = file.address("peers", "listen", std::nullopt);
--- a/adapters/agentdaemon.h
+++ b/adapters/agentdaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/agentprocess.h"
+#include "adapters/gracefulstop.h"
 #include "adapters/logging.h"
 #include "adapters/metrics.h"
 #include "adapters/settingsfile.h"
@@ -20,8 +21,8 @@
     std::optional<QSslConfiguration> peerTls;
     AgentProcessSettings process;
     AgentCoreSettings core;
-    /// Time that work has to end after the first stop signal.
-    Duration stopTimeout = std::chrono::minutes(10);
+    /// Times of a stop after the first signal.
+    StopTimes stop {std::chrono::seconds(1), std::chrono::minutes(10)};
 };
 
 /// Reads the settings of an agent; violations are reported by `SettingsFile::finish`.
--- a/adapters/entrydaemon.h
+++ b/adapters/entrydaemon.h
@@ -2,6 +2,7 @@
 
 #include "adapters/declaredconfig.h"
 #include "adapters/entryprocess.h"
+#include "adapters/gracefulstop.h"
 #include "adapters/httpfront.h"
 #include "adapters/instancelistclient.h"
 #include "adapters/logging.h"
@@ -31,8 +32,8 @@
     /// Key-value service, if there is one. Without it `Idempotency-Key` is refused with `StoreUnavailable`.
     std::optional<EtcdGatewayClientSettings> store;
     EntryCoreSettings core;
-    /// Time that requests have to end after the first stop signal.
-    Duration stopTimeout = std::chrono::minutes(10);
+    /// Times of a stop after the first signal.
+    StopTimes stop {std::chrono::seconds(2), std::chrono::minutes(10)};
 };
 
 /// Reads the settings of an entry; violations are reported by `SettingsFile::finish`.
--- a/adapters/entrysettings.cpp
+++ b/adapters/entrysettings.cpp
@@ -105,8 +105,10 @@
     EntryDaemonSettings settings;
     settings.instance = InstanceId(file.text("instance", "id", std::nullopt));
     settings.domain = FailureDomain(file.text("instance", "domain", std::nullopt));
-    settings.stopTimeout = file.milliseconds(
-        "instance", "stop_timeout_ms", settings.stopTimeout, milliseconds(0), milliseconds(86'400'000));
+    settings.stop.drain =
+        file.milliseconds("instance", "drain_ms", settings.stop.drain, milliseconds(0), milliseconds(600'000));
+    settings.stop.timeout = file.milliseconds(
+        "instance", "stop_timeout_ms", settings.stop.timeout, milliseconds(0), milliseconds(86'400'000));
     settings.httpListen = file.address("http", "listen", std::nullopt);
     settings.http = readHttp(file);
     settings.httpTls = readTls(file, "http");
--- a/adapters/gracefulstop.cpp
+++ b/adapters/gracefulstop.cpp
@@ -12,8 +12,8 @@
 
 } // namespace
 
-GracefulStop::GracefulStop(StopHooks hooks, Duration timeout, std::function<TimePoint()> clock)
-    : m_hooks(std::move(hooks)), m_timeout(timeout), m_clock(std::move(clock))
+GracefulStop::GracefulStop(StopHooks hooks, const StopTimes &times, std::function<TimePoint()> clock)
+    : m_hooks(std::move(hooks)), m_times(times), m_clock(std::move(clock))
 {
     QObject::connect(&m_timer, &QTimer::timeout, &m_timer, [this] {
         check();
@@ -25,11 +25,11 @@
     if (m_finished) {
         return;
     }
-    if (m_limit) {
+    if (m_begun) {
         cut("second_signal");
         return;
     }
-    m_limit = m_clock() + m_timeout;
+    m_begun = m_clock();
     logEvent(spdlog::level::info, "stop_begun", {{"open_requests", std::to_string(m_hooks.openWork())}});
     m_hooks.begin();
     m_timer.start(CheckInterval);
@@ -37,15 +37,19 @@
 
 void GracefulStop::check()
 {
-    if (m_finished || !m_limit) {
+    if (m_finished || !m_begun) {
         return;
     }
+    const Duration passed = m_clock() - *m_begun;
     if (m_hooks.openWork() == 0) {
+        if (passed < m_times.drain) {
+            return;
+        }
         m_finished = true;
         m_timer.stop();
         logEvent(spdlog::level::info, "stopped", {{"cut_requests", "0"}});
         m_hooks.finish(0);
-    } else if (m_clock() >= *m_limit) {
+    } else if (passed >= m_times.timeout) {
         cut("timeout");
     }
 }
--- a/adapters/gracefulstop.h
+++ b/adapters/gracefulstop.h
@@ -21,12 +21,22 @@
     std::function<void(int exitCode)> finish;
 };
 
+/// Times of a stop.
+struct StopTimes
+{
+    /// Least time from the signal to the end, in which peers and the load balancer learn that the instance is leaving.
+    /// What they have sent before is still answered.
+    Duration drain {};
+    /// Time that open work has to end.
+    Duration timeout = std::chrono::minutes(10);
+};
+
 /// Stops a process so that no request is interrupted: new work is refused, open work ends. A second signal or the end
 /// of the time stops at once and logs how many requests are cut.
 class GracefulStop
 {
 public:
-    GracefulStop(StopHooks hooks, Duration timeout, std::function<TimePoint()> clock);
+    GracefulStop(StopHooks hooks, const StopTimes &times, std::function<TimePoint()> clock);
 
     /// A stop signal has arrived.
     void request();
@@ -37,9 +47,9 @@
     void cut(std::string_view reason);
 
     StopHooks m_hooks;
-    Duration m_timeout;
+    StopTimes m_times;
     std::function<TimePoint()> m_clock;
-    std::optional<TimePoint> m_limit;
+    std::optional<TimePoint> m_begun;
     bool m_finished = false;
     QTimer m_timer;
 };
--- a/daemons/agent/main.cpp
+++ b/daemons/agent/main.cpp
@@ -53,7 +53,7 @@
         std::cout << options.settingsPath << ": valid\n";
         return 0;
     }
-    const Duration stopTimeout = settings.stopTimeout;
+    const StopTimes stopTimes = settings.stop;
     AgentDaemon daemon(std::move(settings), newIncarnation(), [](const Error &error) {
         logEvent(spdlog::level::err, "failed", {{"reason", error.message}});
         QCoreApplication::exit(FailureExitStatus);
@@ -73,5 +73,5 @@
                             [&daemon](int /*exitCode*/) {
                                 daemon.stop();
                             }},
-                           stopTimeout);
+                           stopTimes);
 }
--- a/daemons/daemonmain.cpp
+++ b/daemons/daemonmain.cpp
@@ -53,14 +53,14 @@
     return SettingsExitStatus;
 }
 
-int runUntilStopped(const StopHooks &hooks, Duration stopTimeout)
+int runUntilStopped(const StopHooks &hooks, const StopTimes &stopTimes)
 {
     StopHooks inLoop = hooks;
     inLoop.finish = [&hooks](int status) {
         hooks.finish(status);
         QCoreApplication::exit(status);
     };
-    GracefulStop stop(inLoop, stopTimeout, processNow);
+    GracefulStop stop(inLoop, stopTimes, processNow);
     const StopSignals signals([&stop](int /*count*/) {
         stop.request();
     });
--- a/daemons/daemonmain.h
+++ b/daemons/daemonmain.h
@@ -38,6 +38,6 @@
 [[nodiscard]] int reportSettingsError(const Error &error);
 
 /// Runs the event loop until a stop signal has been carried out, and returns the exit status.
-[[nodiscard]] int runUntilStopped(const StopHooks &hooks, Duration stopTimeout);
+[[nodiscard]] int runUntilStopped(const StopHooks &hooks, const StopTimes &stopTimes);
 
 } // namespace ibismast
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -57,7 +57,7 @@
         std::cout << options.settingsPath << ": valid\n";
         return 0;
     }
-    const Duration stopTimeout = settings.stopTimeout;
+    const StopTimes stopTimes = settings.stop;
     EntryDaemon daemon(std::move(settings), std::move(config), newIncarnation(), [](const Error &error) {
         logEvent(spdlog::level::err, "failed", {{"reason", error.message}});
         QCoreApplication::exit(FailureExitStatus);
@@ -77,5 +77,5 @@
                             [&daemon](int /*exitCode*/) {
                                 daemon.stop();
                             }},
-                           stopTimeout);
+                           stopTimes);
 }
--- a/wire/framecodec.cpp
+++ b/wire/framecodec.cpp
@@ -139,6 +139,11 @@
     }
     Result<PeerFrame> result = decodePayload(pending.substr(LengthBytes, length), m_limits);
     m_consumed += LengthBytes + length;
+    if (m_consumed == m_buffer.size() && m_buffer.capacity() > KeptBufferBytes) {
+        // The body has been copied out; without this a large request would be held twice until the next frame.
+        m_buffer = std::string();
+        m_consumed = 0;
+    }
     return result;
 }
 
