Decode texts of a frame without Thrift's intermediate copy

Cause: TCompactProtocol copies each text into a buffer of its size before it fills the string. Change: FrameProtocol reads texts straight out of the frame. Check: UnitTests "[wire]" passes, 15,466 assertions. Peak of the agent for a body of 7,000,063 bytes: 27,452 kB above rest before, 27,652 kB after, so this copy was not the peak.

--- a/wire/framecodec.cpp
+++ b/wire/framecodec.cpp
@@ -15,6 +15,7 @@
 
 using apache::thrift::TConfiguration;
 using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::protocol::TProtocolException;
 using apache::thrift::transport::TMemoryBuffer;
 
 constexpr std::size_t LengthBytes = 4;
@@ -23,6 +24,48 @@
 /// Buffers above this size are freed after use, so that one large request does not hold memory for ever.
 constexpr std::size_t KeptBufferBytes = std::size_t {256} * 1024;
 
+/// Compact protocol that copies texts straight out of the received frame. Thrift's own first copies each into a buffer
+/// of its size, so that a body of a million tokens would be held a third time while it is decoded.
+class FrameProtocol final : public TCompactProtocolT<TMemoryBuffer>
+{
+public:
+    FrameProtocol(const std::shared_ptr<TMemoryBuffer> &memory, std::int32_t listLimit)
+        : TCompactProtocolT<TMemoryBuffer>(memory, 0, listLimit)
+    {
+    }
+
+    // The names of the functions are given by Thrift.
+    // NOLINTBEGIN(readability-identifier-naming)
+    std::uint32_t readString_virt(std::string &text) override
+    {
+        return readText(text);
+    }
+    std::uint32_t readBinary_virt(std::string &text) override
+    {
+        return readText(text);
+    }
+    // NOLINTEND(readability-identifier-naming)
+
+private:
+    std::uint32_t readText(std::string &text)
+    {
+        std::int32_t size = 0;
+        const std::uint32_t used = readVarint32(size);
+        text.clear();
+        if (size == 0) {
+            return used;
+        }
+        auto available = static_cast<std::uint32_t>(std::max(size, 0));
+        const std::uint8_t *bytes = size < 0 ? nullptr : trans_->borrow(nullptr, &available);
+        if (bytes == nullptr) {
+            throw TProtocolException(TProtocolException::SIZE_LIMIT, "a text is longer than its frame");
+        }
+        text.assign(reinterpret_cast<const char *>(bytes), static_cast<std::size_t>(size));
+        trans_->consume(static_cast<std::uint32_t>(size));
+        return used + static_cast<std::uint32_t>(size);
+    }
+};
+
 std::size_t expectedBytes(const PeerFrame &frame)
 {
     std::size_t size = FieldBytes;
@@ -88,8 +131,7 @@
         auto *data = const_cast<std::uint8_t *>(reinterpret_cast<const std::uint8_t *>(payload.data()));
         const auto memory = std::make_shared<TMemoryBuffer>(
             data, static_cast<std::uint32_t>(payload.size()), TMemoryBuffer::OBSERVE, configuration(limits));
-        TCompactProtocolT<TMemoryBuffer> protocol(
-            memory, static_cast<std::int32_t>(limits.maxFrameBytes), static_cast<std::int32_t>(limits.maxListElements));
+        FrameProtocol protocol(memory, static_cast<std::int32_t>(limits.maxListElements));
         wire::PeerFrame frame;
         frame.read(&protocol);
         if (memory->available_read() != 0) {
