--- a/load/loadreport.cpp
+++ b/load/loadreport.cpp
@@ -129,7 +129,7 @@
     for (const auto &[name, group] : byCustomer) {
         out << "caller customer=" << name;
         for (const auto &[verdict, title] : VerdictNames) {
-            const auto isVerdict = [verdict](const Outcome *outcome) {
+            const auto isVerdict = [verdict = verdict](const Outcome *outcome) {
                 return outcome->verdict == verdict;
             };
             out << ' ' << title << '=' << std::ranges::count_if(group, isVerdict);
