Keep the link to a connected agent that the instance list does not name

Cause: a list that lags or is empty by a fault would have closed the links of running requests. Change: setAgents removes only links that are not connected.

--- a/UnitTests/daemons/wholepathtest.cpp
+++ b/UnitTests/daemons/wholepathtest.cpp
@@ -162,6 +162,21 @@
     }));
 }
 
+// Guards against requests that are interrupted because the platform's list is empty for a moment.
+TEST_CASE("an agent that is connected stays although the list does not name it", "[daemons]")
+{
+    const Path path;
+    path.entry->process().setAgents({});
+    CHECK(path.entry->process().connectedAgents() == 1);
+    path.agent->stop();
+    REQUIRE(runUntil([&path] {
+        return path.entry->process().connectedAgents() == 0;
+    }));
+    const auto refusal = path.entry->process().refusal();
+    REQUIRE(refusal);
+    CHECK(refusal->code == ResultCode::NotReady);
+}
+
 // Guards against a non-idempotent call that is lost or run twice between caller and plain service.
 TEST_CASE("a service call under an operation id runs once", "[daemons]")
 {
--- a/adapters/entryprocess.cpp
+++ b/adapters/entryprocess.cpp
@@ -56,17 +56,11 @@
 void EntryProcess::setAgents(const std::vector<AgentAddress> &agents)
 {
     for (auto link = m_links.begin(); link != m_links.end();) {
-        if (std::ranges::find(agents, link->second.address) != agents.end()) {
+        // A list that lags or is empty by a fault must not interrupt requests: a connected agent stays.
+        if (link->second.link->isConnected() || std::ranges::find(agents, link->second.address) != agents.end()) {
             ++link;
-            continue;
-        }
-        const InstanceId peer = link->first;
-        const bool wasConnected = link->second.link->isConnected();
-        link = m_links.erase(link);
-        if (wasConnected) {
-            m_loop.feed([this, peer](EntryActions &out) {
-                m_core.peerDisconnected(peer, processNow(), out);
-            });
+        } else {
+            link = m_links.erase(link);
         }
     }
     for (const AgentAddress &agent : agents) {
--- a/adapters/entryprocess.h
+++ b/adapters/entryprocess.h
@@ -53,7 +53,7 @@
     /// Passes an answer of the key-value service on.
     void storeAnswered(const StoreAnswer &answer);
 
-    /// Keeps links to exactly the agents in @p agents.
+    /// Keeps links to the agents in @p agents and to those that are connected.
     void setAgents(const std::vector<AgentAddress> &agents);
     /// The platform's list says that @p instance is leaving.
     void instanceLeaving(const InstanceId &instance);
