Count overtaking work in the agent's admission

Cause: admission took all work ahead at the full rate as an upper bound, although later work of shorter classes and of other customers is served first; under a peak of 120 s, 44 admitted requests passed their deadline. Change: the bound is a multiple (AdmissionSettings::overtaking, 1.3) of the work ahead, and the attempt's own prefill counts at its customer's share.

--- a/ibismast/admission/admissioncontroller.cpp
+++ b/ibismast/admission/admissioncontroller.cpp
@@ -23,6 +23,9 @@
     if (!(margin >= 1.0)) {
         return invalid("margin must be at least 1");
     }
+    if (!(overtaking >= 1.0)) {
+        return invalid("overtaking must be at least 1");
+    }
     if (reserve < Duration::zero()) {
         return invalid("reserve must not be negative");
     }
@@ -51,16 +54,21 @@
     const double classRate = rates.prefill * classShare(priorityClass, queue, progress);
     const double customerPart =
         request.weight / (request.weight + queue.waitingWeight(priorityClass, request.customer));
-    const double inEngine = progress.remaining(priorityClass) / classRate;
-    const double ownQueue = asDouble(queue.queuedWork(priorityClass, request.customer)) / (classRate * customerPart);
+    const double own = asDouble(request.prefill);
+    const double ownQueue = asDouble(queue.queuedWork(priorityClass, request.customer));
+    const double classWork = progress.remaining(priorityClass) + asDouble(queue.queuedWork(priorityClass));
     double allWork = progress.remaining();
     for (const PriorityClass other : AllPriorityClasses) {
         allWork += asDouble(queue.queuedWork(other));
     }
-    const double queueWait = std::min(inEngine + ownQueue, allWork / rates.prefill);
-    const Duration wait = std::max(fromSeconds(queueWait), request.memoryWait);
-    const Duration prefill = fromSeconds(asDouble(request.prefill) / classRate);
-    const Duration firstToken = wait + prefill;
+    // What the shares guarantee, and what holds if nothing but the work ahead and some overtaking work is served.
+    const auto prefilledAfter = [&](double ownPart) {
+        const double guaranteed = (progress.remaining(priorityClass) + (ownQueue + ownPart) / customerPart) / classRate;
+        const double withoutOthers = std::min((classWork + ownPart) / classRate, (allWork + ownPart) / rates.prefill);
+        return fromSeconds(std::min(guaranteed, m_settings.overtaking * withoutOthers));
+    };
+    const Duration wait = std::max(prefilledAfter(0.0), request.memoryWait);
+    const Duration firstToken = std::max(prefilledAfter(own), wait + fromSeconds(own / rates.prefill));
     if (!m_settings.enabled) {
         return firstToken;
     }
@@ -73,7 +81,7 @@
         return firstToken;
     }
     const Duration retryAfter = std::max(excess, m_settings.smallestRetryAfter);
-    if (wait > Duration::zero() && excess <= fromSeconds(ownQueue)) {
+    if (wait > Duration::zero() && excess <= fromSeconds(ownQueue / (classRate * customerPart))) {
         return Error {ResultCode::CustomerOverShare,
                       "The customer's own queued requests take its share of the capacity.",
                       retryAfter};
--- a/ibismast/admission/admissioncontroller.h
+++ b/ibismast/admission/admissioncontroller.h
@@ -14,6 +14,9 @@
     double margin = 1.2;
     /// Addition to the expected completion time, for transport and the engine's steps.
     Duration reserve {100'000};
+    /// Work that is served before an attempt, as a multiple of the work that is ahead of it on arrival: later work of
+    /// shorter classes and of customers with less queued work overtakes it.
+    double overtaking = 1.3;
     /// Longest expected wait in the queue for each class.
     PerClass<Duration> maxWait {
         Duration {700'000}, Duration {15'000'000}, Duration {120'000'000}, Duration {600'000'000}};
@@ -44,8 +47,8 @@
 /// Admits an attempt if its expected completion is before its deadline.
 ///
 /// The expected wait is the smaller of two bounds: the customer's own queued work at the customer's share of its class,
-/// and all work ahead at the full rate. Other customers' work beyond their share therefore delays nobody, and overload
-/// is refused at the customer that causes it.
+/// and the work ahead with an allowance for work that overtakes. Other customers' work beyond their share therefore
+/// delays nobody, and overload is refused at the customer that causes it.
 class AdmissionController
 {
 public:
