--- a/adapters/guardedsocket.cpp
+++ b/adapters/guardedsocket.cpp
@@ -79,7 +79,7 @@
     if (m_phase != Phase::Answering) {
         return;
     }
-    m_body = std::string();
+    std::string().swap(m_body);
     if (m_pipelined || m_inner->bytesAvailable() > 0) {
         refuse({ResultCode::UnsupportedPipelining, {}, std::nullopt});
     } else if (!m_head.keepAlive) {
@@ -90,6 +90,11 @@
     }
 }
 
+bool GuardedSocket::isAnswering() const
+{
+    return m_phase == Phase::Answering || m_inner->bytesToWrite() > 0;
+}
+
 void GuardedSocket::enforceTimes(TimePoint now)
 {
     m_now = now;
@@ -123,7 +128,7 @@
 
 qint64 GuardedSocket::bytesAvailable() const
 {
-    return QIODevice::bytesAvailable() + m_toServer.size();
+    return QAbstractSocket::bytesAvailable() + m_toServer.size();
 }
 
 qint64 GuardedSocket::bytesToWrite() const
@@ -220,7 +225,7 @@
     std::string head = m_head.method + ' ' + m_head.target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : m_head.headers) {
         if (std::ranges::find(ConnectionHeaders, lowerCase(name)) == ConnectionHeaders.end()) {
-            head += name + ": " + value + "\r\n";
+            head.append(name).append(": ").append(value).append("\r\n");
         }
     }
     head += "Content-Length: 0\r\n\r\n";
@@ -246,7 +251,7 @@
     m_inner->write(answer.data(), static_cast<qint64>(answer.size()));
     m_inner->skip(m_inner->bytesAvailable());
     m_parser.reset();
-    m_body = std::string();
+    std::string().swap(m_body);
     enter(Phase::Draining, m_settings.lingerTime);
 }
 
--- a/adapters/guardserver.cpp
+++ b/adapters/guardserver.cpp
@@ -2,6 +2,8 @@
 
 #include <QtNetwork/QSslSocket>
 
+#include <algorithm>
+
 namespace ibismast
 {
 
@@ -20,6 +22,14 @@
     m_timer.start(CheckInterval);
 }
 
+GuardServer::~GuardServer()
+{
+    // QTcpServer deletes the sockets that nobody has taken after the members of this class are gone.
+    for (GuardedSocket *socket : m_sockets) {
+        socket->disconnect(this);
+    }
+}
+
 void GuardServer::setTls(const QSslConfiguration &configuration)
 {
     m_tls = configuration;
@@ -48,6 +58,13 @@
     return m_sockets.size();
 }
 
+std::size_t GuardServer::answeringCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_sockets, [](const GuardedSocket *socket) {
+        return socket->isAnswering();
+    }));
+}
+
 void GuardServer::incomingConnection(qintptr handle)
 {
     QTcpSocket *inner = nullptr;
--- a/adapters/guardserver.h
+++ b/adapters/guardserver.h
@@ -20,6 +20,7 @@
 public:
     /// @p clock replaces the process clock in tests.
     explicit GuardServer(const HttpGuardSettings &settings, std::function<TimePoint()> clock);
+    ~GuardServer() override;
 
     /// Encrypts connections that are accepted from now on.
     void setTls(const QSslConfiguration &configuration);
@@ -29,6 +30,8 @@
     void closeIdle();
     /// Number of open connections.
     [[nodiscard]] std::size_t connectionCount() const;
+    /// Number of connections on which an answer is due or has not been sent completely.
+    [[nodiscard]] std::size_t answeringCount() const;
 
 protected:
     void incomingConnection(qintptr handle) override;
--- a/ibismast/store/keyvaluestore.h
+++ b/ibismast/store/keyvaluestore.h
@@ -28,8 +28,11 @@
 class StoreCallIds
 {
 public:
-    /// @p range separates this source from the others of the process.
-    explicit StoreCallIds(std::uint16_t range) : m_next((static_cast<std::uint64_t>(range) << 48U) + 1) { }
+    /// @p range separates this source from the others of the process; @p first is the first number in it.
+    explicit StoreCallIds(std::uint16_t range, std::uint64_t first = 1)
+        : m_next((static_cast<std::uint64_t>(range) << 48U) + first)
+    {
+    }
 
     [[nodiscard]] StoreCallId next()
     {
@@ -40,6 +43,9 @@
     std::uint64_t m_next;
 };
 
+/// Appends a call to @p calls.
+void appendCall(StoreCalls &calls, StoreCallId id, StoreOperation operation);
+
 /// Returns true if @p operation counts against the store's limit of writes; all others count as reads.
 [[nodiscard]] inline bool isWrite(const StoreOperation &operation)
 {
--- a/standins/keyvalue/keyvalueserver.h
+++ b/standins/keyvalue/keyvalueserver.h
@@ -33,14 +33,14 @@
     explicit KeyValueServer(const KeyValueServerSettings &settings = {});
 
 protected:
-    void handle(const HttpRequest &request, const HttpReplyPointer &reply) override;
+    void handle(const StandinRequest &request, const StandinReplyPointer &reply) override;
     Result<QJsonObject> executeOwn(const QJsonObject &command) override;
     [[nodiscard]] QJsonObject status() const override;
 
 private:
     struct Watch
     {
-        HttpReplyPointer reply;
+        StandinReplyPointer reply;
         std::string key;
         std::string rangeEnd;
         std::int64_t nextRevision = 0;
@@ -54,7 +54,7 @@
     void leaseGrant(const QJsonObject &body, StandinReply &reply);
     void leaseKeepAlive(const QJsonObject &body, StandinReply &reply);
     void leaseRevoke(const QJsonObject &body, StandinReply &reply);
-    void watch(const QJsonObject &body, const HttpReplyPointer &reply);
+    void watch(const QJsonObject &body, const StandinReplyPointer &reply);
 
     [[nodiscard]] QJsonObject header() const;
     [[nodiscard]] QJsonObject rangeResult(const QJsonObject &body) const;
