Run both daemons on the fleet's configuration

Cause: the daemons took customers, models and services from their settings files only, frames carried revision 0 from agents, and nothing connected ConfigRelay and OperatorService with a process.

Change: with [store] gateway, StoreClient passes the calls of all state machines through one StoreGate to the etcd gateway and returns each answer by the range of its id. ConfigDriver runs ConfigRelay over the peer links, heartbeats and the instance list, in the entry and in the agent. FleetConfig indexes the replica for the request path, including the calls that must not be repeated. OperatorDriver runs OperatorService and logs its audit records. Without [store] the declarations of the settings file are in force as before; beside [store] they are ignored with a warning.

--- a/adapters/agentdaemon.cpp
+++ b/adapters/agentdaemon.cpp
@@ -42,6 +42,8 @@
         settings.process.service = file.address("service", "address", std::nullopt);
         settings.core.services = {ServiceName(file.text("service", "name", std::nullopt))};
     }
+    settings.instances = readInstanceList(file);
+    settings.store = readFleet(file);
     const Result<Success> valid = settings.core.validate();
     if (const Error *error = errorOf(valid)) {
         file.refuse("core", "settings", {}, error->message);
@@ -52,22 +54,17 @@
 AgentDaemon::AgentDaemon(AgentDaemonSettings settings, Incarnation incarnation, Supervisor::FailureHandler onFailure)
     : m_settings(std::move(settings))
     , m_listener(&m_metrics)
-    , m_process(m_settings.process,
-                m_settings.core,
-                PeerSummary {m_settings.instance,
-                             incarnation,
-                             InstanceRole::Agent,
-                             InstanceState::Ready,
-                             m_settings.domain,
-                             m_settings.peerListen.address.toString().toStdString() + ':'
-                                 + std::to_string(m_settings.peerListen.port)},
-                incarnation.value(),
-                &m_listener)
+    , m_store(makeStoreClient(m_settings.store, incarnation))
+    , m_fleet(makeConfigDriver(m_settings.store, self(incarnation), m_store.get(), &m_listener))
+    , m_process(m_settings.process, m_settings.core, self(incarnation), incarnation.value(), &m_listener)
     , m_supervisor(SupervisorSettings(), processNow, std::move(onFailure))
 {
     if (m_settings.peerTls) {
         m_process.server().setTls(*m_settings.peerTls);
     }
+    if (m_fleet) {
+        m_process.setConfigDriver(*m_fleet);
+    }
     m_supervisor.add({"core",
                       [this] {
                           m_process.start();
@@ -85,6 +82,46 @@
                       [this] {
                           m_process.server().stopAccepting();
                       }});
+    if (m_fleet) {
+        m_supervisor.add({"config",
+                          [this] {
+                              m_fleet->start();
+                              return Success {};
+                          },
+                          [this] {
+                              m_fleet->stop();
+                          }});
+    }
+    if (m_fleet && m_settings.instances) {
+        m_instances = std::make_unique<InstanceListClient>(*m_settings.instances,
+                                                           [this](const std::vector<PeerSummary> &instances) {
+                                                               m_fleet->setInstances(instances);
+                                                           });
+        m_supervisor.add({"instances",
+                          [this] {
+                              m_instances->start();
+                              return Success {};
+                          },
+                          [this] {
+                              m_instances->stop();
+                          }});
+    }
+}
+
+PeerSummary AgentDaemon::self(Incarnation incarnation) const
+{
+    const HttpEndpoint &listen = m_settings.peerListen;
+    return {m_settings.instance,
+            incarnation,
+            InstanceRole::Agent,
+            InstanceState::Ready,
+            m_settings.domain,
+            listen.address.toString().toStdString() + ':' + std::to_string(listen.port)};
+}
+
+const ConfigSource *AgentDaemon::config() const
+{
+    return m_fleet ? &m_fleet->config() : nullptr;
 }
 
 Result<Success> AgentDaemon::start()
@@ -95,6 +132,9 @@
 void AgentDaemon::beginShutdown()
 {
     m_process.beginShutdown();
+    if (m_fleet) {
+        m_fleet->beginShutdown();
+    }
 }
 
 std::size_t AgentDaemon::openWork()
--- a/adapters/agentdaemon.h
+++ b/adapters/agentdaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/agentprocess.h"
+#include "adapters/fleetsettings.h"
 #include "adapters/logging.h"
 #include "adapters/metrics.h"
 #include "adapters/settingsfile.h"
@@ -19,6 +20,9 @@
     HttpEndpoint peerListen;
     std::optional<QSslConfiguration> peerTls;
     AgentProcessSettings process;
+    std::optional<InstanceListClientSettings> instances;
+    /// Key-value service and the fleet's configuration in it, if there is one.
+    std::optional<FleetSettings> store;
     AgentCoreSettings core;
     /// Time that work has to end after the first stop signal.
     Duration stopTimeout = std::chrono::minutes(10);
@@ -45,12 +49,19 @@
 
     /// Port for peers.
     [[nodiscard]] quint16 peerPort();
+    /// Returns the fleet's configuration as this process holds it, or null if the settings name no key-value service.
+    [[nodiscard]] const ConfigSource *config() const;
 
 private:
+    [[nodiscard]] PeerSummary self(Incarnation incarnation) const;
+
     AgentDaemonSettings m_settings;
     Metrics m_metrics;
     LoggingListener m_listener;
+    std::unique_ptr<StoreClient> m_store;
+    std::unique_ptr<ConfigDriver> m_fleet;
     AgentProcess m_process;
+    std::unique_ptr<InstanceListClient> m_instances;
     Supervisor m_supervisor;
 };
 
--- a/adapters/agentprocess.cpp
+++ b/adapters/agentprocess.cpp
@@ -1,5 +1,6 @@
 #include "adapters/agentprocess.h"
 
+#include "adapters/configdriver.h"
 #include "adapters/processclock.h"
 
 #include "ibismast/agent/agentcoresettings.h"
@@ -37,6 +38,9 @@
         });
     }
     connect(&m_server, &PeerServer::frameReceived, this, [this](const PeerFrame &frame) {
+        if (m_configDriver != nullptr && m_configDriver->handleFrame(frame)) {
+            return;
+        }
         m_loop.feed([this, frame](AgentActions &out) {
             m_core.handlePeer(frame, processNow(), out);
         });
@@ -45,6 +49,9 @@
         if (m_listener != nullptr) {
             m_listener->onEvent("peer_disconnected", {{"peer", peer.value()}, {"reason", reason.toStdString()}});
         }
+        if (m_configDriver != nullptr) {
+            m_configDriver->peerDisconnected(peer);
+        }
         m_loop.feed([this, peer](AgentActions &out) {
             m_core.peerDisconnected(peer, processNow(), out);
         });
@@ -61,6 +68,14 @@
     });
 }
 
+void AgentProcess::setConfigDriver(ConfigDriver &driver)
+{
+    m_configDriver = &driver;
+    driver.setSender([this](const InstanceId &receiver, const PeerMessage &message) {
+        sendToPeer({receiver, message});
+    });
+}
+
 PeerServer &AgentProcess::server()
 {
     return m_server;
@@ -119,7 +134,8 @@
 
 void AgentProcess::sendToPeer(const SendToPeer &action)
 {
-    const PeerFrame frame {m_self.instance, m_self.incarnation, Revision(0), action.message};
+    const Revision revision = m_configDriver != nullptr ? m_configDriver->config().revision() : Revision(0);
+    const PeerFrame frame {m_self.instance, m_self.incarnation, revision, action.message};
     const SendOutcome outcome = m_server.send(action.receiver, frame);
     if (outcome == SendOutcome::TooLarge && m_listener != nullptr) {
         m_listener->onEvent("message_too_large", {{"peer", action.receiver.value()}});
--- a/adapters/agentprocess.h
+++ b/adapters/agentprocess.h
@@ -12,6 +12,7 @@
 {
 
 struct AgentCoreSettings;
+class ConfigDriver;
 
 /// Connections of an agent.
 struct AgentProcessSettings
@@ -37,6 +38,8 @@
 
     /// Returns the server that peers connect to; it must listen before `start`.
     [[nodiscard]] PeerServer &server();
+    /// Gives the frames and connections of the peers to @p driver too, which must outlive the process.
+    void setConfigDriver(ConfigDriver &driver);
     /// Begins to drive the core.
     void start();
     /// Refuses new work from now on.
@@ -53,6 +56,7 @@
     AgentProcessSettings m_settings;
     PeerSummary m_self;
     EventListener *m_listener;
+    ConfigDriver *m_configDriver = nullptr;
     AgentCore m_core;
     ActionLoop<AgentAction> m_loop;
     PeerServer m_server;
--- a/adapters/configsource.h
+++ b/adapters/configsource.h
@@ -59,6 +59,9 @@
     [[nodiscard]] virtual const ServiceConfig *service(const ServiceName &name) const = 0;
     /// Returns the names of all models in ascending order.
     [[nodiscard]] virtual std::vector<ModelName> models() const = 0;
+    /// Returns true if the call may be repeated. @p path may have a query. The default goes by the service's methods.
+    [[nodiscard]] virtual bool
+    isIdempotent(const ServiceName &service, std::string_view method, std::string_view path) const;
 };
 
 } // namespace ibismast
--- a/adapters/declaredconfig.cpp
+++ b/adapters/declaredconfig.cpp
@@ -31,6 +31,11 @@
     }
 }
 
+bool DeclaredConfig::empty() const
+{
+    return m_customers.empty() && m_models.empty() && m_services.empty();
+}
+
 bool DeclaredConfig::ready() const
 {
     return true;
--- a/adapters/declaredconfig.h
+++ b/adapters/declaredconfig.h
@@ -13,6 +13,9 @@
     /// Reads the declarations; violations are reported by `SettingsFile::finish`.
     explicit DeclaredConfig(SettingsFile &file);
 
+    /// True if the file declares nothing.
+    [[nodiscard]] bool empty() const;
+
     [[nodiscard]] bool ready() const override;
     [[nodiscard]] Revision revision() const override;
     [[nodiscard]] const CustomerConfig *customerOfKey(std::string_view keyHash) const override;
--- a/adapters/entrydaemon.cpp
+++ b/adapters/entrydaemon.cpp
@@ -1,6 +1,7 @@
 #include "adapters/entrydaemon.h"
 
 #include "adapters/processclock.h"
+#include "adapters/storecallranges.h"
 
 #include <algorithm>
 
@@ -14,24 +15,54 @@
     : m_settings(std::move(settings))
     , m_config(std::move(config))
     , m_listener(&m_metrics)
+    , m_store(makeStoreClient(m_settings.store, incarnation))
+    , m_fleet(makeConfigDriver(m_settings.store, self(incarnation), m_store.get(), &m_listener))
     , m_process(m_settings.process,
                 m_settings.core,
-                PeerSummary {
-                    m_settings.instance, incarnation, InstanceRole::Entry, InstanceState::Ready, m_settings.domain, {}},
-                *m_config,
+                self(incarnation),
+                this->config(),
                 incarnation.value(),
                 &m_listener,
                 &m_metrics)
-    , m_seed(incarnation.value())
     , m_supervisor(SupervisorSettings(), processNow, std::move(onFailure))
     , m_httpPort(m_settings.httpListen.port)
 {
     if (m_settings.peerTls) {
         m_process.setTls(*m_settings.peerTls);
     }
+    if (m_fleet) {
+        m_operators =
+            std::make_unique<OperatorDriver>(OperatorServiceSettings(),
+                                             m_settings.instance.value() + '/' + std::to_string(incarnation.value()),
+                                             *m_fleet,
+                                             *m_store,
+                                             &m_auditLog);
+        m_process.setConfigDriver(*m_fleet);
+        m_process.setStore([this](const StoreCall &call) {
+            m_store->execute(call);
+        });
+        m_store->setHandler(StoreCallRanges::Claims, [this](const StoreAnswer &answer) {
+            m_process.storeAnswered(answer);
+        });
+    }
     addParts();
 }
 
+PeerSummary EntryDaemon::self(Incarnation incarnation) const
+{
+    return {m_settings.instance, incarnation, InstanceRole::Entry, InstanceState::Ready, m_settings.domain, {}};
+}
+
+const ConfigSource &EntryDaemon::config() const
+{
+    return m_fleet ? static_cast<const ConfigSource &>(m_fleet->config()) : *m_config;
+}
+
+OperatorDriver *EntryDaemon::operators()
+{
+    return m_operators.get();
+}
+
 Result<Success> EntryDaemon::start()
 {
     return m_supervisor.start();
@@ -40,6 +71,9 @@
 void EntryDaemon::beginShutdown()
 {
     m_process.beginShutdown();
+    if (m_fleet) {
+        m_fleet->beginShutdown();
+    }
 }
 
 std::size_t EntryDaemon::openRequests() const
@@ -65,14 +99,6 @@
 
 void EntryDaemon::addParts()
 {
-    if (m_settings.store) {
-        m_store = std::make_unique<EtcdGatewayClient>(*m_settings.store, m_seed, [this](const StoreAnswer &answer) {
-            m_process.storeAnswered(answer);
-        });
-        m_process.setStore([this](const StoreCall &call) {
-            m_store->execute(call);
-        });
-    }
     m_supervisor.add({"core",
                       [this] {
                           m_process.start();
@@ -82,6 +108,18 @@
                       [this] {
                           m_process.stop();
                       }});
+    if (m_fleet) {
+        m_supervisor.add({"config",
+                          [this] {
+                              m_fleet->start();
+                              m_operators->start();
+                              return Success {};
+                          },
+                          [this] {
+                              m_operators->stop();
+                              m_fleet->stop();
+                          }});
+    }
     if (m_settings.instances) {
         m_instances = std::make_unique<InstanceListClient>(*m_settings.instances,
                                                            [this](const std::vector<PeerSummary> &instances) {
@@ -101,7 +139,7 @@
                           m_front = std::make_unique<HttpFront>(
                               m_settings.http,
                               m_process,
-                              *m_config,
+                              config(),
                               [this] {
                                   return metricsText();
                               },
@@ -129,6 +167,9 @@
 
 void EntryDaemon::onInstances(const std::vector<PeerSummary> &instances)
 {
+    if (m_fleet) {
+        m_fleet->setInstances(instances);
+    }
     std::vector<AgentAddress> agents = m_settings.agents;
     for (const PeerSummary &instance : instances) {
         if (instance.role != InstanceRole::Agent) {
--- a/adapters/entrydaemon.h
+++ b/adapters/entrydaemon.h
@@ -1,12 +1,14 @@
 #pragma once
 
+#include "adapters/auditlog.h"
 #include "adapters/declaredconfig.h"
 #include "adapters/entryprocess.h"
+#include "adapters/fleetsettings.h"
 #include "adapters/httpfront.h"
 #include "adapters/instancelistclient.h"
 #include "adapters/logging.h"
 #include "adapters/metrics.h"
-#include "adapters/store/etcdgatewayclient.h"
+#include "adapters/operatordriver.h"
 #include "adapters/supervisor.h"
 #include "adapters/tls.h"
 
@@ -28,8 +30,9 @@
     std::optional<QSslConfiguration> peerTls;
     EntryProcessSettings process;
     std::optional<InstanceListClientSettings> instances;
-    /// Key-value service, if there is one. Without it `Idempotency-Key` is refused with `StoreUnavailable`.
-    std::optional<EtcdGatewayClientSettings> store;
+    /// Key-value service and the fleet's configuration in it. Without it the declarations of the settings file are in
+    /// force and `Idempotency-Key` is refused with `StoreUnavailable`.
+    std::optional<FleetSettings> store;
     EntryCoreSettings core;
     /// Time that requests have to end after the first stop signal.
     Duration stopTimeout = std::chrono::minutes(10);
@@ -42,7 +45,8 @@
 class EntryDaemon
 {
 public:
-    /// @p onFailure is called when the process cannot go on.
+    /// @p config is in force if the settings name no key-value service, else it may be null. @p onFailure is called
+    /// when the process cannot go on.
     EntryDaemon(EntryDaemonSettings settings,
                 std::unique_ptr<ConfigSource> config,
                 Incarnation incarnation,
@@ -60,8 +64,13 @@
     /// Port of the HTTP front end.
     [[nodiscard]] quint16 httpPort() const;
     [[nodiscard]] EntryProcess &process();
+    /// Returns the configuration in force.
+    [[nodiscard]] const ConfigSource &config() const;
+    /// Returns the operators' calls, or null if the settings name no key-value service.
+    [[nodiscard]] OperatorDriver *operators();
 
 private:
+    [[nodiscard]] PeerSummary self(Incarnation incarnation) const;
     void addParts();
     void onInstances(const std::vector<PeerSummary> &instances);
     [[nodiscard]] std::string metricsText();
@@ -70,11 +79,13 @@
     std::unique_ptr<ConfigSource> m_config;
     Metrics m_metrics;
     LoggingListener m_listener;
+    std::unique_ptr<StoreClient> m_store;
+    std::unique_ptr<ConfigDriver> m_fleet;
+    AuditLog m_auditLog;
+    std::unique_ptr<OperatorDriver> m_operators;
     EntryProcess m_process;
-    std::unique_ptr<EtcdGatewayClient> m_store;
     std::unique_ptr<HttpFront> m_front;
     std::unique_ptr<InstanceListClient> m_instances;
-    std::uint64_t m_seed;
     Supervisor m_supervisor;
     /// Port that the system chose, kept over a restart of the front end.
     quint16 m_httpPort = 0;
--- a/adapters/entryprocess.cpp
+++ b/adapters/entryprocess.cpp
@@ -1,5 +1,6 @@
 #include "adapters/entryprocess.h"
 
+#include "adapters/configdriver.h"
 #include "adapters/metrics.h"
 #include "adapters/processclock.h"
 
@@ -46,6 +47,14 @@
     m_store = std::move(store);
 }
 
+void EntryProcess::setConfigDriver(ConfigDriver &driver)
+{
+    m_configDriver = &driver;
+    driver.setSender([this](const InstanceId &receiver, const PeerMessage &message) {
+        sendToPeer({receiver, message});
+    });
+}
+
 void EntryProcess::storeAnswered(const StoreAnswer &answer)
 {
     m_loop.feed([this, answer](EntryActions &out) {
@@ -64,6 +73,9 @@
         const bool wasConnected = link->second.link->isConnected();
         link = m_links.erase(link);
         if (wasConnected) {
+            if (m_configDriver != nullptr) {
+                m_configDriver->peerDisconnected(peer);
+            }
             m_loop.feed([this, peer](EntryActions &out) {
                 m_core.peerDisconnected(peer, processNow(), out);
             });
@@ -173,6 +185,9 @@
     PeerLink *link = entry.link.get();
     const InstanceId peer = address.instance;
     connect(link, &PeerLink::connected, this, [this, peer] {
+        if (m_configDriver != nullptr) {
+            m_configDriver->peerConnected(peer);
+        }
         m_loop.feed([this, peer](EntryActions &out) {
             m_core.peerConnected(peer, processNow(), out);
         });
@@ -181,6 +196,9 @@
         if (m_listener != nullptr) {
             m_listener->onEvent("peer_disconnected", {{"peer", peer.value()}, {"reason", reason.toStdString()}});
         }
+        if (m_configDriver != nullptr) {
+            m_configDriver->peerDisconnected(peer);
+        }
         m_loop.feed([this, peer](EntryActions &out) {
             m_core.peerDisconnected(peer, processNow(), out);
         });
@@ -194,6 +212,9 @@
             return;
         }
         m_links.at(peer).incarnation = frame.incarnation;
+        if (m_configDriver != nullptr && m_configDriver->handleFrame(frame)) {
+            return;
+        }
         m_loop.feed([this, frame](EntryActions &out) {
             m_core.handlePeer(frame, processNow(), out);
         });
--- a/adapters/entryprocess.h
+++ b/adapters/entryprocess.h
@@ -12,6 +12,7 @@
 namespace ibismast
 {
 
+class ConfigDriver;
 class Metrics;
 struct EntryCoreSettings;
 
@@ -50,6 +51,8 @@
     void setTls(const QSslConfiguration &configuration);
     /// Sets the function that starts a call of the key-value service. Without one the calls fail as not executed.
     void setStore(std::function<void(const StoreCall &call)> store);
+    /// Gives the frames and connections of the peers to @p driver too, which must outlive the process.
+    void setConfigDriver(ConfigDriver &driver);
     /// Passes an answer of the key-value service on.
     void storeAnswered(const StoreAnswer &answer);
 
@@ -108,6 +111,7 @@
     ActionLoop<EntryAction> m_loop;
     std::optional<QSslConfiguration> m_tls;
     std::function<void(const StoreCall &call)> m_store;
+    ConfigDriver *m_configDriver = nullptr;
     std::map<InstanceId, Link> m_links;
     std::map<RequestId, OpenRequest> m_open;
     QTimer m_timer;
--- a/adapters/entrysettings.cpp
+++ b/adapters/entrysettings.cpp
@@ -1,4 +1,5 @@
 #include "adapters/entrydaemon.h"
+#include "adapters/fleetsettings.h"
 #include "adapters/tlssettings.h"
 
 namespace ibismast
@@ -55,49 +56,6 @@
     return agents;
 }
 
-/// Reads a URL with the scheme http; nothing if it is not set or wrong.
-std::optional<QUrl> readUrl(SettingsFile &file, const std::string &section, const std::string &key)
-{
-    const std::string text = file.text(section, key, "-");
-    if (text == "-") {
-        return std::nullopt;
-    }
-    QUrl url(QString::fromStdString(text), QUrl::StrictMode);
-    if (!url.isValid() || url.scheme() != "http" || url.host().isEmpty()) {
-        file.refuse(section, key, text, "a URL of the form http://ip:port/path");
-        return std::nullopt;
-    }
-    return url;
-}
-
-std::optional<EtcdGatewayClientSettings> readStore(SettingsFile &file)
-{
-    EtcdGatewayClientSettings settings;
-    const std::optional<QUrl> url = readUrl(file, "store", "gateway");
-    settings.callTimeout =
-        file.milliseconds("store", "call_timeout_ms", settings.callTimeout, milliseconds(10), milliseconds(600'000));
-    if (!url) {
-        return std::nullopt;
-    }
-    settings.gateway = *url;
-    return settings;
-}
-
-std::optional<InstanceListClientSettings> readInstances(SettingsFile &file)
-{
-    InstanceListClientSettings settings;
-    const std::optional<QUrl> url = readUrl(file, "instances", "url");
-    settings.interval =
-        file.milliseconds("instances", "interval_ms", settings.interval, milliseconds(10), milliseconds(600'000));
-    settings.timeout =
-        file.milliseconds("instances", "timeout_ms", settings.timeout, milliseconds(10), milliseconds(600'000));
-    if (!url) {
-        return std::nullopt;
-    }
-    settings.url = *url;
-    return settings;
-}
-
 } // namespace
 
 EntryDaemonSettings readEntrySettings(SettingsFile &file)
@@ -117,8 +75,8 @@
         "peers", "max_queued_bytes", static_cast<std::int64_t>(connection.maxQueuedBytes), 1024 * Kilobyte, Gigabyte));
     settings.process.tickInterval = file.milliseconds(
         "instance", "tick_interval_ms", settings.process.tickInterval, milliseconds(1), milliseconds(1000));
-    settings.instances = readInstances(file);
-    settings.store = readStore(file);
+    settings.instances = readInstanceList(file);
+    settings.store = readFleet(file);
     const Result<Success> valid = validate(settings.core);
     if (const Error *error = errorOf(valid)) {
         file.refuse("core", "settings", {}, error->message);
--- a/adapters/httpfront.cpp
+++ b/adapters/httpfront.cpp
@@ -312,8 +312,7 @@
     const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
     ServiceRequest request;
     request.service = ServiceName(std::string(rest.substr(0, end)));
-    const ServiceConfig *service = m_config.service(request.service);
-    if (service == nullptr) {
+    if (m_config.service(request.service) == nullptr) {
         return Error {ResultCode::UnknownService, "no service is named " + request.service.value(), std::nullopt};
     }
     const Result<Duration> timeLeft = deadline(head);
@@ -340,7 +339,7 @@
     }
     request.contentType = std::string(head.header("content-type"));
     request.timeLeft = std::get<Duration>(timeLeft);
-    request.idempotent = std::ranges::find(service->idempotentMethods, head.method) != service->idempotentMethods.end();
+    request.idempotent = m_config.isIdempotent(request.service, request.method, request.path);
     request.body = std::make_shared<const std::string>(exchange.takeBody());
     return request;
 }
--- a/daemons/agent/main.cpp
+++ b/daemons/agent/main.cpp
@@ -26,6 +26,7 @@
   models = small
 
 Beside a plain service, [service] address and name take the place of [engine].
+With [store] gateway = http://127.0.0.1:2379 the agent holds the fleet's configuration and passes it on.
 SIGTERM or SIGINT stops after the open work has ended; a second signal stops at once.
 Exit status: 0 stopped without cutting work, 1 work was cut, 2 wrong settings, 3 failure.)"};
 
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -29,6 +29,9 @@
   [customer.registry]
   key_sha256 = <SHA-256 of the API key: printf %s KEY | sha256sum>
 
+With [store] gateway = http://127.0.0.1:2379 the fleet's configuration in the key-value service takes the place of the
+sections [model.*], [service.*] and [customer.*].
+
 SIGTERM or SIGINT stops after the open requests have ended; a second signal stops at once.
 Exit status: 0 stopped without cutting a request, 1 requests were cut, 2 wrong settings, 3 failure.)"};
 
@@ -53,6 +56,10 @@
     if (const std::optional<Error> error = settingsFile.finish()) {
         return reportSettingsError(*error);
     }
+    if (settings.store && !config->empty()) {
+        logEvent(
+            spdlog::level::warn, "declarations_ignored", {{"reason", "[store] gateway supplies the configuration"}});
+    }
     if (options.check) {
         std::cout << options.settingsPath << ": valid\n";
         return 0;
--- a/ibismast/operator/operatorservice.cpp
+++ b/ibismast/operator/operatorservice.cpp
@@ -3,6 +3,7 @@
 #include "ibismast/config/configdiff.h"
 #include "ibismast/config/configrelay.h"
 #include "ibismast/config/declarations.h"
+#include "ibismast/core/eventlistener.h"
 #include "ibismast/operator/operatorservicestate.h"
 
 #include <algorithm>
@@ -128,6 +129,28 @@
     m_storeAvailable = available;
 }
 
+void OperatorService::setListener(EventListener *listener)
+{
+    m_listener = listener;
+}
+
+void OperatorService::addAudit(AuditRecord record, TimePoint now, StoreCalls &out)
+{
+    if (m_listener != nullptr) {
+        m_listener->onEvent("operator_call",
+                            {{"who", record.who},
+                             {"role", record.role},
+                             {"action", record.action},
+                             {"change_id", record.changeId},
+                             {"from", std::to_string(record.from.value())},
+                             {"to", std::to_string(record.to.value())},
+                             {"code", std::string(resultCodeInfo(record.code).name)},
+                             {"message", record.message},
+                             {"diff", record.diff}});
+    }
+    m_audit.add(std::move(record), now, out);
+}
+
 void OperatorService::reply(OperatorCallId id, OperatorReply reply)
 {
     m_answers.push_back({id, std::move(reply)});
@@ -137,18 +160,18 @@
     const PendingChange &change, ResultCode code, const std::string &message, TimePoint now, StoreCalls &out)
 {
     reply(change.id, Error {code, message, std::nullopt});
-    m_audit.add({change.time,
-                 change.who.name,
-                 std::string(toString(change.who.role)),
-                 change.action,
-                 change.changeId,
-                 change.from,
-                 change.from,
-                 code,
-                 message,
-                 {}},
-                now,
-                out);
+    addAudit({change.time,
+              change.who.name,
+              std::string(toString(change.who.role)),
+              change.action,
+              change.changeId,
+              change.from,
+              change.from,
+              code,
+              message,
+              {}},
+             now,
+             out);
 }
 
 OperatorCallId OperatorService::call(
@@ -275,18 +298,18 @@
         }
         const PendingChange &change = pending->second;
         const bool accepted = outcome.code == ResultCode::Ok;
-        m_audit.add({change.time,
-                     change.who.name,
-                     std::string(toString(change.who.role)),
-                     change.action,
-                     change.changeId,
-                     change.from,
-                     accepted ? outcome.revision : change.from,
-                     outcome.code,
-                     outcome.message,
-                     toString(outcome.edits)},
-                    now,
-                    out);
+        addAudit({change.time,
+                  change.who.name,
+                  std::string(toString(change.who.role)),
+                  change.action,
+                  change.changeId,
+                  change.from,
+                  accepted ? outcome.revision : change.from,
+                  outcome.code,
+                  outcome.message,
+                  toString(outcome.edits)},
+                 now,
+                 out);
         reply(change.id,
               ChangeReply {outcome.code,
                            outcome.revision,
--- a/ibismast/operator/operatorservice.h
+++ b/ibismast/operator/operatorservice.h
@@ -10,6 +10,7 @@
 {
 
 class ConfigRelay;
+class EventListener;
 
 /// Settings of `OperatorService`.
 struct OperatorServiceSettings
@@ -42,6 +43,8 @@
     /// Handles an answer of the store; returns false if it belongs to another call.
     bool handle(const StoreAnswer &answer, TimePoint now, StoreCalls &out);
     void tick(TimePoint now, StoreCalls &out);
+    /// Also reports each record of the audit trail as the event `operator_call` to @p listener, which may be null.
+    void setListener(EventListener *listener);
     /// Tells whether the store seems to be up, for the status.
     void setStoreAvailable(bool available);
     /// Returns the answers since the last call.
@@ -54,6 +57,7 @@
     struct PendingReading;
 
     void reply(OperatorCallId id, OperatorReply reply);
+    void addAudit(AuditRecord record, TimePoint now, StoreCalls &out);
     void
     refuse(const PendingChange &change, ResultCode code, const std::string &message, TimePoint now, StoreCalls &out);
     [[nodiscard]] PlanReply plan(const PlanCall &call) const;
@@ -71,6 +75,7 @@
     StoreCallIds *m_ids;
     ConfigLog m_log;
     AuditTrail m_audit;
+    EventListener *m_listener = nullptr;
     bool m_storeAvailable = true;
     std::uint64_t m_lastCall = 0;
     /// Calls by the change id under which they wait; two calls may carry the same id.
--- a/ibismast/store/keyvaluestore.h
+++ b/ibismast/store/keyvaluestore.h
@@ -43,6 +43,12 @@
     std::uint64_t m_next;
 };
 
+/// Returns the range of the `StoreCallIds` that @p id comes from.
+[[nodiscard]] inline std::uint16_t storeCallRange(StoreCallId id)
+{
+    return static_cast<std::uint16_t>(id.value() >> 48U);
+}
+
 /// Returns true if @p operation counts against the store's limit of writes; all others count as reads.
 [[nodiscard]] inline bool isWrite(const StoreOperation &operation)
 {
