--- a/ibismast/entry/completionflow.h
+++ b/ibismast/entry/completionflow.h
@@ -1,8 +1,11 @@
 #pragma once
 
-#include "ibismast/entry/completion.h"
-#include "ibismast/entry/entrycontext.h"
-#include "ibismast/entry/timerqueue.h"
+#include "ibismast/entry/attemptdispatcher.h"
+#include "ibismast/entry/completionadmission.h"
+#include "ibismast/entry/completiontable.h"
+#include "ibismast/entry/groupflow.h"
+#include "ibismast/entry/retryplanner.h"
+#include "ibismast/entry/unsentcancels.h"
 
 namespace ibismast
 {
@@ -21,6 +24,8 @@
     void handle(const PeerFrame &frame, const StreamPart &message, TimePoint now, EntryActions &out);
     void handle(const PeerFrame &frame, const StreamEnd &message, TimePoint now, EntryActions &out);
     void handle(const PeerFrame &frame, const AttemptFailed &message, TimePoint now, EntryActions &out);
+    void handle(const PeerFrame &frame, const ReserveResult &message, TimePoint now, EntryActions &out);
+    void handle(const PeerFrame &frame, const SegmentExported &message, TimePoint now, EntryActions &out);
     void handle(const PeerFrame &frame, const CancelResult &message, TimePoint now, EntryActions &out);
 
     /// The agent's connection or process ended; its attempts continue on other upstreams.
@@ -30,36 +35,30 @@
     /// Does what is due: deadlines, retries, unanswered messages.
     void runDue(TimePoint now, EntryActions &out);
 
-    [[nodiscard]] std::size_t openRequests() const;
-    /// Adds the upstreams that hold an attempt that has not ended to @p upstreams.
-    void collectActive(std::set<InstanceId> &upstreams) const;
+    [[nodiscard]] const CompletionTable &table() const;
 
 private:
-    using Completions = std::map<RequestId, Completion>;
-
-    /// Attempt whose agent was unreachable when it had to be cancelled.
-    struct UnsentCancel
-    {
-        AttemptId attempt;
-        TimePoint deadline;
-    };
-
-    Completion *find(const RequestId &request);
+    /// Reserves a group for the next attempt, or waits to try again, or fails.
+    void startGroup(Completion &completion, TimePoint now, EntryActions &out);
+    void groupRefused(Completion &completion, const Error &error, TimePoint now, EntryActions &out);
     void startAttempt(Completion &completion, TimePoint now, EntryActions &out);
-    void sendAttempt(Completion &completion, Upstream &upstream, TimePoint now, EntryActions &out);
-    void setPhase(Completion &completion, CompletionPhase phase, TimePoint until);
     void cancelAttempt(Completion &completion, TimePoint now, EntryActions &out);
-    /// The last attempt has ended with @p state; retries or fails.
-    void attemptEnded(Completion &completion, PlaceState state, const Error &error, TimePoint now, EntryActions &out);
-    void retryOrFail(Completion &completion, const Error &error, TimePoint now, EntryActions &out);
+    /// The last attempt has ended; plans the next one or fails.
+    void attemptEnded(Completion &completion, RetryCause cause, const Error &error, TimePoint now, EntryActions &out);
+    /// Gives up an attempt whose cancellation was not answered.
+    void abandonAttempt(Completion &completion, TimePoint now, EntryActions &out);
+    void endWaiting(Completion &completion, TimePoint now, EntryActions &out);
     void onTimer(Completion &completion, TimePoint now, EntryActions &out);
     void fail(Completion &completion, Error error, EntryActions &out);
     void finish(Completion &completion, EntryActions &out);
 
     EntryContext &m_context;
-    Completions m_completions;
-    TimerQueue m_timers;
-    std::map<InstanceId, std::vector<UnsentCancel>> m_unsentCancels;
+    CompletionAdmission m_admission;
+    AttemptDispatcher m_dispatcher;
+    GroupFlow m_groups;
+    RetryPlanner m_retries;
+    CompletionTable m_table;
+    UnsentCancels m_unsentCancels;
 };
 
 } // namespace ibismast
--- a/ibismast/entry/entrycore.cpp
+++ b/ibismast/entry/entrycore.cpp
@@ -1,17 +1,28 @@
 #include "ibismast/entry/entrycore.h"
 
 #include "ibismast/entry/completionflow.h"
+#include "ibismast/entry/heartbeatsender.h"
 #include "ibismast/entry/serviceflow.h"
 
 namespace ibismast
 {
 
+namespace
+{
+
+constexpr int SweepsPerHeartbeat = 10;
+
+} // namespace
+
 /// Connects the parts of an entry and gives each message to the part that it concerns.
 class EntryCore::Private
 {
 public:
     Private(const EntryCoreSettings &settings, PeerSummary self, std::uint64_t seed, EventListener *listener)
-        : context(settings, std::move(self), seed, listener), completions(context), services(context)
+        : context(settings, std::move(self), seed, listener)
+        , completions(context)
+        , services(context)
+        , heartbeats(context)
     {
     }
 
@@ -22,11 +33,27 @@
         services.runDue(now, out);
     }
 
-    /// @p announced is true if the agent had said that it was leaving.
-    void upstreamLost(const InstanceId &agent, bool announced, TimePoint now, EntryActions &out)
+    /// State of an upstream before it is lost.
+    struct Loss
+    {
+        /// True if the agent had said that it was leaving, or its loss was noted already.
+        bool expected = true;
+        std::vector<ModelName> models;
+    };
+
+    Loss describeLoss(const InstanceId &agent)
+    {
+        const Upstream *upstream = context.upstreams.find(agent);
+        return upstream == nullptr ? Loss() : Loss {upstream->leaving || !upstream->connected, upstream->load.models};
+    }
+
+    void upstreamLost(const InstanceId &agent, const Loss &loss, TimePoint now, EntryActions &out)
     {
-        if (!announced) {
+        if (!loss.expected) {
             context.health.noteLost(agent, context.upstreams.all().size(), now);
+            for (const ModelName &model : loss.models) {
+                context.capacity.noteLost(model, context.upstreams.liveCount(model), now);
+            }
         }
         context.report("upstream_lost", {{"upstream", agent.value()}});
         completions.upstreamLost(agent, now, out);
@@ -45,38 +72,27 @@
         }
     }
 
-    void sendHeartbeats(TimePoint now, EntryActions &out)
+    /// Heartbeats, overdue heartbeats and old refusals. The cost grows with the number of known upstreams, so this is
+    /// not done at every tick.
+    void sweep(TimePoint now, EntryActions &out)
     {
-        std::set<InstanceId> receivers;
-        completions.collectActive(receivers);
-        services.collectActive(receivers);
-        for (const auto &[id, upstream] : context.upstreams.all()) {
-            if (!upstream.connected) {
-                continue;
-            }
-            // An agent that has not reported its load yet is not in any subset, but must learn of this entry.
-            if (upstream.incarnation == Incarnation() || receivers.contains(id)
-                || context.upstreams.isInSubset(upstream)) {
-                sendHeartbeat(id, now, out);
-            }
+        for (const InstanceId &agent : context.upstreams.checkSilence(now)) {
+            const Upstream &upstream = *context.upstreams.find(agent);
+            upstreamLost(agent, Loss {upstream.leaving, upstream.load.models}, now, out);
         }
-    }
-
-    void sendHeartbeat(const InstanceId &receiver, TimePoint now, EntryActions &out)
-    {
-        TimePoint &due = nextHeartbeat[receiver];
-        if (now < due) {
-            return;
-        }
-        const Duration interval = context.settings.heartbeatInterval;
-        due = now + interval * 9 / 10 + fromSeconds(toSeconds(interval) * 0.2 * context.random.uniform());
-        out.emplace_back(SendToPeer {receiver, Heartbeat {context.self, std::nullopt, {}}});
+        context.refusals.dropOld(now);
+        std::set<InstanceId> active;
+        completions.table().collectActive(active);
+        services.collectActive(active);
+        heartbeats.send(active, now, out);
+        nextSweep = now + context.settings.heartbeatInterval / SweepsPerHeartbeat;
     }
 
     EntryContext context;
     CompletionFlow completions;
     ServiceFlow services;
-    std::map<InstanceId, TimePoint> nextHeartbeat;
+    HeartbeatSender heartbeats;
+    TimePoint nextSweep = TimePoint::min();
 };
 
 EntryCore::EntryCore(const EntryCoreSettings &settings, PeerSummary self, std::uint64_t seed, EventListener *listener)
@@ -119,20 +135,27 @@
         return;
     }
     const Upstream *known = d->context.upstreams.find(frame.sender);
-    // A loss that was announced, or noted when the connection ended, is not counted as a failure again.
-    const bool announced = known != nullptr && (known->leaving || !known->connected);
+    Private::Loss loss;
+    if (known != nullptr && known->incarnation != frame.incarnation) {
+        loss = d->describeLoss(frame.sender);
+    }
     switch (d->context.upstreams.noteFrame(frame.sender, frame.incarnation, now)) {
     case UpstreamView::Change::Stale:
         return;
     case UpstreamView::Change::Restarted:
-        d->upstreamLost(frame.sender, announced, now, out);
+        d->upstreamLost(frame.sender, loss, now, out);
         break;
     case UpstreamView::Change::None:
         break;
     }
     if (heartbeat != nullptr) {
         d->context.upstreams.applyHeartbeat(*heartbeat, now);
-        d->services.agentReported(*d->context.upstreams.find(frame.sender), now, out);
+        Upstream &upstream = *d->context.upstreams.find(frame.sender);
+        // Claims of upstreams that are never chosen would only crowd out the others.
+        if (d->context.upstreams.isInSubset(upstream)) {
+            d->context.prefixes.update(upstream, upstream.load.cachedPrefixes, now);
+        }
+        d->services.agentReported(upstream, now, out);
         return;
     }
     std::visit(
@@ -152,18 +175,16 @@
 {
     d->runDue(now, out);
     d->context.upstreams.setConnected(peer, true, now);
-    d->nextHeartbeat.erase(peer);
-    d->sendHeartbeat(peer, now, out);
+    d->heartbeats.sendNow(*d->context.upstreams.find(peer), now, out);
     d->completions.upstreamConnected(peer, now, out);
 }
 
 void EntryCore::peerDisconnected(const InstanceId &peer, TimePoint now, EntryActions &out)
 {
     d->runDue(now, out);
-    const Upstream *known = d->context.upstreams.find(peer);
-    const bool announced = known == nullptr || known->leaving || !known->connected;
+    const Private::Loss loss = d->describeLoss(peer);
     d->context.upstreams.setConnected(peer, false, now);
-    d->upstreamLost(peer, announced, now, out);
+    d->upstreamLost(peer, loss, now, out);
 }
 
 void EntryCore::instanceLeaving(const InstanceId &instance, TimePoint now, EntryActions &out)
@@ -175,10 +196,9 @@
 void EntryCore::tick(TimePoint now, EntryActions &out)
 {
     d->runDue(now, out);
-    for (const InstanceId &agent : d->context.upstreams.checkSilence(now)) {
-        d->upstreamLost(agent, d->context.upstreams.find(agent)->leaving, now, out);
+    if (now >= d->nextSweep) {
+        d->sweep(now, out);
     }
-    d->sendHeartbeats(now, out);
 }
 
 void EntryCore::beginShutdown(TimePoint now, EntryActions &out)
@@ -186,13 +206,13 @@
     d->runDue(now, out);
     d->context.shuttingDown = true;
     d->context.self.state = InstanceState::Leaving;
-    d->nextHeartbeat.clear();
-    d->sendHeartbeats(now, out);
+    d->heartbeats.announce();
+    d->sweep(now, out);
 }
 
 std::size_t EntryCore::openRequests() const
 {
-    return d->completions.openRequests() + d->services.openRequests();
+    return d->completions.table().size() + d->services.openRequests();
 }
 
 } // namespace ibismast
--- a/ibismast/store/keyvaluestore.h
+++ b/ibismast/store/keyvaluestore.h
@@ -49,6 +49,9 @@
     return static_cast<std::uint16_t>(id.value() >> 48U);
 }
 
+/// Appends a call to @p calls.
+void appendCall(StoreCalls &calls, StoreCallId id, StoreOperation operation);
+
 /// Returns true if @p operation counts against the store's limit of writes; all others count as reads.
 [[nodiscard]] inline bool isWrite(const StoreOperation &operation)
 {
