Serve the operators' calls in the entry

Cause: OperatorService could only be called from within the process.

The client certificate's only common name is the operator and its only organisational unit the role; a certificate without them or of another authority gets no answer. Without TLS the server listens on loopback addresses only, and the settings give the name and the role.

--- a/adapters/entrydaemon.cpp
+++ b/adapters/entrydaemon.cpp
@@ -58,6 +58,11 @@
     return m_fleet ? static_cast<const ConfigSource &>(m_fleet->config()) : *m_config;
 }
 
+quint16 EntryDaemon::operatorPort() const
+{
+    return m_operatorPort;
+}
+
 OperatorDriver *EntryDaemon::operators()
 {
     return m_operators.get();
@@ -120,6 +125,19 @@
                               m_fleet->stop();
                           }});
     }
+    if (m_fleet && m_settings.operators) {
+        m_operatorPort = m_settings.operators->listen.port;
+        m_supervisor.add({"operators",
+                          [this] {
+                              m_operatorServer = std::make_unique<OperatorServer>(*m_settings.operators, *m_operators);
+                              Result<Success> result = m_operatorServer->listen(m_operatorPort);
+                              m_operatorPort = m_operatorServer->port();
+                              return result;
+                          },
+                          [this] {
+                              m_operatorServer.reset();
+                          }});
+    }
     if (m_settings.instances) {
         m_instances = std::make_unique<InstanceListClient>(*m_settings.instances,
                                                            [this](const std::vector<PeerSummary> &instances) {
--- a/adapters/entrydaemon.h
+++ b/adapters/entrydaemon.h
@@ -9,6 +9,7 @@
 #include "adapters/logging.h"
 #include "adapters/metrics.h"
 #include "adapters/operatordriver.h"
+#include "adapters/operatorserver.h"
 #include "adapters/supervisor.h"
 #include "adapters/tls.h"
 
@@ -33,6 +34,8 @@
     /// Key-value service and the fleet's configuration in it. Without it the declarations of the settings file are in
     /// force and `Idempotency-Key` is refused with `StoreUnavailable`.
     std::optional<FleetSettings> store;
+    /// Address for operators; needs `store`.
+    std::optional<OperatorServerSettings> operators;
     EntryCoreSettings core;
     /// Time that requests have to end after the first stop signal.
     Duration stopTimeout = std::chrono::minutes(10);
@@ -66,6 +69,8 @@
     [[nodiscard]] EntryProcess &process();
     /// Returns the configuration in force.
     [[nodiscard]] const ConfigSource &config() const;
+    /// Port for operators; 0 if they are not served.
+    [[nodiscard]] quint16 operatorPort() const;
     /// Returns the operators' calls, or null if the settings name no key-value service.
     [[nodiscard]] OperatorDriver *operators();
 
@@ -83,6 +88,9 @@
     std::unique_ptr<ConfigDriver> m_fleet;
     AuditLog m_auditLog;
     std::unique_ptr<OperatorDriver> m_operators;
+    std::unique_ptr<OperatorServer> m_operatorServer;
+    /// Port that the system chose, kept over a restart of the server.
+    quint16 m_operatorPort = 0;
     EntryProcess m_process;
     std::unique_ptr<HttpFront> m_front;
     std::unique_ptr<InstanceListClient> m_instances;
--- a/adapters/entrysettings.cpp
+++ b/adapters/entrysettings.cpp
@@ -77,6 +77,10 @@
         "instance", "tick_interval_ms", settings.process.tickInterval, milliseconds(1), milliseconds(1000));
     settings.instances = readInstanceList(file);
     settings.store = readFleet(file);
+    settings.operators = readOperators(file);
+    if (settings.operators && !settings.store) {
+        file.refuse("store", "gateway", {}, "set, because [operators] listen is");
+    }
     const Result<Success> valid = validate(settings.core);
     if (const Error *error = errorOf(valid)) {
         file.refuse("core", "settings", {}, error->message);
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -30,7 +30,9 @@
   key_sha256 = <SHA-256 of the API key: printf %s KEY | sha256sum>
 
 With [store] gateway = http://127.0.0.1:2379 the fleet's configuration in the key-value service takes the place of the
-sections [model.*], [service.*] and [customer.*].
+sections [model.*], [service.*] and [customer.*]. Operators are served at [operators] listen = 127.0.0.1:7443, with
+tls_certificate, tls_key and tls_authority; the client certificate's common name is the operator, its organisational
+unit the role (viewer, editor or admin). Without TLS only loopback addresses are allowed, and plain_role is the role.
 
 SIGTERM or SIGINT stops after the open requests have ended; a second signal stops at once.
 Exit status: 0 stopped without cutting a request, 1 requests were cut, 2 wrong settings, 3 failure.)"};
@@ -74,7 +76,10 @@
         logEvent(spdlog::level::err, "start_failed", {{"reason", error->message}});
         return FailureExitStatus;
     }
-    logEvent(spdlog::level::info, "started", {{"http_port", std::to_string(daemon.httpPort())}});
+    logEvent(
+        spdlog::level::info,
+        "started",
+        {{"http_port", std::to_string(daemon.httpPort())}, {"operator_port", std::to_string(daemon.operatorPort())}});
     return runUntilStopped({[&daemon] {
                                 daemon.beginShutdown();
                             },
