--- a/adapters/agentdaemon.h
+++ b/adapters/agentdaemon.h
@@ -2,6 +2,7 @@
 
 #include "adapters/agentprocess.h"
 #include "adapters/fleetsettings.h"
+#include "adapters/gracefulstop.h"
 #include "adapters/logging.h"
 #include "adapters/metrics.h"
 #include "adapters/settingsfile.h"
@@ -24,8 +25,8 @@
     /// Key-value service and the fleet's configuration in it, if there is one.
     std::optional<FleetSettings> store;
     AgentCoreSettings core;
-    /// Time that work has to end after the first stop signal.
-    Duration stopTimeout = std::chrono::minutes(10);
+    /// Times of a stop after the first signal.
+    StopTimes stop {std::chrono::seconds(1), std::chrono::minutes(10)};
 };
 
 /// Reads the settings of an agent; violations are reported by `SettingsFile::finish`.
