Let a stop of the entry wait for the operators' calls

Cause: a planned stop counted callers' requests only, so an operator could lose the answer to a change.

Change: the entry's open requests include the operators' calls that have not been answered.

--- a/UnitTests/adapters/operatordrivertest.cpp
+++ b/UnitTests/adapters/operatordrivertest.cpp
@@ -100,6 +100,24 @@
     CHECK(FleetFixture::call<HistoryReply>(*fleet.second, HistoryCall {}).changes.size() == 1);
 }
 
+// Guards against a stop that leaves an operator without the outcome of a change.
+TEST_CASE("a stop waits for the operators' calls", "[fleet][operators]")
+{
+    TwoEntries fleet;
+    const auto plan = FleetFixture::call<PlanReply>(*fleet.first, PlanCall {{{"fleet.ini", model("1")}}, false});
+    bool answered = false;
+    fleet.first->operators()->call(
+        {"ana", OperatorRole::Editor}, FleetFixture::toApply(plan, "change-1"), [&answered](const OperatorReply &) {
+            answered = true;
+        });
+    fleet.first->beginShutdown();
+    CHECK(fleet.first->openRequests() == 1);
+    REQUIRE(runUntil([&answered] {
+        return answered;
+    }));
+    CHECK(fleet.first->openRequests() == 0);
+}
+
 // Guards against an operator who changes the fleet without the role for it, and against refusals that leave no trace.
 TEST_CASE("a call beyond the operator's role is refused and recorded", "[fleet][operators]")
 {
--- a/adapters/entrydaemon.cpp
+++ b/adapters/entrydaemon.cpp
@@ -84,7 +84,8 @@
 std::size_t EntryDaemon::openRequests() const
 {
     // The last bytes of ended requests must reach the callers too.
-    return std::max(m_process.openRequests(), m_front ? m_front->guard().answeringCount() : 0);
+    const std::size_t requests = std::max(m_process.openRequests(), m_front ? m_front->guard().answeringCount() : 0);
+    return requests + (m_operators ? m_operators->openCalls() : 0);
 }
 
 void EntryDaemon::stop()
--- a/adapters/entrydaemon.h
+++ b/adapters/entrydaemon.h
@@ -60,7 +60,7 @@
     [[nodiscard]] Result<Success> start();
     /// Refuses new requests; those in progress go on.
     void beginShutdown();
-    /// Number of requests that have not ended or whose answers have not been sent completely.
+    /// Number of requests and operators' calls that have not ended or whose answers have not been sent completely.
     [[nodiscard]] std::size_t openRequests() const;
     /// Stops all parts in reverse order.
     void stop();
--- a/adapters/operatordriver.cpp
+++ b/adapters/operatordriver.cpp
@@ -72,6 +72,11 @@
     });
 }
 
+std::size_t OperatorDriver::openCalls() const
+{
+    return m_handlers.size();
+}
+
 bool OperatorDriver::busy() const
 {
     return m_service.busy();
--- a/adapters/operatordriver.h
+++ b/adapters/operatordriver.h
@@ -32,6 +32,8 @@
     void stop();
     /// Starts a call. @p handler is called once, from the event loop and never within this function.
     void call(const OperatorIdentity &who, OperatorRequest request, ReplyHandler handler);
+    /// Number of calls that have not been answered.
+    [[nodiscard]] std::size_t openCalls() const;
     /// True while a change or an audit record waits for the store.
     [[nodiscard]] bool busy() const;
 
