Avoid a widening cast behind a sum

Cause: clang-tidy reported bugprone-misplaced-widening-cast in operatorconnection.cpp.

Change: the sum is computed before the cast.

--- a/adapters/operatorconnection.cpp
+++ b/adapters/operatorconnection.cpp
@@ -34,7 +34,8 @@
 {
     m_socket->setParent(this);
     // Bytes that are not read yet wait in the kernel, so that a sender of an oversized frame is held up.
-    m_socket->setReadBufferSize(static_cast<qint64>(LengthBytes + m_settings.maxFrameBytes));
+    const std::size_t longest = LengthBytes + m_settings.maxFrameBytes;
+    m_socket->setReadBufferSize(static_cast<qint64>(longest));
     connect(m_socket, &QTcpSocket::readyRead, this, &OperatorConnection::read);
     connect(m_socket, &QTcpSocket::bytesWritten, this, &OperatorConnection::read);
     if (const auto *encrypted = qobject_cast<QSslSocket *>(m_socket)) {
