--- a/UnitTests/adapters/fleetconfigtest.cpp
+++ b/UnitTests/adapters/fleetconfigtest.cpp
@@ -195,6 +195,9 @@
             // The agent starts again without a configuration, behind the same name.
             agent.reset();
             seen.erase("agent-1");
+            REQUIRE(runUntil([&entry] {
+                return entry->process().connectedAgents() == 1;
+            }));
             agent = fleet.startAgent("agent-1", 2);
             entry->process().setAgents(
                 {{InstanceId("agent-1"), QHostAddress(QHostAddress::LocalHost), agent->peerPort()},
