--- a/ibismast/store/keyvaluestore.h
+++ b/ibismast/store/keyvaluestore.h
@@ -43,6 +43,12 @@
     std::uint64_t m_next;
 };
 
+/// Returns the range of the `StoreCallIds` that @p id comes from.
+[[nodiscard]] inline std::uint16_t storeCallRange(StoreCallId id)
+{
+    return static_cast<std::uint16_t>(id.value() >> 48U);
+}
+
 /// Appends a call to @p calls.
 void appendCall(StoreCalls &calls, StoreCallId id, StoreOperation operation);
 
