Duplicate a message without delaying the original

Cause: the fault delayed both copies, so that a duplicate always came after later parts and ended the attempt as a gap; the matrix passed although a trial mutation of StreamAssembler kept duplicates. Change: the original arrives on time and the copy 20 ms later.

--- a/UnitTests/harness/faultmatrix.cpp
+++ b/UnitTests/harness/faultmatrix.cpp
@@ -159,7 +159,7 @@
          }},
         {"message-duplicated",
          [](Fleet &, const Step &) {
-             return Fate {.copies = 1, .delay = milliseconds(20)};
+             return Fate {.copies = 1};
          }},
         {"message-delayed",
          [](Fleet &, const Step &) {
--- a/UnitTests/harness/fleetlinks.cpp
+++ b/UnitTests/harness/fleetlinks.cpp
@@ -7,6 +7,14 @@
 namespace ibismast::harness
 {
 
+namespace
+{
+
+/// Time between a message and each further copy of it; other messages arrive in between.
+constexpr Duration CopyInterval = std::chrono::milliseconds(20);
+
+} // namespace
+
 void Fleet::Private::connect(const InstanceId &entry, const InstanceId &agent)
 {
     Link &link = m_links[{entry, agent}];
@@ -70,9 +78,13 @@
     if (fate.crossed && !toAgent) {
         crossToOtherEntries(entry, agent, frame);
     }
-    const int deliveries = (fate.deliver ? 1 : 0) + fate.copies;
-    for (int i = 0; i < deliveries; ++i) {
-        at(arrival + fate.delay * i, [this, entry, agent, toAgent, epoch, frame] {
+    if (fate.deliver) {
+        at(arrival, [this, entry, agent, toAgent, epoch, frame] {
+            receive(entry, agent, toAgent, epoch, frame);
+        });
+    }
+    for (int copy = 1; copy <= fate.copies; ++copy) {
+        at(arrival + CopyInterval * copy, [this, entry, agent, toAgent, epoch, frame] {
             receive(entry, agent, toAgent, epoch, frame);
         });
     }
