Delete unclaimed sockets before the guard's members; retry an operation after a restart

Cause: a socket that had disconnected before it was taken was no longer in the guard's list, and QTcpServer deleted it after the list was gone; the address sanitizer reported a use after free in the TLS test. Change: the destructor closes the server first. The fault scenario's caller tries its operation id again after 6 s, so that an agent that restarted in between is asked for an operation of its earlier incarnation.

--- a/UnitTests/harness/faultmatrixtest.cpp
+++ b/UnitTests/harness/faultmatrixtest.cpp
@@ -33,7 +33,7 @@
     const CellResult result = runScenario({}, Seed);
     INFO(describe({}, Seed, result));
     CHECK(result.violations.empty());
-    CHECK(result.endings == "answer=10 connection-lost=1");
+    CHECK(result.endings == "answer=11 connection-lost=1");
 }
 
 TEST_CASE("the scenario is deterministic", "[faults]")
--- a/UnitTests/harness/fleetcallers.cpp
+++ b/UnitTests/harness/fleetcallers.cpp
@@ -11,6 +11,9 @@
 /// Bytes of a prompt for each token, as callers' texts are counted.
 constexpr std::size_t BytesPerToken = 4;
 
+/// Time of a caller's last retry of an operation.
+constexpr Duration LateRetry = std::chrono::seconds(6);
+
 } // namespace
 
 std::size_t
@@ -101,6 +104,10 @@
         at(m_now + m_settings.latency * 3, [=, this] {
             callService(other, logicalCall, {}, operation, timeLeft);
         });
+        // A last retry comes after an agent that was lost meanwhile has restarted.
+        at(m_now + LateRetry, [=, this] {
+            callService(other, logicalCall, {}, operation, timeLeft);
+        });
     });
 }
 
--- a/adapters/guardserver.cpp
+++ b/adapters/guardserver.cpp
@@ -24,7 +24,9 @@
 
 GuardServer::~GuardServer()
 {
-    // QTcpServer deletes the sockets that nobody has taken after the members of this class are gone.
+    // Deletes the sockets that nobody has taken while the members that their signals use still exist. A socket that has
+    // disconnected is no longer in m_sockets but may still wait to be taken.
+    close();
     for (GuardedSocket *socket : m_sockets) {
         socket->disconnect(this);
     }
