Run the demo and the process test on the fleet's configuration

Cause: a process with a [store] section takes the fleet's configuration and ignores declarations in its settings, so that the fleet of the scripts had no customers. Change: the scripts apply declarations through ibismastctl; entries and agents read them from the key-value service.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -24,7 +24,8 @@
 # Builds what the fleet needs.
 fleet_build() {
     cmake -S . -B "${BUILD_FOLDER}" -G Ninja > /dev/null
-    cmake --build "${BUILD_FOLDER}" --target ibismast-standin ibismast-entry ibismast-agent ibismast-load
+    cmake --build "${BUILD_FOLDER}" --target ibismast-standin ibismast-entry ibismast-agent ibismast-load \
+        ibismastctl
 }
 
 # fleet_program NAME: prints the path of a built program.
@@ -86,11 +87,20 @@
         \"address\":\"127.0.0.1:${FLEET_PORTS[$1]}\"}]}"
 }
 
+# fleet_store_section: prints the section that makes a process take the fleet's configuration.
+fleet_store_section() {
+    printf '[store]\ngateway = http://127.0.0.1:%s\ncall_timeout_ms = 500\n' "${FLEET_PORTS[keyvalue]}"
+    printf 'reads_per_second = 200\nwrites_per_second = 100\n'
+}
+
 # fleet_agent ID DOMAIN SECTION: starts an agent; SECTION is the text of its [engine] or [service] section.
 fleet_agent() {
     local id="$1" domain="$2" section="$3" settings="${FLEET_FOLDER}/$1.ini"
-    printf '[instance]\nid = %s\ndomain = %s\n[peers]\nlisten = 127.0.0.1:0\n%s\n' "${id}" "${domain}" "${section}" \
-        > "${settings}"
+    {
+        printf '[instance]\nid = %s\ndomain = %s\n[peers]\nlisten = 127.0.0.1:0\n%s\n' \
+            "${id}" "${domain}" "${section}"
+        fleet_store_section
+    } > "${settings}"
     fleet_start "${id}" "${AGENT}" --settings "${settings}"
     fleet_wait_port "${id}" peer_port
     sed -i "s/^listen = .*/listen = 127.0.0.1:${FLEET_PORTS[${id}]}/" "${settings}"
@@ -105,25 +115,54 @@
 memory_capacity_tokens = ${ENGINE_CAPACITY}"
 }
 
-# fleet_entry ID DOMAIN: starts an entry that finds its agents on the instance list. CUSTOMERS holds name:key:weight.
-fleet_entry() {
-    local id="$1" domain="$2" settings="${FLEET_FOLDER}/$1.ini" customer name key weight
+# fleet_declare: writes the fleet's declarations to fleet.ini. CUSTOMERS holds name:key:weight.
+fleet_declare() {
+    local customer name key weight
     {
-        printf '[instance]\nid = %s\ndomain = %s\n' "${id}" "${domain}"
-        printf '[http]\nlisten = 127.0.0.1:0\n'
-        printf '[instances]\nurl = http://127.0.0.1:%s/instances\ninterval_ms = 200\n' "${FLEET_PORTS[instancelist]}"
-        printf '[store]\ngateway = http://127.0.0.1:%s\ncall_timeout_ms = 500\n' "${FLEET_PORTS[keyvalue]}"
-        printf '[model.model]\nmax_prompt_tokens = 1000000\n'
-        printf '[service.registration]\nidempotent_methods = GET\n'
+        printf '[model model]\nversion = 1\ncopies_per_domain = 1\nmemory_tokens = %s\n' "${ENGINE_CAPACITY}"
+        printf '[service registration]\naddress = 127.0.0.1:1\n'
+        printf '[call registration-read]\nservice = registration\nmethod = GET\npath = /**\n'
         for customer in "${CUSTOMERS[@]}"; do
             IFS=: read -r name key weight <<< "${customer}"
-            printf '[customer.%s]\nweight = %s\nkey_sha256 = %s\n' "${name}" "${weight}" \
+            printf '[customer %s]\nweight = %s\napi_key_sha256 = %s\n' "${name}" "${weight}" \
                 "$(printf %s "${key}" | sha256sum | cut -d' ' -f1)"
         done
+    } > "${FLEET_FOLDER}/fleet.ini"
+}
+
+# fleet_entry ID DOMAIN: starts an entry that finds its agents on the instance list and its configuration in the
+# key-value service.
+fleet_entry() {
+    local id="$1" domain="$2" settings="${FLEET_FOLDER}/$1.ini"
+    {
+        printf '[instance]\nid = %s\ndomain = %s\n' "${id}" "${domain}"
+        printf '[http]\nlisten = 127.0.0.1:0\n'
+        printf '[instances]\nurl = http://127.0.0.1:%s/instances\ninterval_ms = 200\n' "${FLEET_PORTS[instancelist]}"
+        fleet_store_section
+        printf '[operators]\nlisten = 127.0.0.1:0\nplain_name = operator\nplain_role = editor\n'
     } > "${settings}"
     fleet_start "${id}" "${ENTRY}" --settings "${settings}"
+    fleet_wait_port "${id}" operator_port
+    FLEET_PORTS[${id}-operators]="${FLEET_PORTS[${id}]}"
     fleet_wait_port "${id}" http_port
-    sed -i "s/^listen = .*/listen = 127.0.0.1:${FLEET_PORTS[${id}]}/" "${settings}"
+    sed -i "s/^listen = 127.0.0.1:0/listen = 127.0.0.1:${FLEET_PORTS[${id}]}/;
+        /^\[operators\]/,\$s/^listen = .*/listen = 127.0.0.1:${FLEET_PORTS[${id}-operators]}/" "${settings}"
+}
+
+# fleet_apply ENTRY: makes the declarations the fleet's configuration, through the operators' service of an entry.
+fleet_apply() {
+    local attempt
+    fleet_declare
+    for attempt in $(seq 20); do
+        if "${CTL}" --port "${FLEET_PORTS[$1-operators]}" apply --wait --wait-seconds 10 --change-id first \
+            "${FLEET_FOLDER}/fleet.ini" > "${FLEET_FOLDER}/apply.log" 2>&1; then
+            return 0
+        fi
+        sleep 0.1
+    done
+    echo "the declarations were not applied:" >&2
+    cat "${FLEET_FOLDER}/apply.log" >&2
+    return 1
 }
 
 # fleet_wait_ready ENTRY: waits until the entry takes requests and a completion succeeds.
@@ -167,4 +206,5 @@
     AGENT="$(fleet_program ibismast-agent)"
     ENTRY="$(fleet_program ibismast-entry)"
     LOAD="$(fleet_program ibismast-load)"
+    CTL="$(fleet_program ibismastctl)"
 }
