Never repeat a POST without a declaration; let a declared drain take effect

Cause: with the fleet's configuration a call that nobody had declared as non-idempotent counted as repeatable, a POST too; a forgotten declaration could lead to a second booking. The examples read [call] the other way round and left their bookings undeclared. A [drain] declaration was accepted and had no effect. Change: POST and PATCH are never repeated; GET, HEAD, OPTIONS, PUT and DELETE are repeatable unless declared. The test that expected POST to be repeatable expects the opposite now. An agent that the configuration declares as draining begins its shutdown and tells its peers.

--- a/UnitTests/adapters/fleetconfigtest.cpp
+++ b/UnitTests/adapters/fleetconfigtest.cpp
@@ -8,7 +8,7 @@
 const std::string Fleet = "[customer registry]\nweight = 2\napi_key_sha256 = " + keyHash("secret")
     + "\n[model small]\nversion = 1\ncopies_per_domain = 1\nmemory_tokens = 1000\n"
       "[service booking]\naddress = 127.0.0.1:9\n"
-      "[call book]\nservice = booking\nmethod = POST\npath = /orders/*/book\n";
+      "[call book]\nservice = booking\nmethod = PUT\npath = /orders/*/book\n";
 
 std::string get(quint16 port, const std::string &path, const std::string &headers = {})
 {
@@ -52,9 +52,12 @@
     CHECK(config.models() == std::vector {ModelName("small")});
     CHECK(config.model(ModelName("large")) == nullptr);
     CHECK(config.service(ServiceName("booking")) != nullptr);
-    CHECK_FALSE(config.isIdempotent(ServiceName("booking"), "POST", "/orders/7/book?x=1"));
+    CHECK_FALSE(config.isIdempotent(ServiceName("booking"), "PUT", "/orders/7/book?x=1"));
     CHECK(config.isIdempotent(ServiceName("booking"), "GET", "/orders/7/book"));
-    CHECK(config.isIdempotent(ServiceName("booking"), "POST", "/orders/7"));
+    CHECK(config.isIdempotent(ServiceName("booking"), "PUT", "/orders/7"));
+    // A POST or PATCH is not repeated even if nobody has declared it.
+    CHECK_FALSE(config.isIdempotent(ServiceName("booking"), "POST", "/orders/7"));
+    CHECK_FALSE(config.isIdempotent(ServiceName("booking"), "PATCH", "/orders/7"));
 
     declare("[model large]\nversion = 1\ncopies_per_domain = 1\nmemory_tokens = 1000\n");
     replica.applyState(state);
@@ -63,7 +66,24 @@
     CHECK(config.customerOfKey(keyHash("secret")) == nullptr);
     CHECK(config.models() == std::vector {ModelName("large")});
     CHECK(config.service(ServiceName("booking")) == nullptr);
-    CHECK(config.isIdempotent(ServiceName("booking"), "POST", "/orders/7/book"));
+    CHECK(config.isIdempotent(ServiceName("booking"), "PUT", "/orders/7/book"));
+    CHECK_FALSE(config.isIdempotent(ServiceName("booking"), "POST", "/orders/7/book"));
+}
+
+// Guards against a drain declaration that has no effect on the agent it names.
+TEST_CASE("a declared drain makes the agent leave", "[fleet]")
+{
+    FleetFixture fleet;
+    const auto agent = fleet.startAgent("agent-1");
+    const auto entry = fleet.startEntry("entry-1", "agent-1@" + FleetFixture::address(agent->peerPort()));
+    REQUIRE(runUntil([&] {
+        return entry->config().ready() && agent->config()->ready();
+    }));
+    CHECK_FALSE(agent->isLeaving());
+    REQUIRE(FleetFixture::apply(*entry, "drain-1", "[drain agent-1]\nreason = repair\n").code == ResultCode::Ok);
+    CHECK(runUntil([&] {
+        return agent->isLeaving();
+    }));
 }
 
 // Guards against a change that stays in the process that accepted it.
--- a/adapters/agentdaemon.cpp
+++ b/adapters/agentdaemon.cpp
@@ -131,6 +131,11 @@
     return m_supervisor.start();
 }
 
+bool AgentDaemon::isLeaving() const
+{
+    return m_process.isLeaving();
+}
+
 void AgentDaemon::beginShutdown()
 {
     m_process.beginShutdown();
--- a/adapters/agentdaemon.h
+++ b/adapters/agentdaemon.h
@@ -43,6 +43,8 @@
     [[nodiscard]] Result<Success> start();
     /// Refuses new work; that in progress goes on.
     void beginShutdown();
+    /// True once the agent refuses new work, after a signal or a declared drain.
+    [[nodiscard]] bool isLeaving() const;
     /// Number of attempts, reservations and operations that have not ended or whose last message is not sent yet.
     [[nodiscard]] std::size_t openWork();
     /// Stops all parts in reverse order.
--- a/adapters/agentprocess.cpp
+++ b/adapters/agentprocess.cpp
@@ -62,6 +62,7 @@
         }
     });
     connect(&m_timer, &QTimer::timeout, this, [this] {
+        followDrainDeclaration();
         m_loop.feed([this](AgentActions &out) {
             m_core.tick(processNow(), out);
         });
@@ -91,11 +92,30 @@
 
 void AgentProcess::beginShutdown()
 {
+    m_leaving = true;
     m_loop.feed([this](AgentActions &out) {
         m_core.beginShutdown(processNow(), out);
     });
 }
 
+bool AgentProcess::isLeaving() const
+{
+    return m_leaving;
+}
+
+void AgentProcess::followDrainDeclaration()
+{
+    const bool declared =
+        m_configDriver != nullptr && m_configDriver->config().declarations().draining.contains(m_self.instance);
+    if (!declared || m_leaving) {
+        return;
+    }
+    if (m_listener != nullptr) {
+        m_listener->onEvent("drain_declared", {{"instance", m_self.instance.value()}});
+    }
+    beginShutdown();
+}
+
 std::size_t AgentProcess::openWork() const
 {
     return m_core.openWork();
--- a/adapters/agentprocess.h
+++ b/adapters/agentprocess.h
@@ -44,6 +44,8 @@
     void start();
     /// Refuses new work from now on.
     void beginShutdown();
+    /// True once the process refuses new work.
+    [[nodiscard]] bool isLeaving() const;
     /// Number of attempts, reservations and operations that have not ended.
     [[nodiscard]] std::size_t openWork() const;
     /// Closes all connections.
@@ -52,6 +54,9 @@
 private:
     void execute(const AgentAction &action);
     void sendToPeer(const SendToPeer &action);
+    /// Begins a shutdown once the configuration declares this instance as draining. The declaration has no way back
+    /// for this run of the agent, since its peers do not return to a leaving incarnation.
+    void followDrainDeclaration();
 
     AgentProcessSettings m_settings;
     PeerSummary m_self;
@@ -63,6 +68,7 @@
     std::unique_ptr<EngineClient> m_engine;
     std::unique_ptr<ServiceClient> m_service;
     QTimer m_timer;
+    bool m_leaving = false;
 };
 
 } // namespace ibismast
--- a/adapters/fleetconfig.cpp
+++ b/adapters/fleetconfig.cpp
@@ -3,6 +3,7 @@
 #include "ibismast/core/eventlistener.h"
 
 #include <algorithm>
+#include <array>
 
 namespace ibismast
 {
@@ -107,6 +108,12 @@
 
 bool FleetConfig::isIdempotent(const ServiceName &service, std::string_view method, std::string_view path) const
 {
+    // A method that HTTP does not define as idempotent (RFC 9110, section 9.2.2) is never repeated, also without a
+    // declaration: a forgotten declaration must not lead to a second booking.
+    constexpr std::array<std::string_view, 5> IdempotentMethods {"GET", "HEAD", "OPTIONS", "PUT", "DELETE"};
+    if (std::ranges::find(IdempotentMethods, method) == IdempotentMethods.end()) {
+        return false;
+    }
     const auto methods = m_nonIdempotent.find(service);
     if (methods == m_nonIdempotent.end()) {
         return true;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -121,7 +121,7 @@
     {
         printf '[model model]\nversion = 1\ncopies_per_domain = 1\nmemory_tokens = %s\n' "${ENGINE_CAPACITY}"
         printf '[service registration]\naddress = 127.0.0.1:1\n'
-        printf '[call registration-read]\nservice = registration\nmethod = GET\npath = /**\n'
+        printf '[call register]\nservice = registration\nmethod = PUT\npath = /**\n'
         for customer in "${CUSTOMERS[@]}"; do
             IFS=: read -r name key weight <<< "${customer}"
             printf '[customer %s]\nweight = %s\napi_key_sha256 = %s\n' "${name}" "${weight}" \
