--- a/PerformanceTest/routing/routingcost.cpp
+++ b/PerformanceTest/routing/routingcost.cpp
@@ -197,6 +197,7 @@
 int measureRoutingCost()
 {
     std::vector<std::unique_ptr<Subject>> subjects;
+    subjects.reserve(std::size(FleetSizes));
     for (const int size : FleetSizes) {
         subjects.push_back(std::make_unique<Subject>(size));
     }
