Call timeouts timeouts in the settings

The members named patience are limits of a wait; groupTimeShare is a part of the request's time. No behaviour changes.

--- a/UnitTests/config/configlogtest.cpp
+++ b/UnitTests/config/configlogtest.cpp
@@ -263,7 +263,7 @@
     ConfigLogSettings settings;
     settings.segmentBytes = 2'000;
     settings.snapshotInterval = 15;
-    settings.patience = 3s;
+    settings.timeout = 3s;
     LogBench bench(3, settings);
     std::map<std::string, std::size_t> submitted;
     for (int index = 0; index < 150; ++index) {
--- a/UnitTests/store/storetransactiontest.cpp
+++ b/UnitTests/store/storetransactiontest.cpp
@@ -12,7 +12,7 @@
 
 constexpr TimePoint Start {100s};
 
-StoreTransactionPlan planOf(const std::string &id, StoreRevision base, Duration patience = 5s)
+StoreTransactionPlan planOf(const std::string &id, StoreRevision base, Duration timeout = 5s)
 {
     StoreTransactionPlan plan;
     plan.call.compares = {{"head", base}};
@@ -21,7 +21,7 @@
     plan.evidence = [id](const std::string &value) {
         return value.find(id) == std::string::npos ? ChangeEvidence::NotApplied : ChangeEvidence::Applied;
     };
-    plan.giveUpAt = Start + patience;
+    plan.giveUpAt = Start + timeout;
     return plan;
 }
 
--- a/ibismast/config/audittrail.cpp
+++ b/ibismast/config/audittrail.cpp
@@ -241,7 +241,7 @@
         }
         return holdsWrite(*head, id) ? ChangeEvidence::Applied : ChangeEvidence::NotApplied;
     };
-    plan.giveUpAt = now + m_settings.patience;
+    plan.giveUpAt = now + m_settings.timeout;
     m_transaction.emplace(std::move(plan), *m_ids);
     m_transaction->start(out);
 }
--- a/ibismast/config/audittrail.h
+++ b/ibismast/config/audittrail.h
@@ -41,7 +41,7 @@
     std::size_t textBytes = 8'192;
     /// Records that wait for the store; further ones are counted and reported by one record.
     std::size_t longestQueue = 1'000;
-    Duration patience = std::chrono::seconds(10);
+    Duration timeout = std::chrono::seconds(10);
     Duration retryPause = std::chrono::seconds(1);
 };
 
--- a/ibismast/config/configlog.cpp
+++ b/ibismast/config/configlog.cpp
@@ -32,8 +32,8 @@
     if (snapshotInterval < 1) {
         return invalid("snapshotInterval must be positive");
     }
-    if (patience <= Duration::zero() || retryPause <= Duration::zero()) {
-        return invalid("patience and retryPause must be positive");
+    if (timeout <= Duration::zero() || retryPause <= Duration::zero()) {
+        return invalid("timeout and retryPause must be positive");
     }
     return Success();
 }
@@ -62,7 +62,7 @@
 
 void ConfigLog::submit(ConfigChange change, TimePoint now, StoreCalls &out)
 {
-    m_queue.push_back({std::move(change), now + m_settings.patience});
+    m_queue.push_back({std::move(change), now + m_settings.timeout});
     advance(now, out);
 }
 
@@ -292,7 +292,7 @@
     } else {
         m_batch.segment = m_segment + added;
     }
-    TimePoint giveUpAt = now + m_settings.patience;
+    TimePoint giveUpAt = now + m_settings.timeout;
     for (const Pending &pending : m_inFlight) {
         giveUpAt = std::min(giveUpAt, pending.deadline);
     }
--- a/ibismast/config/configlog.h
+++ b/ibismast/config/configlog.h
@@ -29,7 +29,7 @@
     /// Segments kept for history and rollback; those behind the snapshot are always kept.
     std::size_t keptSegments = 256;
     /// Time after which a change gets an outcome even if the store does not answer.
-    Duration patience = std::chrono::seconds(10);
+    Duration timeout = std::chrono::seconds(10);
     /// Pause before the log is read again after a failure.
     Duration retryPause = std::chrono::milliseconds(200);
 
--- a/ibismast/config/configlogcompaction.cpp
+++ b/ibismast/config/configlogcompaction.cpp
@@ -70,7 +70,7 @@
     m_batch = {};
     m_batch.head = compactedHead(deletes);
     send(
-        now + m_settings.patience,
+        now + m_settings.timeout,
         [revision = compaction.revision](const ConfigHead &head) {
             return head.snapshot >= revision ? ChangeEvidence::Applied : ChangeEvidence::NotApplied;
         },
--- a/ibismast/config/configrelay.cpp
+++ b/ibismast/config/configrelay.cpp
@@ -31,7 +31,7 @@
     if (startPeers == 0) {
         return invalid("startPeers must be positive");
     }
-    for (const Duration interval : {antiEntropyInterval, requestTimeout, headReadInterval, retryPause, startPatience}) {
+    for (const Duration interval : {antiEntropyInterval, requestTimeout, headReadInterval, retryPause, startTimeout}) {
         if (interval <= Duration::zero()) {
             return invalid("intervals must be positive");
         }
@@ -213,7 +213,7 @@
         return;
     }
     const bool enough = m_startAnswers.size() >= std::min(m_settings.startPeers, m_peers.size())
-        || now >= *m_firstAnswer + m_settings.startPatience;
+        || now >= *m_firstAnswer + m_settings.startTimeout;
     const bool newest = std::ranges::all_of(m_peerRevisions, [this](const auto &entry) {
         return entry.second <= m_replica->revision();
     });
--- a/ibismast/config/configrelay.h
+++ b/ibismast/config/configrelay.h
@@ -27,7 +27,7 @@
     Duration retryPause = std::chrono::milliseconds(500);
     /// Peers that a starting process asks, and how long it waits for more answers after the first one.
     std::size_t startPeers = 5;
-    Duration startPatience = std::chrono::milliseconds(500);
+    Duration startTimeout = std::chrono::milliseconds(500);
 
     /// Returns an error that names the first field outside its range.
     [[nodiscard]] Result<Success> validate() const;
--- a/ibismast/entry/completion.h
+++ b/ibismast/entry/completion.h
@@ -89,7 +89,7 @@
     /// Pause after the last refusal of a group.
     Duration groupPause {};
     /// When a failed request stops waiting for an upstream that may take it.
-    std::optional<TimePoint> upstreamPatience;
+    std::optional<TimePoint> noUpstreamDeadline;
 
     /// True if every attempt was refused before dispatch or has a confirmed tombstone.
     [[nodiscard]] bool provenNotRun() const;
--- a/ibismast/entry/completionflow.cpp
+++ b/ibismast/entry/completionflow.cpp
@@ -282,7 +282,7 @@
     }
     const std::optional<Error> refusal = m_dispatcher.dispatch(completion, now, out);
     if (!refusal) {
-        completion.upstreamPatience.reset();
+        completion.noUpstreamDeadline.reset();
         m_table.setPhase(completion, CompletionPhase::Running, now + m_context.settings.answerTimeout);
         return;
     }
--- a/ibismast/entry/entrycoresettings.cpp
+++ b/ibismast/entry/entrycoresettings.cpp
@@ -72,9 +72,9 @@
     check.positive(settings.reserveTimeout, "reserveTimeout");
     check.positive(settings.groupPause, "groupPause");
     check.require(
-        settings.groupPatience > 0.0 && settings.groupPatience <= 1.0, "groupPatience", "must lie between 0 and 1");
+        settings.groupTimeShare > 0.0 && settings.groupTimeShare <= 1.0, "groupTimeShare", "must lie between 0 and 1");
     check.positive(settings.budgetPause, "budgetPause");
-    check.positive(settings.noUpstreamPatience, "noUpstreamPatience");
+    check.positive(settings.noUpstreamTimeout, "noUpstreamTimeout");
     check.require(settings.breaker.failureThreshold > 0, "breaker.failureThreshold", "must be positive");
     check.positive(settings.breaker.openTime, "breaker.openTime");
     check.require(settings.breaker.longestOpenTime >= settings.breaker.openTime,
@@ -94,8 +94,8 @@
                   "retryPolicy.longestPause",
                   "must not be shorter than retryPolicy.firstPause");
     check.positive(settings.claims.batchInterval, "claims.batchInterval");
-    check.positive(settings.claims.patience, "claims.patience");
-    check.positive(settings.claims.readPatience, "claims.readPatience");
+    check.positive(settings.claims.timeout, "claims.timeout");
+    check.positive(settings.claims.readTimeout, "claims.readTimeout");
     check.require(settings.claims.largestValue > 0 && settings.claims.largestValue < LargestStoreValue,
                   "claims.largestValue",
                   "must be positive and below 1 MB");
--- a/ibismast/entry/entrycoresettings.h
+++ b/ibismast/entry/entrycoresettings.h
@@ -46,11 +46,11 @@
     /// Pause before a refused group is tried again; doubles up to ten times this value.
     Duration groupPause = std::chrono::milliseconds(500);
     /// Part of a request's time after which no further group is tried.
-    double groupPatience = 0.5;
+    double groupTimeShare = 0.5;
     /// Mean pause before a failed request asks the retry budget again.
     Duration budgetPause = std::chrono::milliseconds(200);
     /// Time for which a failed request waits for an upstream that may take it.
-    Duration noUpstreamPatience = std::chrono::seconds(5);
+    Duration noUpstreamTimeout = std::chrono::seconds(5);
     /// Number of operation ids requested at once from an agent of a plain service.
     std::uint32_t operationBlock = 256;
     /// Pause before an operation that is in progress is asked for again; doubles up to ten times this value.
--- a/ibismast/entry/retryplanner.cpp
+++ b/ibismast/entry/retryplanner.cpp
@@ -38,7 +38,7 @@
     completion.groupPause = std::clamp(completion.groupPause * 2, first, first * 10);
     const Duration pause = jittered(completion.groupPause);
     const Duration time = completion.deadline - completion.admitted;
-    const TimePoint lastTry = completion.admitted + fromSeconds(toSeconds(time) * m_context.settings.groupPatience);
+    const TimePoint lastTry = completion.admitted + fromSeconds(toSeconds(time) * m_context.settings.groupTimeShare);
     return now + pause < lastTry ? std::optional(pause) : std::nullopt;
 }
 
@@ -57,11 +57,11 @@
     if (!completion.firstFailed) {
         return std::nullopt;
     }
-    const Duration patience = m_context.settings.noUpstreamPatience;
-    if (!completion.upstreamPatience) {
-        completion.upstreamPatience = now + patience;
+    const Duration timeout = m_context.settings.noUpstreamTimeout;
+    if (!completion.noUpstreamDeadline) {
+        completion.noUpstreamDeadline = now + timeout;
     }
-    return now < *completion.upstreamPatience ? std::optional(now + patience / 20) : std::nullopt;
+    return now < *completion.noUpstreamDeadline ? std::optional(now + timeout / 20) : std::nullopt;
 }
 
 Error RetryPlanner::finalError(const Completion &completion, Error error)
--- a/ibismast/leases/leaseholder.cpp
+++ b/ibismast/leases/leaseholder.cpp
@@ -103,7 +103,7 @@
         return value == record ? ChangeEvidence::Applied : ChangeEvidence::NotApplied;
     };
     plan.giveUpAt = m_heldUntil;
-    plan.lastCallPatience = Duration::zero();
+    plan.lastCallTimeout = Duration::zero();
     m_transaction.emplace(std::move(plan), *m_ids);
     m_transaction->start(out);
 }
--- a/ibismast/operations/claimbatcher.cpp
+++ b/ibismast/operations/claimbatcher.cpp
@@ -45,7 +45,7 @@
     const std::uint64_t index = ClaimShard::indexOf(key);
     m_shardOf.emplace(request, index);
     Shard &shard = m_shards[index];
-    shard.waiting.emplace(request, Waiting {std::move(key), std::move(proposed), now + m_settings.patience});
+    shard.waiting.emplace(request, Waiting {std::move(key), std::move(proposed), now + m_settings.timeout});
     m_active.insert(index);
     startBatch(index, now, out);
 }
@@ -73,7 +73,7 @@
         if (const auto *result = std::get_if<StoreReadResult>(&answer.outcome)) {
             merge(index, result->entries.empty() ? StoreEntry() : result->entries.front(), now, out);
         } else {
-            shard.nextBatch = now + m_settings.readPatience / 2;
+            shard.nextBatch = now + m_settings.readTimeout / 2;
         }
         return true;
     }
@@ -120,7 +120,7 @@
     }
     shard.nextBatch = now + m_settings.batchInterval;
     shard.read = m_ids.next();
-    shard.readUntil = now + m_settings.readPatience;
+    shard.readUntil = now + m_settings.readTimeout;
     const std::size_t firstNew = out.size();
     out.push_back({*shard.read, StoreRead {ClaimShard::storeKey(index), {}, 1}});
     noteCalls(index, out, firstNew);
@@ -180,7 +180,7 @@
         return findBindings(bindings, value);
     };
     plan.giveUpAt = giveUpAt;
-    plan.lastCallPatience = Duration::zero();
+    plan.lastCallTimeout = Duration::zero();
     const std::size_t firstNew = out.size();
     shard.write.emplace(std::move(plan), m_ids);
     shard.write->start(out);
--- a/ibismast/operations/claimbatcher.h
+++ b/ibismast/operations/claimbatcher.h
@@ -15,9 +15,9 @@
     /// Time between the starts of two batches of one shard.
     Duration batchInterval = std::chrono::milliseconds(50);
     /// Time after which a claim is refused as `StoreUnavailable`.
-    Duration patience = std::chrono::milliseconds(1'800);
+    Duration timeout = std::chrono::milliseconds(1'800);
     /// Time after which an unanswered or failed read is repeated.
-    Duration readPatience = std::chrono::milliseconds(500);
+    Duration readTimeout = std::chrono::milliseconds(500);
     /// Largest value of a shard in bytes. The store takes 1 MB.
     std::size_t largestValue = 900'000;
     /// Length of a generation. Claims are kept for at least `keptGenerations - 1` of them.
--- a/ibismast/store/storetransaction.cpp
+++ b/ibismast/store/storetransaction.cpp
@@ -99,7 +99,7 @@
 void StoreTransaction::tick(TimePoint now)
 {
     const bool waiting = m_pending != StoreCallId();
-    if (m_outcome || now < m_plan.giveUpAt + (waiting ? m_plan.lastCallPatience : Duration::zero())) {
+    if (m_outcome || now < m_plan.giveUpAt + (waiting ? m_plan.lastCallTimeout : Duration::zero())) {
         return;
     }
     // A call whose answer is still awaited may have taken effect like one whose answer is lost.
--- a/ibismast/store/storetransaction.h
+++ b/ibismast/store/storetransaction.h
@@ -27,7 +27,7 @@
     /// After this time no further call is made.
     TimePoint giveUpAt {};
     /// Time beyond `giveUpAt` that is granted to a call under way, so that its answer can make the outcome certain.
-    Duration lastCallPatience = std::chrono::seconds(2);
+    Duration lastCallTimeout = std::chrono::seconds(2);
 };
 
 /// The transaction took effect.
