--- a/adapters/agentdaemon.cpp
+++ b/adapters/agentdaemon.cpp
@@ -1,6 +1,6 @@
 #include "adapters/agentdaemon.h"
 
-#include "adapters/processclock.h"
+#include "adapters/plumbing/processclock.h"
 #include "adapters/tlssettings.h"
 
 namespace ibismast
@@ -19,14 +19,14 @@
         "instance", "stop_timeout_ms", settings.stop.timeout, milliseconds(0), milliseconds(86'400'000));
     settings.process.tickInterval = file.milliseconds(
         "instance", "tick_interval_ms", settings.process.tickInterval, milliseconds(1), milliseconds(1000));
-    settings.peerListen = file.address("peers", "listen", std::nullopt);
+    settings.peerListen = readEndpoint(file, "peers", "listen", std::nullopt);
     settings.peerTls = readTls(file, "peers");
     if (!file.has("engine", "address") && !file.has("service", "address")) {
         file.refuse("engine", "address", {}, "set, unless [service] address is");
     }
     if (file.has("engine", "address")) {
         EngineClientSettings engine;
-        engine.endpoint = file.address("engine", "address", std::nullopt);
+        engine.endpoint = readEndpoint(file, "engine", "address", std::nullopt);
         engine.loadInterval = file.milliseconds(
             "engine", "load_interval_ms", engine.loadInterval, milliseconds(10), milliseconds(60'000));
         engine.cacheInterval = file.milliseconds(
@@ -41,7 +41,7 @@
         settings.process.engine = engine;
     }
     if (file.has("service", "address")) {
-        settings.process.service = file.address("service", "address", std::nullopt);
+        settings.process.service = readEndpoint(file, "service", "address", std::nullopt);
         settings.core.services = {ServiceName(file.text("service", "name", std::nullopt))};
     }
     settings.instances = readInstanceList(file);
--- a/adapters/agentdaemon.h
+++ b/adapters/agentdaemon.h
@@ -3,9 +3,9 @@
 #include "adapters/agentprocess.h"
 #include "adapters/fleetsettings.h"
 #include "adapters/gracefulstop.h"
-#include "adapters/logging.h"
-#include "adapters/metrics.h"
-#include "adapters/settingsfile.h"
+#include "adapters/plumbing/logging.h"
+#include "adapters/plumbing/metrics.h"
+#include "adapters/plumbing/settingsfile.h"
 #include "adapters/supervisor.h"
 
 #include "ibismast/agent/agentcoresettings.h"
--- a/adapters/agentprocess.cpp
+++ b/adapters/agentprocess.cpp
@@ -1,7 +1,7 @@
 #include "adapters/agentprocess.h"
 
 #include "adapters/configdriver.h"
-#include "adapters/processclock.h"
+#include "adapters/plumbing/processclock.h"
 
 #include "ibismast/agent/agentcoresettings.h"
 #include "ibismast/core/eventlistener.h"
--- a/adapters/callerreplies.cpp
+++ b/adapters/callerreplies.cpp
@@ -1,7 +1,7 @@
 #include "adapters/callerreplies.h"
 
 #include "adapters/errorbody.h"
-#include "adapters/jsontext.h"
+#include "adapters/plumbing/jsontext.h"
 
 #include <chrono>
 
--- a/adapters/configdriver.cpp
+++ b/adapters/configdriver.cpp
@@ -1,6 +1,6 @@
 #include "adapters/configdriver.h"
 
-#include "adapters/processclock.h"
+#include "adapters/plumbing/processclock.h"
 #include "adapters/storecallranges.h"
 #include "adapters/storeclient.h"
 
--- a/adapters/declaredconfig.h
+++ b/adapters/declaredconfig.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "adapters/configsource.h"
-#include "adapters/settingsfile.h"
+#include "adapters/plumbing/settingsfile.h"
 
 namespace ibismast
 {
--- a/adapters/engineclient.cpp
+++ b/adapters/engineclient.cpp
@@ -1,7 +1,7 @@
 #include "adapters/engineclient.h"
 
 #include "adapters/enginejson.h"
-#include "adapters/jsontext.h"
+#include "adapters/plumbing/jsontext.h"
 
 namespace ibismast
 {
--- a/adapters/enginejson.cpp
+++ b/adapters/enginejson.cpp
@@ -1,6 +1,6 @@
 #include "adapters/enginejson.h"
 
-#include "adapters/jsontext.h"
+#include "adapters/plumbing/jsontext.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
--- a/adapters/entryprocess.cpp
+++ b/adapters/entryprocess.cpp
@@ -1,8 +1,8 @@
 #include "adapters/entryprocess.h"
 
 #include "adapters/configdriver.h"
-#include "adapters/metrics.h"
-#include "adapters/processclock.h"
+#include "adapters/plumbing/metrics.h"
+#include "adapters/plumbing/processclock.h"
 
 #include "ibismast/core/eventlistener.h"
 #include "ibismast/entry/entrycoresettings.h"
--- a/adapters/entrysettings.cpp
+++ b/adapters/entrysettings.cpp
@@ -67,7 +67,7 @@
         file.milliseconds("instance", "drain_ms", settings.stop.drain, milliseconds(0), milliseconds(600'000));
     settings.stop.timeout = file.milliseconds(
         "instance", "stop_timeout_ms", settings.stop.timeout, milliseconds(0), milliseconds(86'400'000));
-    settings.httpListen = file.address("http", "listen", std::nullopt);
+    settings.httpListen = readEndpoint(file, "http", "listen", std::nullopt);
     settings.http = readHttp(file);
     settings.httpTls = readTls(file, "http");
     settings.agents = readAgents(file);
--- a/adapters/errorbody.cpp
+++ b/adapters/errorbody.cpp
@@ -1,6 +1,6 @@
 #include "adapters/errorbody.h"
 
-#include "adapters/jsontext.h"
+#include "adapters/plumbing/jsontext.h"
 
 namespace ibismast
 {
--- a/adapters/fleetsettings.h
+++ b/adapters/fleetsettings.h
@@ -2,7 +2,7 @@
 
 #include "adapters/configdriver.h"
 #include "adapters/instancelistclient.h"
-#include "adapters/settingsfile.h"
+#include "adapters/plumbing/settingsfile.h"
 #include "adapters/storeclient.h"
 
 namespace ibismast
--- a/adapters/gracefulstop.cpp
+++ b/adapters/gracefulstop.cpp
@@ -1,6 +1,6 @@
 #include "adapters/gracefulstop.h"
 
-#include "adapters/logging.h"
+#include "adapters/plumbing/logging.h"
 
 namespace ibismast
 {
--- a/adapters/guardedsocket.h
+++ b/adapters/guardedsocket.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/httpmessage.h"
+#include "adapters/plumbing/httpmessage.h"
 
 #include <QtNetwork/QTcpSocket>
 
--- a/adapters/httpfront.cpp
+++ b/adapters/httpfront.cpp
@@ -2,7 +2,7 @@
 
 #include "adapters/callerreplies.h"
 #include "adapters/completionbody.h"
-#include "adapters/jsontext.h"
+#include "adapters/plumbing/jsontext.h"
 #include "adapters/keyhash.h"
 
 #include <algorithm>
--- a/adapters/operatorconnection.cpp
+++ b/adapters/operatorconnection.cpp
@@ -1,6 +1,6 @@
 #include "adapters/operatorconnection.h"
 
-#include "adapters/logging.h"
+#include "adapters/plumbing/logging.h"
 #include "adapters/operatordriver.h"
 #include "wire/operatorcodec.h"
 
--- a/adapters/operatordriver.cpp
+++ b/adapters/operatordriver.cpp
@@ -1,7 +1,7 @@
 #include "adapters/operatordriver.h"
 
 #include "adapters/configdriver.h"
-#include "adapters/processclock.h"
+#include "adapters/plumbing/processclock.h"
 #include "adapters/storecallranges.h"
 #include "adapters/storeclient.h"
 
--- a/adapters/operatorserver.cpp
+++ b/adapters/operatorserver.cpp
@@ -1,6 +1,6 @@
 #include "adapters/operatorserver.h"
 
-#include "adapters/settingsfile.h"
+#include "adapters/plumbing/settingsfile.h"
 #include "adapters/tlssettings.h"
 
 #include <QtNetwork/QSslCertificate>
@@ -31,7 +31,7 @@
         return std::nullopt;
     }
     OperatorServerSettings settings;
-    settings.listen = file.address("operators", "listen", std::nullopt);
+    settings.listen = readEndpoint(file, "operators", "listen", std::nullopt);
     settings.tls = readTls(file, "operators");
     if (settings.tls) {
         if (settings.tls->peerVerifyMode() != QSslSocket::VerifyPeer) {
--- a/adapters/outgoingcall.h
+++ b/adapters/outgoingcall.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "adapters/httpmessage.h"
+#include "adapters/httpendpoint.h"
+#include "adapters/plumbing/httpmessage.h"
 
 #include <QtCore/QTimer>
 #include <QtNetwork/QTcpSocket>
@@ -10,13 +11,6 @@
 namespace ibismast
 {
 
-/// Address of an HTTP server.
-struct HttpEndpoint
-{
-    QHostAddress address;
-    quint16 port = 0;
-};
-
 /// How an outgoing call ended.
 struct CallEnd
 {
--- a/adapters/httpmessage.cpp
+++ b/adapters/plumbing/httpmessage.cpp
@@ -1,4 +1,4 @@
-#include "adapters/httpmessage.h"
+#include "adapters/plumbing/httpmessage.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
--- a/adapters/jsontext.cpp
+++ b/adapters/plumbing/jsontext.cpp
@@ -1,4 +1,4 @@
-#include "adapters/jsontext.h"
+#include "adapters/plumbing/jsontext.h"
 
 #include <array>
 
--- a/adapters/logging.cpp
+++ b/adapters/plumbing/logging.cpp
@@ -1,17 +1,27 @@
-#include "adapters/logging.h"
+#include "adapters/plumbing/logging.h"
 
-#include "adapters/jsontext.h"
-#include "adapters/metrics.h"
+#include "adapters/plumbing/boundedlogsink.h"
+#include "adapters/plumbing/jsontext.h"
+#include "adapters/plumbing/metrics.h"
 
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace ibismast
 {
 
+namespace
+{
+
+/// Bytes of log lines that wait for a slow reader.
+constexpr std::size_t MaxWaitingLogBytes = std::size_t {256} * 1024;
+
+} // namespace
+
 void setUpLogging(spdlog::level::level_enum level)
 {
-    auto logger = std::make_shared<spdlog::logger>("ibismast", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    auto sink = std::make_shared<BoundedLogSink>(STDOUT_FILENO, MaxWaitingLogBytes);
+    auto logger = std::make_shared<spdlog::logger>("ibismast", std::move(sink));
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
     logger->set_level(level);
     logger->flush_on(spdlog::level::info);
--- a/adapters/logging.h
+++ b/adapters/plumbing/logging.h
@@ -9,7 +9,8 @@
 
 class Metrics;
 
-/// Prepares the process's log: one line per event on standard error, with time, level and key=value fields.
+/// Prepares the process's log: one line per event on standard output, with time, level and key=value fields.
+/// A slow reader of the log never blocks the process; lines that do not fit are dropped and counted.
 void setUpLogging(spdlog::level::level_enum level);
 
 /// Writes one line `event=<name> key=value ...`; values with blanks or quotes are quoted.
--- a/adapters/metrics.cpp
+++ b/adapters/plumbing/metrics.cpp
@@ -1,4 +1,4 @@
-#include "adapters/metrics.h"
+#include "adapters/plumbing/metrics.h"
 
 #include <boost/histogram.hpp>
 #include <spdlog/fmt/fmt.h>
--- a/adapters/processclock.cpp
+++ b/adapters/plumbing/processclock.cpp
@@ -1,4 +1,4 @@
-#include "adapters/processclock.h"
+#include "adapters/plumbing/processclock.h"
 
 namespace ibismast
 {
--- a/adapters/settingsfile.cpp
+++ b/adapters/plumbing/settingsfile.cpp
@@ -1,4 +1,4 @@
-#include "adapters/settingsfile.h"
+#include "adapters/plumbing/settingsfile.h"
 
 #include <boost/property_tree/ini_parser.hpp>
 
@@ -48,26 +48,6 @@
 
 } // namespace
 
-std::optional<HttpEndpoint> parseEndpoint(const std::string &text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    std::string host = text.substr(0, colon);
-    if (host.starts_with('[') && host.ends_with(']')) {
-        host = host.substr(1, host.size() - 2);
-    } else if (host.find(':') != std::string::npos) {
-        return std::nullopt;
-    }
-    const std::optional<std::uint16_t> port = parseNumber<std::uint16_t>(text.substr(colon + 1));
-    const QHostAddress address(QString::fromStdString(host));
-    if (!port || address.isNull()) {
-        return std::nullopt;
-    }
-    return HttpEndpoint {address, *port};
-}
-
 Result<SettingsFile> SettingsFile::read(const std::string &path)
 {
     std::ifstream file(path, std::ios::binary);
@@ -168,18 +148,6 @@
     return std::chrono::milliseconds(integer(section, key, fallback, min.count(), max.count()));
 }
 
-HttpEndpoint SettingsFile::address(const std::string &section,
-                                   const std::string &key,
-                                   const std::optional<std::string> &defaultValue)
-{
-    const std::string set = text(section, key, defaultValue);
-    const std::optional<HttpEndpoint> endpoint = parseEndpoint(set);
-    if (!endpoint && !set.empty()) {
-        refuse(section, key, set, "an address of the form ip:port with a port from 0 to 65535");
-    }
-    return endpoint.value_or(HttpEndpoint {});
-}
-
 std::vector<std::string> SettingsFile::list(const std::string &section, const std::string &key)
 {
     std::vector<std::string> result;
--- a/adapters/settingsfile.h
+++ b/adapters/plumbing/settingsfile.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "adapters/outgoingcall.h"
+#include "ibismast/core/result.h"
 
 #include <map>
 #include <set>
+#include <vector>
 
 namespace ibismast
 {
@@ -44,9 +45,6 @@
                                         Duration defaultValue,
                                         std::chrono::milliseconds min,
                                         std::chrono::milliseconds max);
-    /// Returns an address of the form `ip:port`.
-    [[nodiscard]] HttpEndpoint
-    address(const std::string &section, const std::string &key, const std::optional<std::string> &defaultValue);
     /// Returns the comma-separated elements of a value without blanks around them.
     [[nodiscard]] std::vector<std::string> list(const std::string &section, const std::string &key);
 
@@ -67,7 +65,4 @@
     std::vector<std::string> m_violations;
 };
 
-/// Parses `ip:port`, or `[ip]:port` for IPv6; returns nothing if @p text has another form.
-[[nodiscard]] std::optional<HttpEndpoint> parseEndpoint(const std::string &text);
-
 } // namespace ibismast
--- /dev/null
+++ b/adapters/relay/callerconnection.cpp
@@ -0,0 +1,258 @@
+#include "adapters/relay/callerconnection.h"
+
+#include "adapters/plumbing/processclock.h"
+
+#include <boost/asio/write.hpp>
+
+namespace ibismast
+{
+
+namespace
+{
+
+using ErrorCode = boost::system::error_code;
+
+/// Bytes behind the present request that are kept; a caller that sends more ahead is cut.
+constexpr std::size_t MaxPendingBytes = std::size_t {64} * 1024;
+/// Bytes that wait for a caller that does not read.
+constexpr std::size_t MaxUnsentBytes = std::size_t {16} * 1024 * 1024;
+/// A caller that acknowledges nothing for this long is gone.
+constexpr Duration CallerSilence = std::chrono::seconds(4);
+
+constexpr int HeadTooLargeStatus = 431;
+
+} // namespace
+
+CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket, CallerHandler &handler)
+    : m_socket(std::move(socket)), m_handler(&handler), m_phaseStart(processNow())
+{
+}
+
+void CallerConnection::start()
+{
+    prepareSocket(m_socket, CallerSilence);
+    read();
+}
+
+bool CallerConnection::isIdle() const
+{
+    return !m_answering && !(m_parser && m_parser->started()) && m_pending.empty() && m_out.empty()
+        && m_writing.empty();
+}
+
+void CallerConnection::read()
+{
+    const std::shared_ptr<CallerConnection> self = shared_from_this();
+    m_socket.async_read_some(boost::asio::buffer(m_buffer), [self](const ErrorCode &error, std::size_t size) {
+        if (!self->m_open) {
+            return;
+        }
+        if (error) {
+            const bool waiting = self->m_answering;
+            self->close();
+            if (waiting) {
+                self->m_handler->callerGone(self);
+            }
+            return;
+        }
+        self->received(std::string_view(self->m_buffer.data(), size));
+        if (self->m_open) {
+            self->read();
+        }
+    });
+}
+
+void CallerConnection::received(std::string_view bytes)
+{
+    if (m_lastAnswer) {
+        return;
+    }
+    m_pending.append(bytes);
+    if (m_answering) {
+        if (m_pending.size() > MaxPendingBytes) {
+            close();
+            m_handler->callerGone(shared_from_this());
+        }
+        return;
+    }
+    parse();
+}
+
+void CallerConnection::parse()
+{
+    if (m_pending.empty()) {
+        return;
+    }
+    if (!m_parser) {
+        const RelayLimits limits = m_handler->limits();
+        m_parser = std::make_unique<HttpMessageParser>(HttpMessageKind::Request,
+                                                       HttpMessageLimits {limits.maxHeadBytes, limits.maxBodyBytes});
+        m_phaseStart = processNow();
+        m_continueSent = false;
+    }
+    const Result<std::size_t> used = m_parser->consume(m_pending);
+    if (const Error *error = errorOf(used)) {
+        refuse(*error);
+        return;
+    }
+    m_pending.erase(0, std::get<std::size_t>(used));
+    if (m_parser->headDone() && !m_parser->done() && !m_continueSent
+        && equalNoCase(m_parser->head().header("Expect"), "100-continue")) {
+        m_continueSent = true;
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (!m_parser->done()) {
+        return;
+    }
+    m_request = m_parser->head();
+    std::string body = m_parser->takeBody();
+    m_parser.reset();
+    m_answering = true;
+    if (!m_request.keepAlive) {
+        m_closing = true;
+    }
+    m_handler->requestReceived(shared_from_this(), std::move(body));
+}
+
+void CallerConnection::refuse(const Error &error)
+{
+    const bool headTooLarge = error.message.find("head exceeds") != std::string::npos;
+    const int status = headTooLarge ? HeadTooLargeStatus : resultCodeInfo(error.code).httpStatus;
+    m_answering = true;
+    m_closing = true;
+    m_pending.clear();
+    answer(HttpHeadBuilder::response(status).header("Content-Type", "text/plain"), error.message + "\n");
+}
+
+void CallerConnection::answer(HttpHeadBuilder head, std::string_view body)
+{
+    head.header("Content-Length", std::to_string(body.size()));
+    announceClose(head);
+    std::string bytes = head.build();
+    bytes.append(body);
+    write(std::move(bytes));
+    answerEnded();
+}
+
+void CallerConnection::beginBody(HttpHeadBuilder head)
+{
+    head.header("Transfer-Encoding", "chunked");
+    announceClose(head);
+    write(head.build());
+}
+
+void CallerConnection::announceClose(HttpHeadBuilder &head)
+{
+    if (m_closing) {
+        head.header("Connection", "close");
+        m_closeAnnounced = true;
+    }
+}
+
+void CallerConnection::sendBody(std::string_view bytes)
+{
+    if (!m_open || bytes.empty()) {
+        return;
+    }
+    std::string chunk;
+    appendChunk(chunk, bytes);
+    write(std::move(chunk));
+}
+
+void CallerConnection::endBody()
+{
+    write(std::string(LastChunk));
+    answerEnded();
+}
+
+void CallerConnection::cut()
+{
+    close();
+}
+
+void CallerConnection::answerEnded()
+{
+    m_answering = false;
+    m_phaseStart = processNow();
+    m_lastAnswer = m_closeAnnounced;
+    flush();
+    if (m_open && !m_lastAnswer && !m_pending.empty()) {
+        parse();
+    }
+}
+
+void CallerConnection::write(std::string bytes)
+{
+    if (!m_open) {
+        return;
+    }
+    if (m_out.size() + bytes.size() > MaxUnsentBytes) {
+        const bool waiting = m_answering;
+        close();
+        if (waiting) {
+            m_handler->callerGone(shared_from_this());
+        }
+        return;
+    }
+    m_out.append(bytes);
+    flush();
+}
+
+void CallerConnection::flush()
+{
+    if (!m_open || !m_writing.empty()) {
+        return;
+    }
+    if (m_out.empty()) {
+        if (m_lastAnswer) {
+            // Everything has been handed to the kernel, which delivers it behind the close.
+            ErrorCode ignored;
+            m_socket.shutdown(boost::asio::socket_base::shutdown_send, ignored);
+            m_phaseStart = processNow();
+        }
+        return;
+    }
+    m_writing.swap(m_out);
+    const std::shared_ptr<CallerConnection> self = shared_from_this();
+    boost::asio::async_write(
+        m_socket, boost::asio::buffer(m_writing), [self](const ErrorCode &error, std::size_t /*size*/) {
+            self->m_writing.clear();
+            if (!error) {
+                self->flush();
+            }
+        });
+}
+
+void CallerConnection::enforceTimes(TimePoint now)
+{
+    if (!m_open || m_answering) {
+        return;
+    }
+    const RelayLimits limits = m_handler->limits();
+    const Duration elapsed = now - m_phaseStart;
+    if (m_lastAnswer) {
+        // The caller closes its side when it has read the answer; it is not waited for longer.
+        if (elapsed > limits.headTimeout) {
+            close();
+        }
+        return;
+    }
+    if (m_parser && m_parser->started()) {
+        // A body may take as long as an idle connection.
+        const Duration limit = m_parser->headDone() ? limits.headTimeout + limits.idleTimeout : limits.headTimeout;
+        if (elapsed > limit) {
+            refuse({ResultCode::RequestTimeout, "the request was sent too slowly", std::nullopt});
+        }
+    } else if (elapsed > limits.idleTimeout) {
+        close();
+    }
+}
+
+void CallerConnection::close()
+{
+    m_open = false;
+    ErrorCode ignored;
+    m_socket.close(ignored);
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/adapters/relay/callerconnection.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "adapters/relay/httpwriter.h"
+#include "adapters/relay/sockets.h"
+
+#include <array>
+#include <memory>
+
+namespace ibismast
+{
+
+class CallerConnection;
+
+/// Receives the requests of a server's connections.
+class CallerHandler
+{
+public:
+    virtual ~CallerHandler() = default;
+
+    /// A whole request has arrived; it is answered by one of the connection's functions, now or later.
+    virtual void requestReceived(const std::shared_ptr<CallerConnection> &connection, std::string body) = 0;
+    /// The caller has closed the connection before its answer ended.
+    virtual void callerGone(const std::shared_ptr<CallerConnection> &connection) = 0;
+    /// Limits for the next request.
+    [[nodiscard]] virtual RelayLimits limits() const = 0;
+};
+
+/// One HTTP/1.1 connection of a caller. Requests are answered one at a time, in their order.
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>
+{
+public:
+    CallerConnection(boost::asio::ip::tcp::socket socket, CallerHandler &handler);
+
+    /// Begins to read.
+    void start();
+    /// Head of the request that is being answered.
+    [[nodiscard]] const HttpHead &request() const
+    {
+        return m_request;
+    }
+
+    /// Answers with a whole body. @p head lacks the headers of the connection.
+    void answer(HttpHeadBuilder head, std::string_view body);
+    /// Begins an answer whose body comes in parts.
+    void beginBody(HttpHeadBuilder head);
+    void sendBody(std::string_view bytes);
+    void endBody();
+    /// Closes the connection; an answer under way does not look complete.
+    void cut();
+
+    /// From now on the connection closes after its present or next answer.
+    void closeAfterAnswer()
+    {
+        m_closing = true;
+    }
+    /// True while no request is being read or answered.
+    [[nodiscard]] bool isIdle() const;
+    /// Closes the connection if reading a request or the pause before it has taken too long.
+    void enforceTimes(TimePoint now);
+    [[nodiscard]] bool isOpen() const
+    {
+        return m_open;
+    }
+
+private:
+    void read();
+    void received(std::string_view bytes);
+    void parse();
+    void refuse(const Error &error);
+    void write(std::string bytes);
+    void flush();
+    void announceClose(HttpHeadBuilder &head);
+    void answerEnded();
+    void close();
+
+    boost::asio::ip::tcp::socket m_socket;
+    CallerHandler *m_handler;
+    std::array<char, 8192> m_buffer {};
+    /// Bytes that have arrived behind the request under way.
+    std::string m_pending;
+    std::unique_ptr<HttpMessageParser> m_parser;
+    HttpHead m_request;
+    std::string m_out;
+    std::string m_writing;
+    bool m_open = true;
+    bool m_answering = false;
+    bool m_continueSent = false;
+    /// The next head that is written tells the caller that the connection closes.
+    bool m_closing = false;
+    bool m_closeAnnounced = false;
+    /// The last answer has been handed over and the connection closes behind it.
+    bool m_lastAnswer = false;
+    TimePoint m_phaseStart;
+};
+
+} // namespace ibismast
--- /dev/null
+++ b/adapters/relay/httprequester.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "adapters/relay/upstreamconnection.h"
+
+#include "ibismast/core/result.h"
+
+namespace ibismast
+{
+
+/// Answer to a request of this process's own.
+struct HttpAnswer
+{
+    int status = 0;
+    std::string body;
+};
+
+/// Sends requests of this process's own to one server, one at a time, on a kept connection.
+class HttpRequester
+{
+public:
+    using Handler = std::function<void(Result<HttpAnswer> result)>;
+
+    HttpRequester(boost::asio::io_context &loop, const boost::asio::ip::tcp::endpoint &endpoint);
+    ~HttpRequester();
+    HttpRequester(const HttpRequester &) = delete;
+    HttpRequester &operator=(const HttpRequester &) = delete;
+
+    /// Sends a GET. @p handler is called exactly once, within @p timeout, unless the object is destroyed before. A
+    /// request whose answer is late ends its connection, so that the answer cannot be taken for that of the next one.
+    void get(const std::string &target, Duration timeout, Handler handler);
+
+private:
+    void finish(Result<HttpAnswer> result);
+
+    boost::asio::io_context *m_loop;
+    boost::asio::ip::tcp::endpoint m_endpoint;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<UpstreamConnection> m_connection;
+    Handler m_handler;
+    HttpAnswer m_answer;
+};
+
+} // namespace ibismast
--- /dev/null
+++ b/adapters/relay/pageserver.cpp
@@ -0,0 +1,53 @@
+#include "adapters/relay/pageserver.h"
+
+namespace ibismast
+{
+
+namespace
+{
+
+/// Connections of the balancer, of operators and of other entries at one time.
+constexpr std::size_t MaxPageConnections = 64;
+constexpr int NotFoundStatus = 404;
+
+} // namespace
+
+PageServer::PageServer(boost::asio::io_context &loop) : m_server(loop, *this, MaxPageConnections) { }
+
+void PageServer::add(const std::string &path, PageSource source)
+{
+    m_pages.emplace(path, std::move(source));
+}
+
+Result<Success> PageServer::listen(const boost::asio::ip::tcp::endpoint &endpoint)
+{
+    return m_server.listen(endpoint);
+}
+
+void PageServer::enforceTimes(TimePoint now)
+{
+    m_server.enforceTimes(now);
+}
+
+void PageServer::requestReceived(const std::shared_ptr<CallerConnection> &connection, std::string /*body*/)
+{
+    const std::string &target = connection->request().target;
+    const auto page = m_pages.find(target.substr(0, target.find('?')));
+    if (page == m_pages.end()) {
+        connection->answer(HttpHeadBuilder::response(NotFoundStatus).header("Content-Type", "text/plain"),
+                           "no such page\n");
+        return;
+    }
+    const Page content = page->second();
+    connection->answer(HttpHeadBuilder::response(content.status).header("Content-Type", content.contentType),
+                       content.body);
+}
+
+void PageServer::callerGone(const std::shared_ptr<CallerConnection> & /*connection*/) { }
+
+RelayLimits PageServer::limits() const
+{
+    return {};
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/adapters/relay/relayprocess.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "adapters/plumbing/metrics.h"
+#include "adapters/relay/callerserver.h"
+#include "adapters/relay/clusterstore.h"
+#include "adapters/relay/entrypeers.h"
+#include "adapters/relay/httprequester.h"
+#include "adapters/relay/pageserver.h"
+#include "adapters/relay/relaysettings.h"
+#include "adapters/relay/upstreampool.h"
+
+#include <functional>
+
+namespace ibismast
+{
+
+/// Entry instance that relays calls with opaque bodies: the sockets and timers around `RelayCore` and `ClusterWatch`.
+class RelayProcess final : public CallerHandler
+{
+public:
+    /// Parts that speak the platform's formats. They must outlive the process.
+    struct Platform
+    {
+        const CallProtocol *protocol = nullptr;
+        const RecordDecoder *decoder = nullptr;
+        ClusterStore *store = nullptr;
+        /// Path of the balancer's question.
+        std::string readyPath;
+    };
+
+    RelayProcess(boost::asio::io_context &loop,
+                 RelaySettings settings,
+                 const Platform &platform,
+                 Incarnation incarnation,
+                 EventListener &listener,
+                 Metrics &metrics);
+    ~RelayProcess() override;
+    RelayProcess(const RelayProcess &) = delete;
+    RelayProcess &operator=(const RelayProcess &) = delete;
+
+    /// Opens all sockets. Fails with `SettingsInvalid` if an address cannot be used.
+    [[nodiscard]] Result<Success> start();
+    /// Begins a planned stop; @p stopped is called with the number of requests that were cut.
+    void stop(std::function<void(std::size_t cut)> stopped);
+
+    void requestReceived(const std::shared_ptr<CallerConnection> &connection, std::string body) override;
+    void callerGone(const std::shared_ptr<CallerConnection> &connection) override;
+    [[nodiscard]] RelayLimits limits() const override;
+
+private:
+    struct Exchange;
+    class ActionRunner;
+
+    void perform(const RelayActions &actions);
+    void startAttempt(CallNumber number, Exchange &exchange, const StartAttempt &start);
+    [[nodiscard]] AnswerHandler answerHandler(CallNumber number, int attempt);
+    void headArrived(CallNumber number, int attempt, const HttpHead &head);
+    void refuse(CallerConnection &connection, const std::string &requestId, const Error &error);
+    [[nodiscard]] HttpHeadBuilder answerHead(const Exchange &exchange) const;
+    void closeExchange(CallNumber number);
+
+    void receiveNews(const EntryNews &news);
+    void sendNews();
+    void greet();
+    void carryOut(const WatchRequest &request);
+    void askEntry(const AskEntry &ask);
+
+    /// Runs everything that is due and waits for the next time.
+    void tick();
+    void armTimer();
+    void everySecond(TimePoint now);
+    [[nodiscard]] std::string metricsText();
+    void checkStop(TimePoint now);
+
+    boost::asio::io_context *m_loop;
+    RelaySettings m_settings;
+    Platform m_platform;
+    Incarnation m_incarnation;
+    EventListener *m_listener;
+    Metrics *m_metrics;
+    RelayCore m_core;
+    ClusterWatch m_watch;
+    UpstreamPool m_pool;
+    CallerServer m_callers;
+    PageServer m_readyPage;
+    PageServer m_copyPage;
+    PageServer m_metricsPage;
+    EntryPeers m_peers;
+    std::unique_ptr<HttpRequester> m_copyRequester;
+    boost::asio::steady_timer m_timer;
+    TimePoint m_armed = TimePoint::max();
+    std::map<CallNumber, std::unique_ptr<Exchange>> m_exchanges;
+    std::map<const CallerConnection *, CallNumber> m_callOf;
+    TimePoint m_nextGreeting = TimePoint::min();
+    TimePoint m_nextHousekeeping = TimePoint::min();
+    std::optional<TimePoint> m_stopBegun;
+    bool m_listening = true;
+    std::function<void(std::size_t cut)> m_stopped;
+};
+
+} // namespace ibismast
--- /dev/null
+++ b/adapters/relay/relaysettings.cpp
@@ -0,0 +1,81 @@
+#include "adapters/relay/relaysettings.h"
+
+namespace ibismast
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+
+constexpr std::size_t DescriptorsForFiles = 200;
+
+boost::asio::ip::tcp::endpoint
+endpoint(SettingsFile &file, const std::string &section, const std::string &key, const std::string &example)
+{
+    const std::string text = file.text(section, key, std::nullopt);
+    const auto parsed = parseTcpEndpoint(text);
+    if (!parsed && !text.empty()) {
+        file.refuse(section, key, text, "an address of the form ip:port, for example " + example);
+    }
+    return parsed.value_or(boost::asio::ip::tcp::endpoint());
+}
+
+/// Returns the first number of a list of ports.
+std::uint16_t firstPort(SettingsFile &file, const std::string &section, const std::string &key)
+{
+    constexpr int HighestPort = 65535;
+    const std::vector<std::string> ports = file.list(section, key);
+    const int port = ports.empty() ? 0 : std::atoi(ports.front().c_str());
+    if (port <= 0 || port > HighestPort) {
+        file.refuse(section, key, ports.empty() ? "" : ports.front(), "a list of ports from 1 to 65535");
+        return 0;
+    }
+    return static_cast<std::uint16_t>(port);
+}
+
+} // namespace
+
+RelaySettings readRelaySettings(SettingsFile &file)
+{
+    RelaySettings settings;
+    settings.core.self = InstanceId(file.text("instance", "id", std::nullopt));
+    settings.core.domain = FailureDomain(file.text("instance", "domain", std::nullopt));
+    settings.listen = endpoint(file, "http", "listen", "10.1.0.40:8080");
+    settings.ready = endpoint(file, "http", "ready", "10.1.0.40:8081");
+    settings.control = endpoint(file, "peers", "copy_listen", "10.1.0.40:8082");
+    if (file.has("metrics", "listen")) {
+        settings.metrics = endpoint(file, "metrics", "listen", "10.1.0.40:9100");
+    }
+    const std::uint16_t peerPort = firstPort(file, "peers", "ports");
+    settings.peers = {settings.control.address(), peerPort};
+    for (const std::string &seed : file.list("peers", "seeds")) {
+        const auto parsed = parseTcpEndpoint(seed);
+        if (!parsed) {
+            file.refuse("peers", "seeds", seed, "a list of addresses of the form ip:port");
+            continue;
+        }
+        // All entries use the same port for datagrams.
+        settings.seeds.push_back(parsed->address().to_string() + ":" + std::to_string(peerPort));
+    }
+    settings.store = endpoint(file, "store", "address", "10.1.0.7:2379");
+    settings.watch.listInterval = file.milliseconds(
+        "store", "list_interval_ms", settings.watch.listInterval, milliseconds(50), minutes(1));
+    settings.watch.readTimeout = file.milliseconds(
+        "store", "read_timeout_ms", settings.watch.readTimeout, milliseconds(20), minutes(1));
+    settings.watch.configWait =
+        file.milliseconds("store", "config_wait_ms", settings.watch.configWait, milliseconds(50), minutes(1));
+    settings.upstream.connectTimeout = file.milliseconds(
+        "upstream", "connect_timeout_ms", settings.upstream.connectTimeout, milliseconds(10), minutes(1));
+    settings.core.retryRatio = file.number("retry", "ratio", settings.core.retryRatio, 0.0, 1.0);
+    settings.core.retrySlack = file.number("retry", "slack", settings.core.retrySlack, 0.0, 1e6);
+    const auto grace = file.number("stop", "grace_s", 8.0, 1.0, 600.0);
+    settings.stop.total = fromSeconds(grace) - milliseconds(400);
+    const auto descriptors = static_cast<std::size_t>(file.integer("limits", "descriptors", 4096, 300, 1'000'000));
+    // Upstream connections are at most as many as callers' requests.
+    settings.maxConnections = (descriptors - DescriptorsForFiles) * 2 / 3;
+    return settings;
+}
+
+} // namespace ibismast
--- a/adapters/storeclient.cpp
+++ b/adapters/storeclient.cpp
@@ -1,6 +1,6 @@
 #include "adapters/storeclient.h"
 
-#include "adapters/processclock.h"
+#include "adapters/plumbing/processclock.h"
 
 namespace ibismast
 {
--- a/adapters/supervisor.cpp
+++ b/adapters/supervisor.cpp
@@ -1,6 +1,6 @@
 #include "adapters/supervisor.h"
 
-#include "adapters/logging.h"
+#include "adapters/plumbing/logging.h"
 
 #include <algorithm>
 
--- a/adapters/tlssettings.h
+++ b/adapters/tlssettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/settingsfile.h"
+#include "adapters/plumbing/settingsfile.h"
 #include "adapters/tls.h"
 
 namespace ibismast
--- a/daemons/daemonmain.cpp
+++ b/daemons/daemonmain.cpp
@@ -1,7 +1,7 @@
 #include "daemons/daemonmain.h"
 
-#include "adapters/logging.h"
-#include "adapters/processclock.h"
+#include "adapters/plumbing/logging.h"
+#include "adapters/plumbing/processclock.h"
 #include "adapters/stopsignals.h"
 
 #include <CLI/CLI.hpp>
--- /dev/null
+++ b/ibismast/relay/callflow.cpp
@@ -0,0 +1,322 @@
+#include "ibismast/relay/callflow.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace ibismast
+{
+
+namespace
+{
+
+constexpr int FirstServerError = 500;
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// True for the statuses by which a caller learns that its call was not run.
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+std::string inMs(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+} // namespace
+
+CallFlow::CallFlow(RelayCall call,
+                   const CallFlowSettings &settings,
+                   CallEnvironment &environment,
+                   EventListener &listener)
+    : m_call(std::move(call))
+    , m_settings(settings)
+    , m_environment(&environment)
+    , m_listener(&listener)
+    , m_scanner(settings.maxEventBytes)
+{
+}
+
+bool CallFlow::isStream() const
+{
+    return m_call.route.kind == CallKind::Stream || m_call.route.kind == CallKind::ResumableStream;
+}
+
+bool CallFlow::mayRepeat() const
+{
+    return m_call.route.kind == CallKind::Idempotent || m_call.route.kind == CallKind::ResumableStream;
+}
+
+Duration CallFlow::stallTime() const
+{
+    if (m_call.route.kind == CallKind::Idempotent) {
+        return fromSeconds(toSeconds(m_call.route.objective) * m_settings.answerPatience);
+    }
+    const double gap = std::max({toSeconds(m_settings.callerGap),
+                                 toSeconds(m_call.route.objective) * m_settings.callerGapObjectives,
+                                 toSeconds(m_call.route.pauseTarget) * m_settings.callerGapPauses});
+    double stall = gap * m_settings.stallShare;
+    if (m_plan && m_scanner.lastId().empty()) {
+        stall = std::max(stall, toSeconds(m_plan->firstEvent) * m_settings.predictionSlack);
+    }
+    return fromSeconds(stall);
+}
+
+void CallFlow::start(TimePoint now, CallActions &actions)
+{
+    startAttempt(now, actions);
+}
+
+void CallFlow::startAttempt(TimePoint now, CallActions &actions)
+{
+    std::optional<AttemptPlan> plan = m_environment->planAttempt(m_call, m_tried, now);
+    if (!plan) {
+        refuse(ResultCode::NoUpstream, "no upstream has room", now, actions);
+        return;
+    }
+    m_plan = std::move(plan);
+    ++m_attempt;
+    m_headReceived = false;
+    m_body.clear();
+    // What stands behind the last whole event comes again from the next upstream.
+    (void)m_scanner.takeRest();
+    m_lastProgress = now;
+    m_tried.insert(m_plan->upstream.id);
+    m_environment->attemptStarted(m_call, *m_plan, now);
+    const std::string &lastEventId = m_eventsSent > 0 ? m_scanner.lastId() : m_call.lastEventId;
+    m_listener->onEvent("attempt_started",
+                        {{"request", m_call.requestId},
+                         {"attempt", std::to_string(m_attempt)},
+                         {"upstream", m_plan->upstream.id.value()},
+                         {"helpers", std::to_string(m_plan->helpers.size())},
+                         {"part_ms", inMs(m_plan->part)},
+                         {"predicted_ms", inMs(m_plan->firstEvent)},
+                         {"behind_event", lastEventId},
+                         {"left_ms", inMs(m_call.deadline - now)}});
+    actions.emplace_back(StartAttempt {m_attempt, *m_plan, lastEventId, m_call.deadline - now});
+}
+
+void CallFlow::closeAttempt(TimePoint now)
+{
+    if (m_plan) {
+        m_environment->attemptEnded(m_call, *m_plan, now);
+        m_plan.reset();
+    }
+}
+
+void CallFlow::attemptFailed(
+    int attempt, AttemptFailure failure, std::string_view reason, TimePoint now, CallActions &actions)
+{
+    if (m_ended || !m_plan || attempt != m_attempt) {
+        return;
+    }
+    const InstanceId upstream = m_plan->upstream.id;
+    m_environment->upstreamFailed(upstream, now);
+    closeAttempt(now);
+    if (failure == AttemptFailure::NotSent) {
+        ++m_unsent;
+        if (m_unsent <= m_settings.maxUnsent && now < m_call.deadline) {
+            m_listener->onEvent("attempt_unsent",
+                                {{"request", m_call.requestId},
+                                 {"attempt", std::to_string(attempt)},
+                                 {"upstream", upstream.value()},
+                                 {"reason", std::string(reason)}});
+            startAttempt(now, actions);
+            return;
+        }
+        retryOrEnd(reason, ResultCode::NoUpstream, now, actions);
+        return;
+    }
+    ++m_sent;
+    m_mayHaveRun = true;
+    retryOrEnd(reason, ResultCode::UpstreamFailed, now, actions);
+}
+
+void CallFlow::headReceived(int attempt, const UpstreamHead &head, TimePoint now, CallActions &actions)
+{
+    if (m_ended || !m_plan || attempt != m_attempt) {
+        return;
+    }
+    m_lastProgress = now;
+    m_head = head;
+    m_headReceived = true;
+    if (!head.faultAt.empty()) {
+        m_environment->upstreamFailedAt(head.faultAt, now);
+    }
+    if (head.notRun) {
+        ++m_sent;
+        if (head.faultAt.empty()) {
+            m_environment->upstreamFailed(m_plan->upstream.id, now);
+        }
+        actions.emplace_back(AbortAttempt {attempt});
+        closeAttempt(now);
+        retryOrEnd("upstream declined with " + std::to_string(head.status), ResultCode::NoUpstream, now, actions);
+        return;
+    }
+    m_mayHaveRun = true;
+    const bool failed = head.status >= FirstServerError || !head.sound || promisesNotRun(head.status);
+    const bool streamMoves = m_headSent && !isSuccess(head.status);
+    if (!failed && !streamMoves) {
+        return;
+    }
+    const bool canPassOn = head.sound && !promisesNotRun(head.status) && !m_headSent;
+    const bool mayTryAgain = mayRepeat() && m_sent + 1 < m_call.route.maxAttempts && now < m_call.deadline;
+    if (canPassOn && !mayTryAgain) {
+        // The upstream's own failure goes to the caller as it is.
+        return;
+    }
+    ++m_sent;
+    m_environment->upstreamFailed(m_plan->upstream.id, now);
+    actions.emplace_back(AbortAttempt {attempt});
+    closeAttempt(now);
+    retryOrEnd("upstream failed with " + std::to_string(head.status), ResultCode::UpstreamFailed, now, actions);
+}
+
+void CallFlow::bodyReceived(int attempt, std::string_view bytes, TimePoint now, CallActions &actions)
+{
+    if (m_ended || !m_plan || attempt != m_attempt) {
+        return;
+    }
+    m_lastProgress = now;
+    if (!isStream() || !isSuccess(m_head.status)) {
+        m_body.append(bytes);
+        if (m_body.size() > m_settings.maxAnswerBytes) {
+            actions.emplace_back(AbortAttempt {attempt});
+            attemptFailed(attempt, AttemptFailure::Broken, "answer too large", now, actions);
+        }
+        return;
+    }
+    std::string events = m_scanner.append(bytes);
+    if (m_scanner.overflowed()) {
+        actions.emplace_back(AbortAttempt {attempt});
+        attemptFailed(attempt, AttemptFailure::Broken, "event too large", now, actions);
+        return;
+    }
+    if (events.empty()) {
+        return;
+    }
+    if (!m_headSent) {
+        m_headSent = true;
+        m_firstEvent = now;
+        actions.emplace_back(SendHead {attempt});
+    }
+    ++m_eventsSent;
+    actions.emplace_back(SendBody {std::move(events)});
+}
+
+void CallFlow::answerEnded(int attempt, TimePoint now, CallActions &actions)
+{
+    if (m_ended || !m_plan || attempt != m_attempt) {
+        return;
+    }
+    ++m_sent;
+    if (m_head.status < FirstServerError) {
+        m_environment->upstreamWorked(m_plan->upstream.id);
+    } else {
+        m_environment->upstreamFailed(m_plan->upstream.id, now);
+    }
+    if (isStream() && isSuccess(m_head.status)) {
+        if (!m_headSent) {
+            m_headSent = true;
+            actions.emplace_back(SendHead {attempt});
+        }
+        std::string rest = m_scanner.takeRest();
+        if (!rest.empty()) {
+            actions.emplace_back(SendBody {std::move(rest)});
+        }
+        actions.emplace_back(EndBody {});
+    } else {
+        actions.emplace_back(SendWhole {attempt, std::move(m_body)});
+    }
+    finish("answered", std::to_string(m_head.status), now);
+}
+
+void CallFlow::callerGone(TimePoint now, CallActions &actions)
+{
+    if (m_ended) {
+        return;
+    }
+    if (m_plan) {
+        actions.emplace_back(AbortAttempt {m_attempt});
+    }
+    finish("caller_gone", "caller closed its connection", now);
+}
+
+TimePoint CallFlow::nextDue() const
+{
+    if (!m_plan || m_sent + 1 >= m_call.route.maxAttempts || !mayRepeat()) {
+        return m_call.deadline;
+    }
+    return std::min(m_call.deadline, m_lastProgress + stallTime());
+}
+
+void CallFlow::timeReached(TimePoint now, CallActions &actions)
+{
+    if (m_ended || now < nextDue()) {
+        return;
+    }
+    if (m_plan) {
+        actions.emplace_back(AbortAttempt {m_attempt});
+    }
+    if (now >= m_call.deadline) {
+        refuse(ResultCode::DeadlineExceeded, "the call's time is over", now, actions);
+        return;
+    }
+    attemptFailed(m_attempt, AttemptFailure::Broken, "no progress", now, actions);
+}
+
+void CallFlow::retryOrEnd(std::string_view reason, ResultCode code, TimePoint now, CallActions &actions)
+{
+    // A call that no upstream can have run may go to another one whatever its kind.
+    const bool allowed = mayRepeat() || !m_mayHaveRun;
+    if (allowed && m_sent < m_call.route.maxAttempts && now < m_call.deadline && m_unsent <= m_settings.maxUnsent
+        && m_environment->takeRetry(m_call.service, now)) {
+        m_listener->onEvent("attempt_retried",
+                            {{"request", m_call.requestId},
+                             {"attempt", std::to_string(m_attempt)},
+                             {"reason", std::string(reason)}});
+        startAttempt(now, actions);
+        return;
+    }
+    refuse(m_mayHaveRun ? ResultCode::UpstreamFailed : code, std::string(reason), now, actions);
+}
+
+void CallFlow::refuse(ResultCode code, std::string reason, TimePoint now, CallActions &actions)
+{
+    if (m_headSent) {
+        actions.emplace_back(CutCaller {});
+        finish("cut", reason, now);
+        return;
+    }
+    if (m_mayHaveRun && resultCodeInfo(code).notRun) {
+        code = ResultCode::UpstreamFailed;
+    }
+    const bool notRun = resultCodeInfo(code).notRun;
+    finish("refused", reason, now);
+    actions.emplace_back(
+        Refuse {code, std::move(reason), notRun ? std::optional(m_settings.retryAfter) : std::nullopt});
+}
+
+void CallFlow::finish(std::string_view outcome, std::string_view reason, TimePoint now)
+{
+    assert(!m_ended);
+    const std::string upstream = m_plan ? m_plan->upstream.id.value() : std::string("none");
+    closeAttempt(now);
+    m_ended = true;
+    m_listener->onEvent("call_ended",
+                        {{"request", m_call.requestId},
+                         {"outcome", std::string(outcome)},
+                         {"reason", std::string(reason)},
+                         {"route", m_call.route.name},
+                         {"customer", m_call.customer.value()},
+                         {"upstream", upstream},
+                         {"attempts", std::to_string(m_attempt)},
+                         {"first_event_ms", m_firstEvent ? inMs(*m_firstEvent - m_call.arrived) : "none"},
+                         {"total_ms", inMs(now - m_call.arrived)}});
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/relay/callflow.h
@@ -0,0 +1,221 @@
+#pragma once
+
+#include "ibismast/core/result.h"
+#include "ibismast/relay/engineplanner.h"
+#include "ibismast/relay/eventscanner.h"
+
+#include <set>
+
+namespace ibismast
+{
+
+/// Call that the relay has admitted.
+struct RelayCall
+{
+    CallNumber number;
+    /// Id that the caller gave the call; it names the call in logs.
+    std::string requestId;
+    RelayRoute route;
+    ServiceName service;
+    CustomerId customer;
+    TimePoint arrived;
+    /// End of the route's timeout or of the caller's patience, whichever is first.
+    TimePoint deadline;
+    /// Size of a generation.
+    GenerationSize size;
+    /// Last event that the caller has from an earlier call; empty if it starts anew.
+    std::string lastEventId;
+};
+
+/// Upstream that one attempt goes to.
+struct AttemptPlan
+{
+    UpstreamRecord upstream;
+    std::vector<UpstreamRecord> helpers;
+    /// Predicted time to the first event; zero if nothing is predicted.
+    Duration firstEvent {};
+    /// Reading on each of the engines.
+    Duration part {};
+};
+
+/// Sends the call to an upstream.
+struct StartAttempt
+{
+    int attempt = 0;
+    AttemptPlan plan;
+    /// Event behind which the upstream continues; empty for the whole stream.
+    std::string lastEventId;
+    Duration timeLeft {};
+};
+/// Closes the connection of an attempt, which cancels it at the upstream.
+struct AbortAttempt
+{
+    int attempt = 0;
+};
+/// Passes the status and headers of an attempt on as those of a stream.
+struct SendHead
+{
+    int attempt = 0;
+};
+/// Passes bytes of the body on.
+struct SendBody
+{
+    std::string bytes;
+};
+/// Ends the body of a stream as complete.
+struct EndBody
+{
+};
+/// Answers with the status, the headers and the whole body of an attempt.
+struct SendWhole
+{
+    int attempt = 0;
+    std::string body;
+};
+/// Answers with a failure of the relay's own.
+struct Refuse
+{
+    ResultCode code = ResultCode::InternalError;
+    std::string reason;
+    std::optional<Duration> retryAfter;
+};
+/// Closes the caller's connection so that the answer does not look complete.
+struct CutCaller
+{
+};
+/// What the shell has to do for one call.
+using CallAction =
+    std::variant<StartAttempt, AbortAttempt, SendHead, SendBody, EndBody, SendWhole, Refuse, CutCaller>;
+using CallActions = std::vector<CallAction>;
+
+/// Head of an upstream's answer, as far as decisions depend on it.
+struct UpstreamHead
+{
+    int status = 0;
+    /// The upstream declares that it has not run the call and never will.
+    bool notRun = false;
+    /// False if the answer lacks the upstream's signature or its body is encoded; it is then no valid success.
+    bool sound = true;
+    /// Address of another upstream that the answer blames.
+    UpstreamAddress faultAt;
+};
+
+/// How an attempt ended without a complete answer.
+enum class AttemptFailure : std::uint8_t {
+    /// No byte of the call has left the process.
+    NotSent,
+    /// The connection broke or carried something that is no answer.
+    Broken,
+};
+
+/// Decisions that calls share.
+class CallEnvironment
+{
+public:
+    virtual ~CallEnvironment() = default;
+
+    /// Chooses an upstream for @p call other than those in @p tried; nothing if none has room.
+    [[nodiscard]] virtual std::optional<AttemptPlan>
+    planAttempt(const RelayCall &call, const std::set<InstanceId> &tried, TimePoint now) = 0;
+    /// Takes a retry to @p service from the budget.
+    [[nodiscard]] virtual bool takeRetry(const ServiceName &service, TimePoint now) = 0;
+    /// The attempt is on its way.
+    virtual void attemptStarted(const RelayCall &call, const AttemptPlan &plan, TimePoint now) = 0;
+    /// The attempt has ended, by an answer or otherwise.
+    virtual void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) = 0;
+    virtual void upstreamWorked(const InstanceId &upstream) = 0;
+    virtual void upstreamFailed(const InstanceId &upstream, TimePoint now) = 0;
+    virtual void upstreamFailedAt(const UpstreamAddress &address, TimePoint now) = 0;
+};
+
+/// Settings of a `CallFlow`.
+struct CallFlowSettings
+{
+    /// Attempts that may fail before a byte is sent, which does not count as sending the call.
+    int maxUnsent = 4;
+    /// Multiple of the objective after which an idempotent call without an answer moves to another upstream.
+    double answerPatience = 2.5;
+    /// Callers of streams leave after the longest of this time and the multiples below of objective and pause.
+    Duration callerGap = std::chrono::seconds(2);
+    double callerGapObjectives = 4.0;
+    double callerGapPauses = 8.0;
+    /// Share of the callers' gap after which a silent stream moves to another upstream.
+    double stallShare = 0.45;
+    /// A stream is not moved before this multiple of the predicted time to its first event.
+    double predictionSlack = 2.0;
+    /// Largest event of a stream.
+    std::size_t maxEventBytes = std::size_t {1} << 20;
+    /// Largest answer that is held until it is complete.
+    std::size_t maxAnswerBytes = std::size_t {8} << 20;
+    /// Retry-After of calls that found no upstream; callers spread it themselves.
+    Duration retryAfter = std::chrono::milliseconds(400);
+};
+
+/// Life of one call: attempts at upstreams, one answer to the caller.
+///
+/// Deterministic: the shell reports what happens at the sockets and carries out the actions.
+class CallFlow
+{
+public:
+    CallFlow(RelayCall call, const CallFlowSettings &settings, CallEnvironment &environment, EventListener &listener);
+
+    void start(TimePoint now, CallActions &actions);
+    /// An attempt failed; reports of attempts that were aborted are ignored.
+    void attemptFailed(int attempt, AttemptFailure failure, std::string_view reason, TimePoint now, CallActions &actions);
+    void headReceived(int attempt, const UpstreamHead &head, TimePoint now, CallActions &actions);
+    void bodyReceived(int attempt, std::string_view bytes, TimePoint now, CallActions &actions);
+    /// The answer is complete.
+    void answerEnded(int attempt, TimePoint now, CallActions &actions);
+    /// The caller has closed its connection.
+    void callerGone(TimePoint now, CallActions &actions);
+    /// The time of `nextDue` has come.
+    void timeReached(TimePoint now, CallActions &actions);
+
+    [[nodiscard]] TimePoint nextDue() const;
+    [[nodiscard]] bool ended() const
+    {
+        return m_ended;
+    }
+    [[nodiscard]] const RelayCall &call() const
+    {
+        return m_call;
+    }
+
+private:
+    [[nodiscard]] bool isStream() const;
+    [[nodiscard]] bool mayRepeat() const;
+    [[nodiscard]] Duration stallTime() const;
+    void startAttempt(TimePoint now, CallActions &actions);
+    /// Ends the attempt under way; it has or has not run.
+    void closeAttempt(TimePoint now);
+    /// Starts another attempt if the call allows it, else ends the call.
+    void retryOrEnd(std::string_view reason, ResultCode code, TimePoint now, CallActions &actions);
+    void refuse(ResultCode code, std::string reason, TimePoint now, CallActions &actions);
+    void finish(std::string_view outcome, std::string_view reason, TimePoint now);
+
+    RelayCall m_call;
+    CallFlowSettings m_settings;
+    CallEnvironment *m_environment;
+    EventListener *m_listener;
+    EventScanner m_scanner;
+    std::set<InstanceId> m_tried;
+    std::optional<AttemptPlan> m_plan;
+    /// Number of the attempt under way or of the last one.
+    int m_attempt = 0;
+    int m_sent = 0;
+    int m_unsent = 0;
+    /// True once an upstream may have run the call.
+    bool m_mayHaveRun = false;
+    bool m_headReceived = false;
+    UpstreamHead m_head;
+    std::string m_body;
+    /// True once the caller has the head of a stream.
+    bool m_headSent = false;
+    std::uint64_t m_eventsSent = 0;
+    std::optional<TimePoint> m_firstEvent;
+    /// Last sign of life of the attempt under way.
+    TimePoint m_lastProgress;
+    bool m_ended = false;
+};
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/relay/clusterwatch.cpp
@@ -0,0 +1,226 @@
+#include "ibismast/relay/clusterwatch.h"
+
+#include <algorithm>
+
+namespace ibismast
+{
+
+namespace
+{
+
+/// An entry whose address was not heard for this long is not asked.
+constexpr Duration EntrySilence = std::chrono::milliseconds(2500);
+
+} // namespace
+
+ClusterWatch::ClusterWatch(const ClusterWatchSettings &settings,
+                           const RecordDecoder &decoder,
+                           RelayCore &core,
+                           std::uint64_t seed,
+                           EventListener &listener)
+    : m_settings(settings), m_decoder(&decoder), m_core(&core), m_random(seed), m_listener(&listener)
+{
+}
+
+void ClusterWatch::tick(TimePoint now, std::vector<WatchRequest> &requests)
+{
+    if (!m_listPending && now >= m_nextList) {
+        m_listPending = true;
+        requests.emplace_back(ReadUpstreams {m_settings.readTimeout});
+    }
+    if (!m_configPending && now >= m_nextConfig) {
+        m_configPending = true;
+        if (m_configUnknown) {
+            requests.emplace_back(ReadConfig {m_settings.readTimeout});
+        } else {
+            requests.emplace_back(
+                AwaitConfig {m_configSeen, m_settings.configWait, m_settings.configWait + m_settings.readTimeout});
+        }
+    }
+    if (!m_askPending && now >= m_nextAsk) {
+        if (const std::optional<std::string> entry = entryToAsk(now)) {
+            m_askPending = true;
+            m_nextAsk = now + m_settings.askInterval;
+            requests.emplace_back(AskEntry {*entry, m_settings.readTimeout});
+        }
+    }
+}
+
+std::optional<std::string> ClusterWatch::entryToAsk(TimePoint now)
+{
+    const RelayConfig *config = m_core->config();
+    const RelayConfigVersion version = config != nullptr ? config->version : RelayConfigVersion();
+    for (const auto &[address, entry] : m_entries) {
+        if (entry.configVersion > version) {
+            return address;
+        }
+    }
+    if (m_entries.empty() || (m_upstreams && now - m_listTime < m_settings.staleList)) {
+        return std::nullopt;
+    }
+    auto chosen = m_entries.begin();
+    std::advance(chosen, static_cast<std::ptrdiff_t>(m_random.below(m_entries.size())));
+    return chosen->first;
+}
+
+Duration ClusterWatch::nextPause()
+{
+    m_pause = std::clamp(m_pause * 2, m_settings.retryPause, m_settings.longestRetryPause);
+    // Spread over half the pause, so that entries do not return to a recovered store in step.
+    return m_pause / 2 + Duration(static_cast<std::int64_t>(m_random.uniform() * static_cast<double>(m_pause.count() / 2)));
+}
+
+void ClusterWatch::noteStore(bool answered, std::string_view reason, TimePoint now)
+{
+    if (answered) {
+        m_pause = Duration::zero();
+    } else {
+        m_core->directory().noteOutage(now);
+    }
+    if (answered != m_storeAnswers) {
+        m_storeAnswers = answered;
+        m_listener->onEvent(answered ? "store_regained" : "store_lost",
+                            {{"reason", std::string(reason)},
+                             {"list_revision", std::to_string(listRevision())},
+                             {"config_revision", m_config ? std::to_string(m_config->revision) : std::string("none")}});
+    }
+}
+
+void ClusterWatch::upstreamsRead(const Result<StoredUpstreams> &result, TimePoint now)
+{
+    m_listPending = false;
+    if (const Error *error = errorOf(result)) {
+        noteStore(false, error->message, now);
+        m_nextList = now + nextPause();
+        return;
+    }
+    noteStore(true, "upstreams read", now);
+    m_nextList = now + m_settings.listInterval;
+    applyUpstreams(std::get<StoredUpstreams>(result), "store", now, now);
+}
+
+void ClusterWatch::configRead(const Result<StoredConfig> &result, TimePoint now)
+{
+    m_configPending = false;
+    if (const Error *error = errorOf(result)) {
+        noteStore(false, error->message, now);
+        m_nextConfig = now + nextPause();
+        return;
+    }
+    noteStore(true, "configuration read", now);
+    const auto &reading = std::get<StoredConfig>(result);
+    m_configUnknown = false;
+    m_configSeen = reading.revision;
+    m_nextConfig = now;
+    if (reading.record) {
+        applyConfig(*reading.record, "store", now);
+    }
+}
+
+void ClusterWatch::configAwaited(const Result<StoredConfig> &result, TimePoint now)
+{
+    m_configPending = false;
+    if (const Error *error = errorOf(result)) {
+        // The wait may have been cut while the configuration changed, or its history is gone.
+        m_configUnknown = true;
+        m_nextConfig = now;
+        m_listener->onEvent("config_wait_failed", {{"reason", error->message}});
+        return;
+    }
+    m_nextConfig = now;
+    const auto &reading = std::get<StoredConfig>(result);
+    m_configSeen = reading.revision;
+    if (reading.record) {
+        applyConfig(*reading.record, "store", now);
+    }
+}
+
+void ClusterWatch::copyReceived(const Result<RecordCopy> &result, TimePoint now)
+{
+    m_askPending = false;
+    if (const Error *error = errorOf(result)) {
+        m_listener->onEvent("copy_failed", {{"reason", error->message}});
+        return;
+    }
+    const auto &copy = std::get<RecordCopy>(result);
+    if (copy.config) {
+        applyConfig(*copy.config, "entry", now);
+    }
+    const TimePoint read = now - copy.age;
+    if (copy.upstreams.revision > 0 && (!m_upstreams || read > m_listTime)) {
+        applyUpstreams(copy.upstreams, "entry", read, now);
+    }
+}
+
+void ClusterWatch::applyConfig(const StoredRecord &record, std::string_view source, TimePoint now)
+{
+    if (m_config && record.revision <= m_config->revision) {
+        return;
+    }
+    Result<RelayConfig> config = m_decoder->decodeConfig(record);
+    m_config = record;
+    if (const Error *error = errorOf(config)) {
+        m_listener->onEvent("config_unreadable",
+                            {{"revision", std::to_string(record.revision)},
+                             {"source", std::string(source)},
+                             {"reason", error->message}});
+        return;
+    }
+    m_listener->onEvent("config_received",
+                        {{"revision", std::to_string(record.revision)}, {"source", std::string(source)}});
+    m_core->applyConfig(std::move(std::get<RelayConfig>(config)), now);
+}
+
+void ClusterWatch::applyUpstreams(const StoredUpstreams &upstreams,
+                                  std::string_view source,
+                                  TimePoint read,
+                                  TimePoint now)
+{
+    if (m_upstreams && upstreams.revision < m_upstreams->revision) {
+        return;
+    }
+    UpstreamList list;
+    list.revision = upstreams.revision;
+    for (const StoredRecord &record : upstreams.records) {
+        Result<UpstreamRecord> upstream = m_decoder->decodeUpstream(record);
+        if (const Error *error = errorOf(upstream)) {
+            if (m_reportedRecords.emplace(record.key, record.revision).second) {
+                m_listener->onEvent("upstream_unreadable",
+                                    {{"key", record.key},
+                                     {"revision", std::to_string(record.revision)},
+                                     {"source", std::string(source)},
+                                     {"reason", error->message}});
+            }
+            continue;
+        }
+        list.records.push_back(std::move(std::get<UpstreamRecord>(upstream)));
+    }
+    m_upstreams = upstreams;
+    m_listTime = read;
+    m_core->directory().apply(list, now);
+}
+
+void ClusterWatch::noteEntry(const std::string &address, RelayConfigVersion configVersion, TimePoint now)
+{
+    m_entries[address] = KnownEntry {configVersion, now};
+}
+
+void ClusterWatch::expire(TimePoint now)
+{
+    std::erase_if(m_entries, [now](const auto &entry) {
+        return now - entry.second.heard > EntrySilence;
+    });
+}
+
+RecordCopy ClusterWatch::copy(TimePoint now) const
+{
+    RecordCopy result;
+    result.config = m_config;
+    if (m_upstreams) {
+        result.upstreams = *m_upstreams;
+        result.age = now - m_listTime;
+    }
+    return result;
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/relay/engineload.cpp
@@ -0,0 +1,113 @@
+#include "ibismast/relay/engineload.h"
+
+#include <algorithm>
+
+namespace ibismast
+{
+
+namespace
+{
+
+constexpr double MsPerSecond = 1000.0;
+constexpr double TokensPerThousand = 1000.0;
+constexpr double PairsPerMillion = 1e6;
+
+Duration fromMs(double ms)
+{
+    return fromSeconds(ms / MsPerSecond);
+}
+
+} // namespace
+
+Duration readingTime(const EngineProfile &profile, Tokens prompt)
+{
+    const auto tokens = static_cast<double>(prompt.value());
+    const double linear = tokens / profile.readRate * MsPerSecond;
+    // Each token attends to all earlier ones.
+    const double pairs = tokens * tokens / 2.0 / PairsPerMillion * profile.pairsMs;
+    return fromMs(linear + pairs);
+}
+
+Duration writingPass(const EngineProfile &profile, std::size_t streams, Tokens context)
+{
+    const double step = profile.stepMs + profile.stepPerSequenceMs * static_cast<double>(streams)
+        + profile.stepPerContextMs * static_cast<double>(context.value()) / TokensPerThousand;
+    return fromMs(step * static_cast<double>(profile.stride));
+}
+
+Duration EngineLoad::backlog(TimePoint now) const
+{
+    return m_readUntil > now ? m_readUntil - now : Duration::zero();
+}
+
+std::size_t EngineLoad::streamsTighterThan(Duration limit) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_streams, [limit](const auto &entry) {
+        return entry.second.pauseTarget < limit;
+    }));
+}
+
+EngineLoadTable::EngineLoadTable(const EngineLoadSettings &settings) : m_settings(settings) { }
+
+void EngineLoadTable::place(const Placement &placement, TimePoint now)
+{
+    const Duration longest = std::max(m_settings.leastExpiry,
+                                      fromSeconds(toSeconds(placement.expected) * m_settings.expiryFactor));
+    if (!m_calls.try_emplace(placement.id, Call {placement.writer, now + longest}).second) {
+        return;
+    }
+    EngineLoad &writer = m_loads[placement.writer];
+    writer.m_streams.emplace(placement.id, EngineLoad::Stream {placement.pauseTarget, placement.memory});
+    writer.m_memory += placement.memory;
+    for (const ReadShare &share : placement.reads) {
+        EngineLoad &load = m_loads[share.engine];
+        load.m_readUntil = std::max(load.m_readUntil, now) + share.reading;
+    }
+}
+
+void EngineLoadTable::end(const PlacedCallId &id)
+{
+    const auto call = m_calls.find(id);
+    if (call == m_calls.end()) {
+        return;
+    }
+    EngineLoad &writer = m_loads[call->second.writer];
+    const auto stream = writer.m_streams.find(id);
+    writer.m_memory -= stream->second.memory;
+    writer.m_streams.erase(stream);
+    m_calls.erase(call);
+}
+
+void EngineLoadTable::endAllOf(const InstanceId &entry)
+{
+    std::vector<PlacedCallId> ended;
+    for (auto call = m_calls.lower_bound(PlacedCallId {entry, CallNumber()});
+         call != m_calls.end() && call->first.entry == entry;
+         ++call) {
+        ended.push_back(call->first);
+    }
+    for (const PlacedCallId &id : ended) {
+        end(id);
+    }
+}
+
+void EngineLoadTable::expire(TimePoint now)
+{
+    std::vector<PlacedCallId> ended;
+    for (const auto &[id, call] : m_calls) {
+        if (now >= call.expiry) {
+            ended.push_back(id);
+        }
+    }
+    for (const PlacedCallId &id : ended) {
+        end(id);
+    }
+}
+
+const EngineLoad &EngineLoadTable::load(const InstanceId &engine) const
+{
+    const auto found = m_loads.find(engine);
+    return found == m_loads.end() ? m_none : found->second;
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/relay/engineload.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "ibismast/relay/relayconfig.h"
+
+#include <map>
+
+namespace ibismast
+{
+
+/// Number of a call within one entry; with the entry's id it names a call in the fleet.
+using CallNumber = StrongInteger<struct CallNumberTag, std::uint64_t>;
+
+/// Names one call in the fleet.
+struct PlacedCallId
+{
+    InstanceId entry;
+    CallNumber call;
+
+    auto operator<=>(const PlacedCallId &) const = default;
+};
+
+/// Reading that a call has put on one engine.
+struct ReadShare
+{
+    InstanceId engine;
+    /// Time that the engine needs for the share alone.
+    Duration reading {};
+
+    bool operator==(const ReadShare &) const = default;
+};
+
+/// Work that an entry has sent to engines for one call. Entries tell each other about it.
+struct Placement
+{
+    PlacedCallId id;
+    /// Engine that writes the stream.
+    InstanceId writer;
+    /// Longest pause between events that the stream bears.
+    Duration pauseTarget {};
+    /// Prompt and expected output.
+    Tokens memory;
+    /// Expected time from the placement to the end of the stream.
+    Duration expected {};
+    /// Shares of the reading, that of the writer included.
+    std::vector<ReadShare> reads;
+
+    bool operator==(const Placement &) const = default;
+};
+
+/// Returns the time that one engine alone needs to read a prompt of @p prompt tokens.
+[[nodiscard]] Duration readingTime(const EngineProfile &profile, Tokens prompt);
+/// Returns the time of one pass that writes @p streams streams with @p context tokens together, without reading.
+[[nodiscard]] Duration writingPass(const EngineProfile &profile, std::size_t streams, Tokens context);
+
+/// Work on one engine, as far as this entry knows.
+class EngineLoad
+{
+public:
+    /// Reading that has been placed and has not been done at @p now, in time of the engine.
+    [[nodiscard]] Duration backlog(TimePoint now) const;
+    /// Streams that the engine writes or is about to write.
+    [[nodiscard]] std::size_t streams() const
+    {
+        return m_streams.size();
+    }
+    /// Streams whose pauses must stay below @p limit.
+    [[nodiscard]] std::size_t streamsTighterThan(Duration limit) const;
+    /// KV memory of the streams.
+    [[nodiscard]] Tokens memory() const
+    {
+        return m_memory;
+    }
+
+private:
+    friend class EngineLoadTable;
+
+    struct Stream
+    {
+        Duration pauseTarget {};
+        Tokens memory;
+    };
+
+    TimePoint m_readUntil = TimePoint::min();
+    std::map<PlacedCallId, Stream> m_streams;
+    Tokens m_memory;
+};
+
+/// Settings of an `EngineLoadTable`.
+struct EngineLoadSettings
+{
+    /// A placement of another entry whose end was not heard of is dropped after this multiple of its expected time.
+    double expiryFactor = 2.5;
+    Duration leastExpiry = std::chrono::seconds(2);
+};
+
+/// Work on all engines: that of this entry and that which other entries have told of.
+class EngineLoadTable
+{
+public:
+    explicit EngineLoadTable(const EngineLoadSettings &settings);
+
+    /// Enters @p placement; one that is known already is ignored.
+    void place(const Placement &placement, TimePoint now);
+    /// The call has ended or moved away; unknown ones are ignored.
+    void end(const PlacedCallId &id);
+    /// Ends all calls of an entry that has gone.
+    void endAllOf(const InstanceId &entry);
+    /// Drops what has outlived its time.
+    void expire(TimePoint now);
+
+    /// Returns the load of @p engine; an unknown one has none.
+    [[nodiscard]] const EngineLoad &load(const InstanceId &engine) const;
+    [[nodiscard]] std::size_t calls() const
+    {
+        return m_calls.size();
+    }
+
+private:
+    struct Call
+    {
+        InstanceId writer;
+        TimePoint expiry;
+    };
+
+    EngineLoadSettings m_settings;
+    std::map<InstanceId, EngineLoad> m_loads;
+    std::map<PlacedCallId, Call> m_calls;
+    EngineLoad m_none;
+};
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/relay/engineplanner.cpp
@@ -0,0 +1,143 @@
+#include "ibismast/relay/engineplanner.h"
+
+#include <algorithm>
+
+namespace ibismast
+{
+
+EnginePlanner::EnginePlanner(const EnginePlannerSettings &settings, const EngineLoadTable &loads)
+    : m_settings(settings), m_loads(&loads)
+{
+}
+
+std::optional<EnginePlan> EnginePlanner::plan(const GenerationQuery &query,
+                                              const EngineProfile &profile,
+                                              const std::vector<const UpstreamDirectory::Member *> &engines,
+                                              TimePoint now) const
+{
+    const Duration reading = readingTime(profile, query.size.prompt);
+    if (reading < m_settings.leastPart * 2 || engines.size() < 2) {
+        return planWhole(query, profile, engines, now);
+    }
+    return planSplit(query, profile, engines, now);
+}
+
+Tokens EnginePlanner::memoryOf(const GenerationQuery &query, const EngineProfile &profile) const
+{
+    const auto usual = static_cast<std::int64_t>(profile.usualAnswer);
+    const std::int64_t output =
+        query.size.maxOutput.value() > 0 ? std::min(query.size.maxOutput.value(), usual * 2) : usual;
+    return query.size.prompt + Tokens(output);
+}
+
+bool EnginePlanner::hasRoom(const EngineLoad &load, Tokens memory, const EngineProfile &profile) const
+{
+    const auto usable =
+        static_cast<std::int64_t>(static_cast<double>(profile.memory.value()) * m_settings.memoryShare);
+    // A call that exceeds the usable memory alone still gets an idle engine.
+    const bool fits = load.streams() == 0 || load.memory().value() + memory.value() <= usable;
+    return fits && load.streams() < static_cast<std::size_t>(profile.slots);
+}
+
+Duration EnginePlanner::allowedReading(Duration pauseTarget) const
+{
+    return fromSeconds(toSeconds(pauseTarget) * m_settings.pauseShare);
+}
+
+std::optional<EnginePlan> EnginePlanner::planWhole(const GenerationQuery &query,
+                                                   const EngineProfile &profile,
+                                                   const std::vector<const UpstreamDirectory::Member *> &engines,
+                                                   TimePoint now) const
+{
+    const Duration reading = readingTime(profile, query.size.prompt);
+    const Tokens memory = memoryOf(query, profile);
+    const Duration allowed = allowedReading(query.pauseTarget);
+    std::optional<EnginePlan> best;
+    Duration bestCost = Duration::max();
+    for (const auto *engine : engines) {
+        const EngineLoad &load = m_loads->load(engine->record.id);
+        if (!hasRoom(load, memory, profile)) {
+            continue;
+        }
+        const Duration wait = load.backlog(now);
+        const std::size_t tight = load.streamsTighterThan(m_settings.tightPause);
+        Duration cost = wait;
+        if (wait + reading > allowed) {
+            cost += m_settings.delayedStream * static_cast<int>(tight + 1);
+        }
+        if (tight == 0) {
+            cost += m_settings.openedEngine;
+        }
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = EnginePlan {engine,
+                               {},
+                               reading,
+                               wait + reading + writingPass(profile, load.streams() + 1, load.memory())};
+        }
+    }
+    return best;
+}
+
+std::vector<EnginePlanner::Candidate>
+EnginePlanner::ranked(const std::vector<const UpstreamDirectory::Member *> &engines, Duration part, TimePoint now) const
+{
+    std::vector<Candidate> candidates;
+    for (const auto *engine : engines) {
+        const EngineLoad &load = m_loads->load(engine->record.id);
+        const std::size_t tight = load.streamsTighterThan(m_settings.tightPause);
+        Duration start = load.backlog(now);
+        if (tight > 0 && start + part > allowedReading(m_settings.tightPause / 2)) {
+            start += m_settings.delayedStream * static_cast<int>(tight);
+        }
+        candidates.push_back({engine, &load, start});
+    }
+    std::ranges::stable_sort(candidates, {}, &Candidate::start);
+    return candidates;
+}
+
+std::optional<EnginePlan> EnginePlanner::planSplit(const GenerationQuery &query,
+                                                   const EngineProfile &profile,
+                                                   const std::vector<const UpstreamDirectory::Member *> &engines,
+                                                   TimePoint now) const
+{
+    const Duration reading = readingTime(profile, query.size.prompt);
+    const Tokens memory = memoryOf(query, profile);
+    const std::size_t most = std::min({engines.size(),
+                                       m_settings.maxHelpers + 1,
+                                       std::max<std::size_t>(1, static_cast<std::size_t>(reading / m_settings.leastPart))});
+    const std::vector<Candidate> candidates = ranked(engines, reading / static_cast<int>(most), now);
+    // More parts end sooner until the next engine's backlog outweighs the smaller part.
+    std::size_t parts = 1;
+    Duration bestEnd = Duration::max();
+    for (std::size_t count = 1; count <= most; ++count) {
+        const Duration end = candidates[count - 1].start + reading / static_cast<int>(count);
+        if (end < bestEnd) {
+            bestEnd = end;
+            parts = count;
+        }
+    }
+    // Of the readers the one with most free memory writes, away from short streams: the prompt stays in its memory.
+    std::optional<std::size_t> writer;
+    for (std::size_t index = 0; index < candidates.size() && (index < parts || !writer); ++index) {
+        const EngineLoad &load = *candidates[index].load;
+        if (hasRoom(load, memory, profile) && (!writer || load.memory() < candidates[*writer].load->memory())) {
+            writer = index;
+        }
+    }
+    if (!writer) {
+        return std::nullopt;
+    }
+    EnginePlan plan;
+    plan.writer = candidates[*writer].engine;
+    plan.part = reading / static_cast<int>(parts);
+    for (std::size_t index = 0; index < candidates.size() && plan.helpers.size() + 1 < parts; ++index) {
+        if (index != *writer) {
+            plan.helpers.push_back(candidates[index].engine);
+        }
+    }
+    plan.firstEvent = bestEnd + writingPass(profile, candidates[*writer].load->streams() + 1, memory);
+    return plan;
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/relay/engineplanner.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "ibismast/relay/engineload.h"
+#include "ibismast/relay/upstreamdirectory.h"
+
+namespace ibismast
+{
+
+/// Sizes that a caller gives of a generation.
+struct GenerationSize
+{
+    Tokens prompt;
+    /// Largest number of output tokens; 0 if it is not given.
+    Tokens maxOutput;
+};
+
+/// What the planner needs to know of a call of a model engine.
+struct GenerationQuery
+{
+    GenerationSize size;
+    /// Time to the first event that counts as on time.
+    Duration objective {};
+    Duration pauseTarget {};
+};
+
+/// Where a generation runs.
+struct EnginePlan
+{
+    /// Engine that gets the call and writes the stream.
+    const UpstreamDirectory::Member *writer = nullptr;
+    /// Engines that read parts of the prompt for it.
+    std::vector<const UpstreamDirectory::Member *> helpers;
+    /// Time that each of them needs for its part.
+    Duration part {};
+    /// Predicted time to the first event.
+    Duration firstEvent {};
+};
+
+/// Settings of an `EnginePlanner`.
+struct EnginePlannerSettings
+{
+    /// Largest number of helpers that an engine accepts for one call.
+    std::size_t maxHelpers = 16;
+    /// Smallest part that is worth a helper; below it the waits for passes outweigh the reading that is saved.
+    Duration leastPart = std::chrono::milliseconds(25);
+    /// Share of a stream's longest pause that the reading beside it may take; the rest is writing and delivery.
+    double pauseShare = 0.55;
+    /// Cost of reading that delays one stream past its longest pause.
+    Duration delayedStream = std::chrono::milliseconds(150);
+    /// Cost of putting the first short stream on an engine: the engine is then lost for undisturbed long reads.
+    Duration openedEngine = std::chrono::milliseconds(60);
+    /// Pauses below this make a stream sensitive to long reads beside it.
+    Duration tightPause = std::chrono::milliseconds(400);
+    /// Share of an engine's KV memory that may be planned for, since the outputs' lengths are estimates.
+    double memoryShare = 0.92;
+};
+
+/// Chooses engines for generations by predicted reading and pauses.
+///
+/// A pass of an engine reads what waits and then writes one event of every stream, so a long read delays all streams
+/// beside it. Short streams are therefore gathered on as few engines as bear them, and long prompts are read in even
+/// parts by many engines, those without short streams first.
+class EnginePlanner
+{
+public:
+    EnginePlanner(const EnginePlannerSettings &settings, const EngineLoadTable &loads);
+
+    /// Returns a plan for @p query on @p engines, or nothing if no engine has room. @p engines must not be empty.
+    [[nodiscard]] std::optional<EnginePlan> plan(const GenerationQuery &query,
+                                                 const EngineProfile &profile,
+                                                 const std::vector<const UpstreamDirectory::Member *> &engines,
+                                                 TimePoint now) const;
+
+private:
+    struct Candidate
+    {
+        const UpstreamDirectory::Member *engine = nullptr;
+        const EngineLoad *load = nullptr;
+        /// Time after which a part of a long read can begin, costs of disturbed streams included.
+        Duration start {};
+    };
+
+    [[nodiscard]] Tokens memoryOf(const GenerationQuery &query, const EngineProfile &profile) const;
+    [[nodiscard]] bool hasRoom(const EngineLoad &load, Tokens memory, const EngineProfile &profile) const;
+    [[nodiscard]] Duration allowedReading(Duration pauseTarget) const;
+    [[nodiscard]] std::optional<EnginePlan> planWhole(const GenerationQuery &query,
+                                                      const EngineProfile &profile,
+                                                      const std::vector<const UpstreamDirectory::Member *> &engines,
+                                                      TimePoint now) const;
+    [[nodiscard]] std::optional<EnginePlan> planSplit(const GenerationQuery &query,
+                                                      const EngineProfile &profile,
+                                                      const std::vector<const UpstreamDirectory::Member *> &engines,
+                                                      TimePoint now) const;
+    [[nodiscard]] std::vector<Candidate>
+    ranked(const std::vector<const UpstreamDirectory::Member *> &engines, Duration part, TimePoint now) const;
+
+    EnginePlannerSettings m_settings;
+    const EngineLoadTable *m_loads;
+};
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/relay/memberview.cpp
@@ -0,0 +1,71 @@
+#include "ibismast/relay/memberview.h"
+
+namespace ibismast
+{
+
+MemberView::MemberView(const MemberViewSettings &settings) : m_settings(settings) { }
+
+MemberView::News MemberView::heard(const EntryMember &member, TimePoint now)
+{
+    m_named.erase(member.address);
+    const auto found = m_members.find(member.id);
+    if (found == m_members.end()) {
+        if (m_members.size() < m_settings.maxMembers) {
+            m_members.emplace(member.id, Heard {member, now});
+        }
+        return News::Joined;
+    }
+    Heard &known = found->second;
+    const bool restarted = member.incarnation != known.member.incarnation;
+    known = Heard {member, now};
+    return restarted ? News::Restarted : News::None;
+}
+
+void MemberView::named(const std::string &address, TimePoint now)
+{
+    for (const auto &[id, known] : m_members) {
+        if (known.member.address == address) {
+            return;
+        }
+    }
+    if (m_named.size() < m_settings.maxMembers) {
+        m_named.try_emplace(address, now);
+    }
+}
+
+std::vector<InstanceId> MemberView::expire(TimePoint now)
+{
+    std::vector<InstanceId> gone;
+    for (const auto &[id, known] : m_members) {
+        if (now - known.last > m_settings.silence) {
+            gone.push_back(id);
+        }
+    }
+    for (const InstanceId &id : gone) {
+        m_members.erase(id);
+    }
+    std::erase_if(m_named, [this, now](const auto &entry) {
+        return now - entry.second > m_settings.hearsay;
+    });
+    return gone;
+}
+
+std::vector<std::string> MemberView::addresses() const
+{
+    std::vector<std::string> result;
+    for (const auto &[id, known] : m_members) {
+        result.push_back(known.member.address);
+    }
+    return result;
+}
+
+std::vector<std::string> MemberView::namedAddresses() const
+{
+    std::vector<std::string> result;
+    for (const auto &[address, since] : m_named) {
+        result.push_back(address);
+    }
+    return result;
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/relay/routetable.cpp
@@ -0,0 +1,82 @@
+#include "ibismast/relay/routetable.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace ibismast
+{
+
+namespace
+{
+
+std::string lowerCase(std::string_view text)
+{
+    std::string result(text);
+    std::ranges::transform(result, result.begin(), [](unsigned char c) {
+        return static_cast<char>(std::tolower(c));
+    });
+    return result;
+}
+
+/// Returns @p host without its port, in lower case.
+std::string hostName(std::string_view host)
+{
+    const std::size_t colon = host.rfind(':');
+    const bool hasPort = colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos;
+    return lowerCase(hasPort ? host.substr(0, colon) : host);
+}
+
+} // namespace
+
+RouteTable::RouteTable(RelayConfig config) : m_config(std::move(config))
+{
+    for (const RelayRoute &route : m_config.routes) {
+        m_routes[lowerCase(route.host)][route.pathPrefix] = &route;
+    }
+    for (const RelayCustomer &customer : m_config.customers) {
+        for (const std::string &key : customer.keys) {
+            m_customers.emplace(key, customer.name);
+        }
+    }
+}
+
+const RelayRoute *RouteTable::match(std::string_view host, std::string_view path) const
+{
+    const auto routes = m_routes.find(hostName(host));
+    if (routes == m_routes.end()) {
+        return nullptr;
+    }
+    // Prefixes end with a slash, so only the slashes of the path can end one.
+    for (std::size_t end = path.rfind('/'); end != std::string_view::npos;
+         end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1)) {
+        const auto found = routes->second.find(std::string(path.substr(0, end + 1)));
+        if (found != routes->second.end()) {
+            return found->second;
+        }
+    }
+    return nullptr;
+}
+
+const CustomerId *RouteTable::customerOf(const std::string &key) const
+{
+    const auto found = m_customers.find(key);
+    return found == m_customers.end() ? nullptr : &found->second;
+}
+
+const ServiceName &RouteTable::serviceOf(const RelayRoute &route, double choice)
+{
+    std::int64_t total = 0;
+    for (const RouteShare &share : route.shares) {
+        total += share.weight;
+    }
+    double rest = choice * static_cast<double>(total);
+    for (const RouteShare &share : route.shares) {
+        rest -= static_cast<double>(share.weight);
+        if (rest < 0.0) {
+            return share.service;
+        }
+    }
+    return route.shares.back().service;
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/relay/upstreamdirectory.cpp
@@ -0,0 +1,147 @@
+#include "ibismast/relay/upstreamdirectory.h"
+
+#include <set>
+
+namespace ibismast
+{
+
+UpstreamDirectory::UpstreamDirectory(const UpstreamDirectorySettings &settings, EventListener &listener)
+    : m_settings(settings), m_listener(&listener), m_health(settings.breaker, {})
+{
+}
+
+void UpstreamDirectory::apply(const UpstreamList &list, TimePoint now)
+{
+    if (m_known && list.revision < m_revision) {
+        return;
+    }
+    std::set<InstanceId> listed;
+    for (const UpstreamRecord &record : list.records) {
+        listed.insert(record.id);
+    }
+    std::vector<InstanceId> missing;
+    for (const auto &[id, member] : m_members) {
+        if (!listed.contains(id) && !member.missingSince) {
+            missing.push_back(id);
+        }
+    }
+    const bool outage = m_lastOutage && now - *m_lastOutage < m_settings.outageMemory;
+    const bool massLoss = missing.size() >= m_settings.massLossCount
+        && static_cast<double>(missing.size()) >= m_settings.massLossShare * static_cast<double>(m_members.size());
+    for (const InstanceId &id : missing) {
+        Member &member = m_members.at(id);
+        const bool mayReturn = (outage || massLoss) && !member.record.leaving;
+        m_listener->onEvent("upstream_missing",
+                            {{"upstream", id.value()},
+                             {"revision", std::to_string(list.revision)},
+                             {"outage", outage ? "true" : "false"},
+                             {"kept", mayReturn ? "true" : "false"}});
+        if (mayReturn) {
+            member.missingSince = now;
+        } else {
+            m_members.erase(id);
+        }
+    }
+    for (const UpstreamRecord &record : list.records) {
+        applyRecord(record, now);
+    }
+    m_revision = list.revision;
+    m_known = true;
+    expire(now);
+}
+
+void UpstreamDirectory::applyRecord(const UpstreamRecord &record, TimePoint now)
+{
+    auto [place, added] = m_members.try_emplace(record.id);
+    Member &member = place->second;
+    const bool restarted = !added && member.record.incarnation != record.incarnation;
+    if (added || restarted || member.record.leaving != record.leaving || member.record.address != record.address) {
+        m_listener->onEvent("upstream_listed",
+                            {{"upstream", record.id.value()},
+                             {"service", record.service.value()},
+                             {"address", record.address.value()},
+                             {"domain", record.domain.value()},
+                             {"leaving", record.leaving ? "true" : "false"},
+                             {"restarted", restarted ? "true" : "false"}});
+    }
+    if (restarted) {
+        m_health.noteSuccess(record.id);
+    }
+    if (added || restarted || member.record.reportNumber != record.reportNumber) {
+        member.reported = now;
+        m_lastReport = now;
+    }
+    member.record = record;
+    member.missingSince.reset();
+}
+
+void UpstreamDirectory::noteOutage(TimePoint now)
+{
+    m_lastOutage = now;
+}
+
+void UpstreamDirectory::expire(TimePoint now)
+{
+    std::erase_if(m_members, [this, now](const auto &entry) {
+        const Member &member = entry.second;
+        // The outage must have ended: while the list cannot be read, nobody can return to it.
+        return member.missingSince && now - *member.missingSince >= m_settings.returnTime
+            && (!m_lastOutage || now - *m_lastOutage >= m_settings.returnTime);
+    });
+}
+
+const UpstreamDirectory::Member *UpstreamDirectory::find(const InstanceId &id) const
+{
+    const auto found = m_members.find(id);
+    return found == m_members.end() ? nullptr : &found->second;
+}
+
+std::optional<InstanceId> UpstreamDirectory::idOf(const UpstreamAddress &address) const
+{
+    for (const auto &[id, member] : m_members) {
+        if (member.record.address == address) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+bool UpstreamDirectory::suspected(const Member &member, TimePoint now) const
+{
+    if (member.missingSince || !m_health.allows(member.record.id, now)) {
+        return true;
+    }
+    // Silence says something only while the list moves.
+    return now - m_lastReport < m_settings.silence && now - member.reported > m_settings.silence;
+}
+
+std::vector<const UpstreamDirectory::Member *> UpstreamDirectory::candidates(const ServiceName &service,
+                                                                             TimePoint now) const
+{
+    std::vector<const Member *> good;
+    std::vector<const Member *> doubtful;
+    for (const auto &[id, member] : m_members) {
+        if (member.record.service != service || member.record.leaving) {
+            continue;
+        }
+        (suspected(member, now) ? doubtful : good).push_back(&member);
+    }
+    return good.empty() ? doubtful : good;
+}
+
+void UpstreamDirectory::noteDispatch(const InstanceId &id, TimePoint now)
+{
+    m_health.noteDispatch(id, now);
+}
+
+void UpstreamDirectory::noteSuccess(const InstanceId &id)
+{
+    m_health.noteSuccess(id);
+}
+
+void UpstreamDirectory::noteFailure(const InstanceId &id, TimePoint now)
+{
+    m_health.noteFailure(id, now);
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/ibismast/relay/upstreamdirectory.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "ibismast/core/eventlistener.h"
+#include "ibismast/entry/upstreamhealth.h"
+#include "ibismast/relay/relayconfig.h"
+
+#include <map>
+
+namespace ibismast
+{
+
+/// Address of an upstream, `ip:port`.
+using UpstreamAddress = StrongString<struct UpstreamAddressTag>;
+
+/// What an upstream says of itself in the platform's list.
+struct UpstreamRecord
+{
+    InstanceId id;
+    ServiceName service;
+    UpstreamAddress address;
+    FailureDomain domain;
+    /// True if the upstream has announced that it leaves.
+    bool leaving = false;
+    /// Differs between two runs under the same id.
+    Incarnation incarnation;
+    /// Grows with each report of the upstream.
+    std::uint64_t reportNumber = 0;
+
+    bool operator==(const UpstreamRecord &) const = default;
+};
+
+/// The platform's list at one revision.
+struct UpstreamList
+{
+    std::vector<UpstreamRecord> records;
+    std::int64_t revision = 0;
+};
+
+/// Settings of an `UpstreamDirectory`.
+struct UpstreamDirectorySettings
+{
+    /// Time for which an upstream that is missing after an outage of the list stays in use: live ones return within 2 s.
+    Duration returnTime = std::chrono::milliseconds(2200);
+    /// An outage of the list counts as recent for this long after its end.
+    Duration outageMemory = std::chrono::seconds(5);
+    /// Share of the upstreams that must vanish at once to be taken for an outage that this process has not seen.
+    double massLossShare = 0.34;
+    /// Smallest number of upstreams that counts as such a loss.
+    std::size_t massLossCount = 3;
+    /// An upstream without a report for this long is avoided while others report.
+    Duration silence = std::chrono::milliseconds(2900);
+    CircuitBreakerSettings breaker {2, std::chrono::milliseconds(700), std::chrono::seconds(4)};
+};
+
+/// Upstreams that may get work, by the platform's list and by the outcomes of calls.
+class UpstreamDirectory
+{
+public:
+    struct Member
+    {
+        UpstreamRecord record;
+        /// Set while the upstream is missing from the list but may return.
+        std::optional<TimePoint> missingSince;
+        /// Time of the last new report.
+        TimePoint reported;
+    };
+
+    UpstreamDirectory(const UpstreamDirectorySettings &settings, EventListener &listener);
+
+    /// Applies a list that was read at @p now; an older one than the last is ignored.
+    void apply(const UpstreamList &list, TimePoint now);
+    /// The list could not be read at @p now.
+    void noteOutage(TimePoint now);
+    /// Drops upstreams whose time to return is over.
+    void expire(TimePoint now);
+
+    /// True once a list has been applied.
+    [[nodiscard]] bool known() const
+    {
+        return m_known;
+    }
+    [[nodiscard]] std::int64_t revision() const
+    {
+        return m_revision;
+    }
+    /// Returns the upstream @p id, or null.
+    [[nodiscard]] const Member *find(const InstanceId &id) const;
+    /// Returns the upstream that listens at @p address.
+    [[nodiscard]] std::optional<InstanceId> idOf(const UpstreamAddress &address) const;
+    /// Returns the upstreams of @p service that may get new work, in the order of their ids. Suspected ones are left
+    /// out unless nothing else is there.
+    [[nodiscard]] std::vector<const Member *> candidates(const ServiceName &service, TimePoint now) const;
+
+    void noteDispatch(const InstanceId &id, TimePoint now);
+    void noteSuccess(const InstanceId &id);
+    void noteFailure(const InstanceId &id, TimePoint now);
+
+private:
+    [[nodiscard]] bool suspected(const Member &member, TimePoint now) const;
+    void applyRecord(const UpstreamRecord &record, TimePoint now);
+
+    UpstreamDirectorySettings m_settings;
+    EventListener *m_listener;
+    std::map<InstanceId, Member> m_members;
+    UpstreamHealth m_health;
+    std::optional<TimePoint> m_lastOutage;
+    std::int64_t m_revision = 0;
+    bool m_known = false;
+    TimePoint m_lastReport = TimePoint::min();
+};
+
+} // namespace ibismast
--- /dev/null
+++ b/wire/relay.thrift
@@ -0,0 +1,55 @@
+// Messages between entry instances that relay calls. Entries exchange them in datagrams, so any may be lost, repeated
+// or late; the receiver must not depend on a single one.
+
+namespace cpp ibismast.wire.relay
+
+/// Reading that a call has put on one engine.
+struct RelayReadShare {
+    1: required string engine,
+    2: required i64 readingUs,
+}
+
+/// Work that an entry has sent to engines for one call.
+struct RelayPlacement {
+    1: required i64 call,
+    2: required string writer,
+    3: required i64 pauseTargetUs,
+    4: required i64 memoryTokens,
+    5: required i64 expectedUs,
+    6: required list<RelayReadShare> reads,
+}
+
+/// One datagram from an entry to another.
+struct RelayNews {
+    1: required string entry,
+    /// Differs between two runs of the entry.
+    2: required i64 incarnation,
+    /// Address at which the sender receives such datagrams.
+    3: required string address,
+    /// Addresses of other entries that the sender hears; only in greetings.
+    4: optional list<string> heard,
+    /// Version of the configuration that the sender has in force; 0 if it has none.
+    5: required i64 configVersion,
+    /// Revision of the sender's list of upstreams; 0 if it has none.
+    6: required i64 listRevision,
+    7: optional list<RelayPlacement> placed,
+    8: optional list<i64> ended,
+    /// Address at which the sender hands out its copy of the platform's records.
+    9: optional string copyAddress,
+}
+
+/// Record of the platform's store as it was read.
+struct RelayRecord {
+    1: required string key,
+    2: required binary value,
+    3: required i64 revision,
+}
+
+/// Copy of the platform's records that one entry hands to another.
+struct RelayCopy {
+    1: optional RelayRecord config,
+    2: required list<RelayRecord> upstreams,
+    3: required i64 listRevision,
+    /// Age of the list when the copy was made.
+    4: required i64 listAgeMs,
+}
--- /dev/null
+++ b/wire/relaycodec.cpp
@@ -0,0 +1,175 @@
+#include "wire/relaycodec.h"
+
+#include "relay_types.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace ibismast
+{
+
+namespace
+{
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+/// Largest message: the records of a large fleet with a large configuration.
+constexpr int LargestMessage = 16 * 1024 * 1024;
+
+template<typename Message> std::string encode(const Message &message)
+{
+    const auto memory = std::make_shared<TMemoryBuffer>();
+    TCompactProtocolT<TMemoryBuffer> protocol(memory);
+    message.write(&protocol);
+    return memory->getBufferAsString();
+}
+
+template<typename Message> Result<Message> decode(std::string_view bytes)
+{
+    std::string copy(bytes);
+    const auto memory = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t *>(copy.data()),
+                                                        static_cast<std::uint32_t>(copy.size()),
+                                                        TMemoryBuffer::OBSERVE,
+                                                        std::make_shared<TConfiguration>(LargestMessage));
+    TCompactProtocolT<TMemoryBuffer> protocol(memory);
+    Message message;
+    try {
+        message.read(&protocol);
+    } catch (const apache::thrift::TException &error) {
+        return Error {ResultCode::ProtocolError, std::string("undecodable message: ") + error.what(), std::nullopt};
+    }
+    return message;
+}
+
+wire::relay::RelayPlacement toThrift(const Placement &placement)
+{
+    wire::relay::RelayPlacement result;
+    result.call = static_cast<std::int64_t>(placement.id.call.value());
+    result.writer = placement.writer.value();
+    result.pauseTargetUs = placement.pauseTarget.count();
+    result.memoryTokens = placement.memory.value();
+    result.expectedUs = placement.expected.count();
+    for (const ReadShare &share : placement.reads) {
+        wire::relay::RelayReadShare &read = result.reads.emplace_back();
+        read.engine = share.engine.value();
+        read.readingUs = share.reading.count();
+    }
+    return result;
+}
+
+Placement fromThrift(const wire::relay::RelayPlacement &placement, const InstanceId &entry)
+{
+    Placement result;
+    result.id = {entry, CallNumber(static_cast<std::uint64_t>(placement.call))};
+    result.writer = InstanceId(placement.writer);
+    result.pauseTarget = Duration(placement.pauseTargetUs);
+    result.memory = Tokens(placement.memoryTokens);
+    result.expected = Duration(placement.expectedUs);
+    for (const wire::relay::RelayReadShare &read : placement.reads) {
+        result.reads.push_back({InstanceId(read.engine), Duration(read.readingUs)});
+    }
+    return result;
+}
+
+wire::relay::RelayRecord toThrift(const StoredRecord &record)
+{
+    wire::relay::RelayRecord result;
+    result.key = record.key;
+    result.value = record.value;
+    result.revision = record.revision;
+    return result;
+}
+
+StoredRecord fromThrift(const wire::relay::RelayRecord &record)
+{
+    return {record.key, record.value, record.revision};
+}
+
+} // namespace
+
+std::string encodeEntryNews(const EntryNews &news)
+{
+    wire::relay::RelayNews message;
+    message.entry = news.sender.id.value();
+    message.incarnation = static_cast<std::int64_t>(news.sender.incarnation.value());
+    message.address = news.sender.address;
+    message.configVersion = news.configVersion.value();
+    message.listRevision = news.listRevision;
+    message.__set_copyAddress(news.copyAddress);
+    if (!news.heard.empty()) {
+        message.__set_heard(news.heard);
+    }
+    if (!news.load.placed.empty()) {
+        message.__isset.placed = true;
+        for (const Placement &placement : news.load.placed) {
+            message.placed.push_back(toThrift(placement));
+        }
+    }
+    if (!news.load.ended.empty()) {
+        message.__isset.ended = true;
+        for (const CallNumber &call : news.load.ended) {
+            message.ended.push_back(static_cast<std::int64_t>(call.value()));
+        }
+    }
+    return encode(message);
+}
+
+Result<EntryNews> decodeEntryNews(std::string_view bytes)
+{
+    Result<wire::relay::RelayNews> decoded = decode<wire::relay::RelayNews>(bytes);
+    if (const Error *error = errorOf(decoded)) {
+        return *error;
+    }
+    const auto &message = std::get<wire::relay::RelayNews>(decoded);
+    EntryNews news;
+    news.sender = {
+        InstanceId(message.entry), Incarnation(static_cast<std::uint64_t>(message.incarnation)), message.address};
+    news.copyAddress = message.copyAddress;
+    news.heard = message.heard;
+    news.configVersion = RelayConfigVersion(message.configVersion);
+    news.listRevision = message.listRevision;
+    for (const wire::relay::RelayPlacement &placement : message.placed) {
+        news.load.placed.push_back(fromThrift(placement, news.sender.id));
+    }
+    for (const std::int64_t call : message.ended) {
+        news.load.ended.emplace_back(static_cast<std::uint64_t>(call));
+    }
+    return news;
+}
+
+std::string encodeRecordCopy(const RecordCopy &copy)
+{
+    wire::relay::RelayCopy message;
+    if (copy.config) {
+        message.__set_config(toThrift(*copy.config));
+    }
+    for (const StoredRecord &record : copy.upstreams.records) {
+        message.upstreams.push_back(toThrift(record));
+    }
+    message.listRevision = copy.upstreams.revision;
+    message.listAgeMs = std::chrono::duration_cast<std::chrono::milliseconds>(copy.age).count();
+    return encode(message);
+}
+
+Result<RecordCopy> decodeRecordCopy(std::string_view bytes)
+{
+    Result<wire::relay::RelayCopy> decoded = decode<wire::relay::RelayCopy>(bytes);
+    if (const Error *error = errorOf(decoded)) {
+        return *error;
+    }
+    const auto &message = std::get<wire::relay::RelayCopy>(decoded);
+    RecordCopy copy;
+    if (message.__isset.config) {
+        copy.config = fromThrift(message.config);
+    }
+    for (const wire::relay::RelayRecord &record : message.upstreams) {
+        copy.upstreams.records.push_back(fromThrift(record));
+    }
+    copy.upstreams.revision = message.listRevision;
+    copy.age = std::chrono::milliseconds(message.listAgeMs);
+    return copy;
+}
+
+} // namespace ibismast
--- /dev/null
+++ b/wire/relaycodec.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "ibismast/relay/memberview.h"
+#include "ibismast/relay/platformrecords.h"
+#include "ibismast/relay/relaycore.h"
+
+namespace ibismast
+{
+
+/// One datagram from an entry to another.
+struct EntryNews
+{
+    EntryMember sender;
+    /// Address at which the sender hands out its copy of the platform's records.
+    std::string copyAddress;
+    /// Other entries that the sender hears.
+    std::vector<std::string> heard;
+    RelayConfigVersion configVersion;
+    std::int64_t listRevision = 0;
+    LoadNews load;
+};
+
+/// Encodes @p news in Thrift's compact protocol.
+[[nodiscard]] std::string encodeEntryNews(const EntryNews &news);
+/// Decodes a datagram. Fails with `ProtocolError`.
+[[nodiscard]] Result<EntryNews> decodeEntryNews(std::string_view bytes);
+
+/// Encodes @p copy in Thrift's compact protocol.
+[[nodiscard]] std::string encodeRecordCopy(const RecordCopy &copy);
+/// Decodes a copy of the platform's records. Fails with `ProtocolError`.
+[[nodiscard]] Result<RecordCopy> decodeRecordCopy(std::string_view bytes);
+
+} // namespace ibismast
