Take an upstream that vanishes 2.2 s after an outage as gone

A server that left without notice stayed in use for 2.2 s after its entry was removed, because this entry's own connection to the store had been refused up to 2.7 s before. Now the time to return counts from the end of the outage, and a refusal of this entry alone is no outage while other entries' lists are current. Ruled out: a late read of the list (it was read 0.76 s after the removal).

--- a/ibismast/relay/clusterwatch.cpp
+++ b/ibismast/relay/clusterwatch.cpp
@@ -74,7 +74,8 @@
 {
     if (answered) {
         m_pause = Duration::zero();
-    } else {
+    } else if (!m_upstreams || now - m_listTime > m_settings.staleList) {
+        // A list from another entry is as good: the store then refuses this entry only.
         m_core->directory().noteOutage(now);
     }
     if (answered != m_storeAnswers) {
--- a/ibismast/relay/upstreamdirectory.cpp
+++ b/ibismast/relay/upstreamdirectory.cpp
@@ -21,11 +21,11 @@
     }
     std::vector<InstanceId> missing;
     for (const auto &[id, member] : m_members) {
-        if (!listed.contains(id) && !member.missingSince) {
+        if (!listed.contains(id) && !member.returnsUntil) {
             missing.push_back(id);
         }
     }
-    const bool outage = m_lastOutage && now - *m_lastOutage < m_settings.outageMemory;
+    const bool outage = m_lastOutage && now - *m_lastOutage < m_settings.returnTime;
     const bool massLoss = missing.size() >= m_settings.massLossCount
         && static_cast<double>(missing.size()) >= m_settings.massLossShare * static_cast<double>(m_members.size());
     for (const InstanceId &id : missing) {
@@ -37,7 +37,7 @@
                              {"outage", outage ? "true" : "false"},
                              {"kept", mayReturn ? "true" : "false"}});
         if (mayReturn) {
-            member.missingSince = now;
+            member.returnsUntil = (outage ? *m_lastOutage : now) + m_settings.returnTime;
         } else {
             m_members.erase(id);
         }
@@ -72,7 +72,7 @@
         m_lastReport = now;
     }
     member.record = record;
-    member.missingSince.reset();
+    member.returnsUntil.reset();
 }
 
 void UpstreamDirectory::noteOutage(TimePoint now)
@@ -84,9 +84,9 @@
 {
     std::erase_if(m_members, [this, now](const auto &entry) {
         const Member &member = entry.second;
-        // The outage must have ended: while the list cannot be read, nobody can return to it.
-        return member.missingSince && now - *member.missingSince >= m_settings.returnTime
-            && (!m_lastOutage || now - *m_lastOutage >= m_settings.returnTime);
+        // While the list cannot be read, nobody can return to it.
+        const bool outage = m_lastOutage && now - *m_lastOutage < m_settings.returnTime;
+        return member.returnsUntil && now >= *member.returnsUntil && !outage;
     });
 }
 
@@ -108,7 +108,7 @@
 
 bool UpstreamDirectory::suspected(const Member &member, TimePoint now) const
 {
-    if (member.missingSince || !m_health.allows(member.record.id, now)) {
+    if (member.returnsUntil || !m_health.allows(member.record.id, now)) {
         return true;
     }
     // Silence says something only while the list moves.
--- a/ibismast/relay/upstreamdirectory.h
+++ b/ibismast/relay/upstreamdirectory.h
@@ -39,10 +39,9 @@
 /// Settings of an `UpstreamDirectory`.
 struct UpstreamDirectorySettings
 {
-    /// Time for which an upstream that is missing after an outage of the list stays in use: live ones return within 2 s.
+    /// Time after an outage of the list within which live upstreams return to it. One that is missing stays in use
+    /// that long, and one that vanishes later has left.
     Duration returnTime = std::chrono::milliseconds(2200);
-    /// An outage of the list counts as recent for this long after its end.
-    Duration outageMemory = std::chrono::seconds(5);
     /// Share of the upstreams that must vanish at once to be taken for an outage that this process has not seen.
     double massLossShare = 0.34;
     /// Smallest number of upstreams that counts as such a loss.
@@ -59,8 +58,8 @@
     struct Member
     {
         UpstreamRecord record;
-        /// Set while the upstream is missing from the list but may return.
-        std::optional<TimePoint> missingSince;
+        /// Set while the upstream is missing from the list but may return until then.
+        std::optional<TimePoint> returnsUntil;
         /// Time of the last new report.
         TimePoint reported;
     };
@@ -69,7 +68,7 @@
 
     /// Applies a list that was read at @p now; an older one than the last is ignored.
     void apply(const UpstreamList &list, TimePoint now);
-    /// The list could not be read at @p now.
+    /// Neither the store nor another entry gives a current list at @p now.
     void noteOutage(TimePoint now);
     /// Drops upstreams whose time to return is over.
     void expire(TimePoint now);
