Close callers' connections behind their answers once a stop has begun

A stream that began before SIGTERM could not announce the close; its connection stayed open and brought a new request 4.5 s after the signal, which the end of the process cut. Now such a connection closes with its answer, idle ones close at the end of the listening time, and a request that still arrives is refused as not run.

--- a/adapters/relay/callerconnection.cpp
+++ b/adapters/relay/callerconnection.cpp
@@ -145,7 +145,6 @@
 {
     if (m_closing) {
         head.header("Connection", "close");
-        m_closeAnnounced = true;
     }
 }
 
@@ -174,7 +173,9 @@
 {
     m_answering = false;
     m_phaseStart = processNow();
-    m_lastAnswer = m_closeAnnounced;
+    // A stream that began before the stop could not announce the close. Kept open, its connection would bring requests
+    // that the process has no time left to answer.
+    m_lastAnswer = m_closing;
     flush();
     if (m_open && !m_lastAnswer && !m_pending.empty()) {
         parse();
--- a/adapters/relay/callerconnection.h
+++ b/adapters/relay/callerconnection.h
@@ -85,9 +85,8 @@
     bool m_open = true;
     bool m_answering = false;
     bool m_continueSent = false;
-    /// The next head that is written tells the caller that the connection closes.
+    /// The connection closes behind the present or next answer.
     bool m_closing = false;
-    bool m_closeAnnounced = false;
     /// The last answer has been handed over and the connection closes behind it.
     bool m_lastAnswer = false;
     TimePoint m_phaseStart;
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -119,6 +119,12 @@
         return;
     }
     const auto &incoming = std::get<IncomingCall>(decoded);
+    if (!m_listening) {
+        refuse(*connection,
+               incoming.requestId,
+               {ResultCode::ShuttingDown, "the instance has no time left for new calls", Duration::zero()});
+        return;
+    }
     RelayActions actions;
     const Result<CallNumber> admitted = m_core.submit(incoming, processNow(), actions);
     if (const Error *error = errorOf(admitted)) {
@@ -562,6 +568,7 @@
     if (m_listening && elapsed >= m_settings.stop.listen) {
         m_listening = false;
         m_callers.stopListening();
+        m_callers.closeIdle();
     }
     const bool done = !m_listening && m_core.openCalls() == 0;
     if (!done && elapsed < m_settings.stop.total) {
