Keep long parts off engines with short streams

Long prompts use the engines without short streams first, and short ones are gathered while long reads keep the fleet busy.

--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -204,6 +204,10 @@
         m_firstEvent = now;
         actions.emplace_back(SendHead {attempt});
     }
+    if (m_eventsSent > 0) {
+        m_longestPause = std::max(m_longestPause, now - m_lastEvent);
+    }
+    m_lastEvent = now;
     ++m_eventsSent;
     actions.emplace_back(SendBody {std::move(events)});
 }
@@ -316,6 +320,7 @@
                          {"upstream", upstream},
                          {"attempts", std::to_string(m_attempt)},
                          {"first_event_ms", m_firstEvent ? inMs(*m_firstEvent - m_call.arrived) : "none"},
+                         {"longest_pause_ms", inMs(m_longestPause)},
                          {"total_ms", inMs(now - m_call.arrived)}});
 }
 
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -213,6 +213,8 @@
     bool m_headSent = false;
     std::uint64_t m_eventsSent = 0;
     std::optional<TimePoint> m_firstEvent;
+    TimePoint m_lastEvent;
+    Duration m_longestPause {};
     /// Last sign of life of the attempt under way.
     TimePoint m_lastProgress;
     bool m_ended = false;
--- a/ibismast/relay/engineload.cpp
+++ b/ibismast/relay/engineload.cpp
@@ -1,6 +1,7 @@
 #include "ibismast/relay/engineload.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace ibismast
 {
@@ -59,10 +60,22 @@
     EngineLoad &writer = m_loads[placement.writer];
     writer.m_streams.emplace(placement.id, EngineLoad::Stream {placement.pauseTarget, placement.memory});
     writer.m_memory += placement.memory;
+    Duration reading {};
     for (const ReadShare &share : placement.reads) {
         EngineLoad &load = m_loads[share.engine];
         load.m_readUntil = std::max(load.m_readUntil, now) + share.reading;
+        reading += share.reading;
     }
+    if (reading > m_settings.longReading) {
+        m_longReading = longDemand(now) * toSeconds(m_settings.demandWindow) + toSeconds(reading);
+        m_longReadingTime = now;
+    }
+}
+
+double EngineLoadTable::longDemand(TimePoint now) const
+{
+    const double window = toSeconds(m_settings.demandWindow);
+    return m_longReading / window * std::exp(-toSeconds(now - m_longReadingTime) / window);
 }
 
 void EngineLoadTable::end(const PlacedCallId &id)
--- a/ibismast/relay/engineload.h
+++ b/ibismast/relay/engineload.h
@@ -91,6 +91,10 @@
     /// A placement of another entry whose end was not heard of is dropped after this multiple of its expected time.
     double expiryFactor = 2.5;
     Duration leastExpiry = std::chrono::seconds(2);
+    /// Prompts whose reading takes longer than this count as long.
+    Duration longReading = std::chrono::milliseconds(150);
+    /// Time over which the demand of long prompts is averaged.
+    Duration demandWindow = std::chrono::seconds(4);
 };
 
 /// Work on all engines: that of this entry and that which other entries have told of.
@@ -110,6 +114,8 @@
 
     /// Returns the load of @p engine; an unknown one has none.
     [[nodiscard]] const EngineLoad &load(const InstanceId &engine) const;
+    /// Engines that the reading of long prompts has kept busy lately, as a number of whole engines.
+    [[nodiscard]] double longDemand(TimePoint now) const;
     [[nodiscard]] std::size_t calls() const
     {
         return m_calls.size();
@@ -126,6 +132,9 @@
     std::map<InstanceId, EngineLoad> m_loads;
     std::map<PlacedCallId, Call> m_calls;
     EngineLoad m_none;
+    /// Reading of long prompts in seconds of engine time, decayed to `m_longReadingTime`.
+    double m_longReading = 0.0;
+    TimePoint m_longReadingTime;
 };
 
 } // namespace ibismast
--- a/ibismast/relay/engineplanner.cpp
+++ b/ibismast/relay/engineplanner.cpp
@@ -52,6 +52,8 @@
     const Duration reading = readingTime(profile, query.size.prompt);
     const Tokens memory = memoryOf(query, profile);
     const Duration allowed = allowedReading(query.pauseTarget);
+    const double busy = std::min(1.0, m_loads->longDemand(now) / static_cast<double>(engines.size()));
+    const Duration opening = m_settings.openedEngine + fromSeconds(toSeconds(m_settings.openedBusyEngine) * busy);
     std::optional<EnginePlan> best;
     Duration bestCost = Duration::max();
     for (const auto *engine : engines) {
@@ -61,12 +63,12 @@
         }
         const Duration wait = load.backlog(now);
         const std::size_t tight = load.streamsTighterThan(m_settings.tightPause);
-        Duration cost = wait;
+        Duration cost = wait + m_settings.sharedStream * static_cast<int>(load.streams());
         if (wait + reading > allowed) {
             cost += m_settings.delayedStream * static_cast<int>(tight + 1);
         }
         if (tight == 0) {
-            cost += m_settings.openedEngine;
+            cost += opening;
         }
         if (cost < bestCost) {
             bestCost = cost;
@@ -79,23 +81,39 @@
     return best;
 }
 
+template<typename Filter>
 std::vector<EnginePlanner::Candidate>
-EnginePlanner::ranked(const std::vector<const UpstreamDirectory::Member *> &engines, Duration part, TimePoint now) const
+EnginePlanner::ranked(const std::vector<const UpstreamDirectory::Member *> &engines,
+                      TimePoint now,
+                      const Filter &accepts) const
 {
     std::vector<Candidate> candidates;
     for (const auto *engine : engines) {
         const EngineLoad &load = m_loads->load(engine->record.id);
-        const std::size_t tight = load.streamsTighterThan(m_settings.tightPause);
-        Duration start = load.backlog(now);
-        if (tight > 0 && start + part > allowedReading(m_settings.tightPause / 2)) {
-            start += m_settings.delayedStream * static_cast<int>(tight);
+        if (accepts(load)) {
+            candidates.push_back({engine, &load, load.backlog(now)});
         }
-        candidates.push_back({engine, &load, start});
     }
     std::ranges::stable_sort(candidates, {}, &Candidate::start);
     return candidates;
 }
 
+EnginePlanner::Split EnginePlanner::bestSplit(const std::vector<Candidate> &candidates, Duration reading) const
+{
+    const std::size_t most = std::min({candidates.size(),
+                                       m_settings.maxHelpers + 1,
+                                       std::max<std::size_t>(1, static_cast<std::size_t>(reading / m_settings.leastPart))});
+    // More parts end sooner until the next engine's backlog outweighs the smaller part.
+    Split best;
+    for (std::size_t count = 1; count <= most; ++count) {
+        const Duration end = candidates[count - 1].start + reading / static_cast<int>(count);
+        if (end < best.end) {
+            best = Split {count, end};
+        }
+    }
+    return best;
+}
+
 std::optional<EnginePlan> EnginePlanner::planSplit(const GenerationQuery &query,
                                                    const EngineProfile &profile,
                                                    const std::vector<const UpstreamDirectory::Member *> &engines,
@@ -103,23 +121,32 @@
 {
     const Duration reading = readingTime(profile, query.size.prompt);
     const Tokens memory = memoryOf(query, profile);
-    const std::size_t most = std::min({engines.size(),
-                                       m_settings.maxHelpers + 1,
-                                       std::max<std::size_t>(1, static_cast<std::size_t>(reading / m_settings.leastPart))});
-    const std::vector<Candidate> candidates = ranked(engines, reading / static_cast<int>(most), now);
-    // More parts end sooner until the next engine's backlog outweighs the smaller part.
-    std::size_t parts = 1;
-    Duration bestEnd = Duration::max();
-    for (std::size_t count = 1; count <= most; ++count) {
-        const Duration end = candidates[count - 1].start + reading / static_cast<int>(count);
-        if (end < bestEnd) {
-            bestEnd = end;
-            parts = count;
+    std::vector<Candidate> candidates = ranked(engines, now, [this](const EngineLoad &load) {
+        return load.streamsTighterThan(m_settings.tightPause) == 0;
+    });
+    Split split = bestSplit(candidates, reading);
+    if (split.parts == 0 || toSeconds(split.end) > toSeconds(query.objective) * m_settings.contentShare) {
+        // Engines with short streams take what these bear.
+        const Duration part = reading / static_cast<int>(std::min(engines.size(), m_settings.maxHelpers + 1));
+        const Duration allowed = allowedReading(m_settings.tightPause) / 2;
+        std::vector<Candidate> all = ranked(engines, now, [&](const EngineLoad &load) {
+            return load.streamsTighterThan(m_settings.tightPause) == 0 || load.backlog(now) + part <= allowed;
+        });
+        const Split wider = bestSplit(all, reading);
+        if (wider.end < split.end) {
+            split = wider;
+            candidates = std::move(all);
         }
     }
-    // Of the readers the one with most free memory writes, away from short streams: the prompt stays in its memory.
+    if (split.parts == 0) {
+        candidates = ranked(engines, now, [](const EngineLoad & /*load*/) {
+            return true;
+        });
+        split = bestSplit(candidates, reading);
+    }
+    // Of the readers the one with most free memory writes: the prompt stays in its memory.
     std::optional<std::size_t> writer;
-    for (std::size_t index = 0; index < candidates.size() && (index < parts || !writer); ++index) {
+    for (std::size_t index = 0; index < candidates.size() && (index < split.parts || !writer); ++index) {
         const EngineLoad &load = *candidates[index].load;
         if (hasRoom(load, memory, profile) && (!writer || load.memory() < candidates[*writer].load->memory())) {
             writer = index;
@@ -130,13 +157,13 @@
     }
     EnginePlan plan;
     plan.writer = candidates[*writer].engine;
-    plan.part = reading / static_cast<int>(parts);
-    for (std::size_t index = 0; index < candidates.size() && plan.helpers.size() + 1 < parts; ++index) {
+    plan.part = reading / static_cast<int>(split.parts);
+    for (std::size_t index = 0; index < candidates.size() && plan.helpers.size() + 1 < split.parts; ++index) {
         if (index != *writer) {
             plan.helpers.push_back(candidates[index].engine);
         }
     }
-    plan.firstEvent = bestEnd + writingPass(profile, candidates[*writer].load->streams() + 1, memory);
+    plan.firstEvent = split.end + writingPass(profile, candidates[*writer].load->streams() + 1, memory);
     return plan;
 }
 
--- a/ibismast/relay/engineplanner.h
+++ b/ibismast/relay/engineplanner.h
@@ -44,11 +44,17 @@
     /// Smallest part that is worth a helper; below it the waits for passes outweigh the reading that is saved.
     Duration leastPart = std::chrono::milliseconds(25);
     /// Share of a stream's longest pause that the reading beside it may take; the rest is writing and delivery.
-    double pauseShare = 0.55;
+    double pauseShare = 0.5;
     /// Cost of reading that delays one stream past its longest pause.
     Duration delayedStream = std::chrono::milliseconds(150);
-    /// Cost of putting the first short stream on an engine: the engine is then lost for undisturbed long reads.
-    Duration openedEngine = std::chrono::milliseconds(60);
+    /// Cost of putting the first short stream on an engine, which is then lost for undisturbed long reads: a fixed part,
+    /// and one for a fleet that long reads keep entirely busy.
+    Duration openedEngine = std::chrono::milliseconds(15);
+    Duration openedBusyEngine = std::chrono::milliseconds(600);
+    /// Cost of each stream on an engine: all of them take longer.
+    Duration sharedStream = std::chrono::milliseconds(2);
+    /// Share of the objective within which a long prompt is content with the engines that have no short streams.
+    double contentShare = 0.6;
     /// Pauses below this make a stream sensitive to long reads beside it.
     Duration tightPause = std::chrono::milliseconds(400);
     /// Share of an engine's KV memory that may be planned for, since the outputs' lengths are estimates.
@@ -76,9 +82,15 @@
     {
         const UpstreamDirectory::Member *engine = nullptr;
         const EngineLoad *load = nullptr;
-        /// Time after which a part of a long read can begin, costs of disturbed streams included.
+        /// Time after which a part of a long read can begin.
         Duration start {};
     };
+    /// Number of parts and the time until the last one is read.
+    struct Split
+    {
+        std::size_t parts = 0;
+        Duration end = Duration::max();
+    };
 
     [[nodiscard]] Tokens memoryOf(const GenerationQuery &query, const EngineProfile &profile) const;
     [[nodiscard]] bool hasRoom(const EngineLoad &load, Tokens memory, const EngineProfile &profile) const;
@@ -91,8 +103,12 @@
                                                       const EngineProfile &profile,
                                                       const std::vector<const UpstreamDirectory::Member *> &engines,
                                                       TimePoint now) const;
-    [[nodiscard]] std::vector<Candidate>
-    ranked(const std::vector<const UpstreamDirectory::Member *> &engines, Duration part, TimePoint now) const;
+    /// Returns the engines for which @p accepts holds, those that can begin first in front.
+    template<typename Filter>
+    [[nodiscard]] std::vector<Candidate> ranked(const std::vector<const UpstreamDirectory::Member *> &engines,
+                                                TimePoint now,
+                                                const Filter &accepts) const;
+    [[nodiscard]] Split bestSplit(const std::vector<Candidate> &candidates, Duration reading) const;
 
     EnginePlannerSettings m_settings;
     const EngineLoadTable *m_loads;
