Correct the backlog estimate by first events and declined attempts

A first event now tells that its prompt has been read, an ended attempt takes back what was not read, and a short prompt avoids engines where its first event would be late.

--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -385,7 +385,7 @@
                             {{"entry", news.sender.id.value()},
                              {"address", news.sender.address},
                              {"restarted", membership == MemberView::News::Restarted ? "true" : "false"}});
-        m_core.dropEntry(news.sender.id);
+        m_core.dropEntry(news.sender.id, now);
     }
     for (const std::string &address : news.heard) {
         if (parseUdpEndpoint(address) != m_settings.peers) {
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -81,6 +81,7 @@
     m_plan = std::move(plan);
     ++m_attempt;
     m_headReceived = false;
+    m_attemptHasEvents = false;
     m_body.clear();
     // What stands behind the last whole event comes again from the next upstream.
     (void)m_scanner.takeRest();
@@ -199,6 +200,10 @@
     if (events.empty()) {
         return;
     }
+    if (!m_attemptHasEvents) {
+        m_attemptHasEvents = true;
+        m_environment->firstEventReceived(m_call, now);
+    }
     if (!m_headSent) {
         m_headSent = true;
         m_firstEvent = now;
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -121,6 +121,8 @@
     [[nodiscard]] virtual bool takeRetry(const ServiceName &service, TimePoint now) = 0;
     /// The attempt is on its way.
     virtual void attemptStarted(const RelayCall &call, const AttemptPlan &plan, TimePoint now) = 0;
+    /// The first event of the attempt under way has arrived.
+    virtual void firstEventReceived(const RelayCall &call, TimePoint now) = 0;
     /// The attempt has ended, by an answer or otherwise.
     virtual void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) = 0;
     virtual void upstreamWorked(const InstanceId &upstream) = 0;
@@ -207,6 +209,8 @@
     /// True once an upstream may have run the call.
     bool m_mayHaveRun = false;
     bool m_headReceived = false;
+    /// True once the attempt under way has brought an event.
+    bool m_attemptHasEvents = false;
     UpstreamHead m_head;
     std::string m_body;
     /// True once the caller has the head of a stream.
--- a/ibismast/relay/engineload.cpp
+++ b/ibismast/relay/engineload.cpp
@@ -54,7 +54,8 @@
 {
     const Duration longest = std::max(m_settings.leastExpiry,
                                       fromSeconds(toSeconds(placement.expected) * m_settings.expiryFactor));
-    if (!m_calls.try_emplace(placement.id, Call {placement.writer, now + longest}).second) {
+    const auto [call, added] = m_calls.try_emplace(placement.id, Call {placement.writer, now + longest, {}});
+    if (!added) {
         return;
     }
     EngineLoad &writer = m_loads[placement.writer];
@@ -64,6 +65,7 @@
     for (const ReadShare &share : placement.reads) {
         EngineLoad &load = m_loads[share.engine];
         load.m_readUntil = std::max(load.m_readUntil, now) + share.reading;
+        call->second.reads.push_back({share.engine, share.reading, load.m_readUntil});
         reading += share.reading;
     }
     if (reading > m_settings.longReading) {
@@ -78,12 +80,32 @@
     return m_longReading / window * std::exp(-toSeconds(now - m_longReadingTime) / window);
 }
 
-void EngineLoadTable::end(const PlacedCallId &id)
+void EngineLoadTable::noteRead(const PlacedCallId &id, TimePoint now)
 {
     const auto call = m_calls.find(id);
     if (call == m_calls.end()) {
         return;
     }
+    for (const PendingRead &read : call->second.reads) {
+        // The engine is ahead of the estimate by what it was still thought to need.
+        if (read.until > now) {
+            m_loads[read.engine].m_readUntil -= read.until - now;
+        }
+    }
+    call->second.reads.clear();
+}
+
+void EngineLoadTable::end(const PlacedCallId &id, TimePoint now)
+{
+    const auto call = m_calls.find(id);
+    if (call == m_calls.end()) {
+        return;
+    }
+    for (const PendingRead &read : call->second.reads) {
+        if (read.until > now) {
+            m_loads[read.engine].m_readUntil -= std::min(read.reading, read.until - now);
+        }
+    }
     EngineLoad &writer = m_loads[call->second.writer];
     const auto stream = writer.m_streams.find(id);
     writer.m_memory -= stream->second.memory;
@@ -91,7 +113,7 @@
     m_calls.erase(call);
 }
 
-void EngineLoadTable::endAllOf(const InstanceId &entry)
+void EngineLoadTable::endAllOf(const InstanceId &entry, TimePoint now)
 {
     std::vector<PlacedCallId> ended;
     for (auto call = m_calls.lower_bound(PlacedCallId {entry, CallNumber()});
@@ -100,7 +122,7 @@
         ended.push_back(call->first);
     }
     for (const PlacedCallId &id : ended) {
-        end(id);
+        end(id, now);
     }
 }
 
@@ -113,7 +135,7 @@
         }
     }
     for (const PlacedCallId &id : ended) {
-        end(id);
+        end(id, now);
     }
 }
 
--- a/ibismast/relay/engineload.h
+++ b/ibismast/relay/engineload.h
@@ -105,10 +105,12 @@
 
     /// Enters @p placement; one that is known already is ignored.
     void place(const Placement &placement, TimePoint now);
-    /// The call has ended or moved away; unknown ones are ignored.
-    void end(const PlacedCallId &id);
+    /// The call's first event has arrived at @p now: its prompt has been read on all its engines.
+    void noteRead(const PlacedCallId &id, TimePoint now);
+    /// The call has ended or moved away; unknown ones are ignored. Reading that was still to come falls away.
+    void end(const PlacedCallId &id, TimePoint now);
     /// Ends all calls of an entry that has gone.
-    void endAllOf(const InstanceId &entry);
+    void endAllOf(const InstanceId &entry, TimePoint now);
     /// Drops what has outlived its time.
     void expire(TimePoint now);
 
@@ -122,10 +124,18 @@
     }
 
 private:
+    /// Reading that an engine has been given, until its expected end.
+    struct PendingRead
+    {
+        InstanceId engine;
+        Duration reading {};
+        TimePoint until;
+    };
     struct Call
     {
         InstanceId writer;
         TimePoint expiry;
+        std::vector<PendingRead> reads;
     };
 
     EngineLoadSettings m_settings;
--- a/ibismast/relay/engineplanner.cpp
+++ b/ibismast/relay/engineplanner.cpp
@@ -70,12 +70,14 @@
         if (tight == 0) {
             cost += opening;
         }
+        const Duration firstEvent = wait + reading + writingPass(profile, load.streams() + 1, load.memory());
+        const double late = toSeconds(firstEvent) - toSeconds(query.objective) * m_settings.shortContentShare;
+        if (late > 0.0) {
+            cost += fromSeconds(late * m_settings.lateCost);
+        }
         if (cost < bestCost) {
             bestCost = cost;
-            best = EnginePlan {engine,
-                               {},
-                               reading,
-                               wait + reading + writingPass(profile, load.streams() + 1, load.memory())};
+            best = EnginePlan {engine, {}, reading, firstEvent};
         }
     }
     return best;
--- a/ibismast/relay/engineplanner.h
+++ b/ibismast/relay/engineplanner.h
@@ -53,6 +53,10 @@
     Duration openedBusyEngine = std::chrono::milliseconds(600);
     /// Cost of each stream on an engine: all of them take longer.
     Duration sharedStream = std::chrono::milliseconds(2);
+    /// Share of the objective that the prediction for a short prompt may use, and the cost of each ms beyond it: an
+    /// answer that is late loses most of its worth.
+    double shortContentShare = 0.6;
+    double lateCost = 6.0;
     /// Share of the objective within which a long prompt is content with the engines that have no short streams.
     double contentShare = 0.6;
     /// Pauses below this make a stream sensitive to long reads beside it.
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -205,7 +205,7 @@
     m_directory.expire(now);
     for (const InstanceId &entry : m_members.expire(now)) {
         m_listener->onEvent("entry_lost", {{"entry", entry.value()}});
-        dropEntry(entry);
+        dropEntry(entry, now);
     }
 }
 
@@ -225,8 +225,11 @@
     for (const Placement &placement : news.placed) {
         m_loads.place(placement, now);
     }
+    for (const CallNumber &call : news.read) {
+        m_loads.noteRead({entry, call}, now);
+    }
     for (const CallNumber &call : news.ended) {
-        m_loads.end({entry, call});
+        m_loads.end({entry, call}, now);
     }
 }
 
@@ -235,9 +238,9 @@
     return std::exchange(m_news, LoadNews());
 }
 
-void RelayCore::dropEntry(const InstanceId &entry)
+void RelayCore::dropEntry(const InstanceId &entry, TimePoint now)
 {
-    m_loads.endAllOf(entry);
+    m_loads.endAllOf(entry, now);
 }
 
 const RelayService *RelayCore::service(const ServiceName &name) const
@@ -341,11 +344,20 @@
     m_news.placed.push_back(std::move(placement));
 }
 
-void RelayCore::attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint /*now*/)
+void RelayCore::firstEventReceived(const RelayCall &call, TimePoint now)
+{
+    const auto placement = m_placements.find(call.number);
+    if (placement != m_placements.end()) {
+        m_loads.noteRead({m_settings.self, placement->second}, now);
+        m_news.read.push_back(placement->second);
+    }
+}
+
+void RelayCore::attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now)
 {
     const auto placement = m_placements.find(call.number);
     if (placement != m_placements.end()) {
-        m_loads.end({m_settings.self, placement->second});
+        m_loads.end({m_settings.self, placement->second}, now);
         m_news.ended.push_back(placement->second);
         m_placements.erase(placement);
         return;
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -59,11 +59,13 @@
 struct LoadNews
 {
     std::vector<Placement> placed;
+    /// Calls whose prompts have been read.
+    std::vector<CallNumber> read;
     std::vector<CallNumber> ended;
 
     [[nodiscard]] bool empty() const
     {
-        return placed.empty() && ended.empty();
+        return placed.empty() && read.empty() && ended.empty();
     }
 };
 
@@ -122,12 +124,13 @@
     /// Returns and forgets what other entries have not been told yet.
     [[nodiscard]] LoadNews takeNews();
     /// Another entry has not been heard of for long, or has started anew.
-    void dropEntry(const InstanceId &entry);
+    void dropEntry(const InstanceId &entry, TimePoint now);
 
     [[nodiscard]] std::optional<AttemptPlan>
     planAttempt(const RelayCall &call, const std::set<InstanceId> &tried, TimePoint now) override;
     [[nodiscard]] bool takeRetry(const ServiceName &service, TimePoint now) override;
     void attemptStarted(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
+    void firstEventReceived(const RelayCall &call, TimePoint now) override;
     void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
     void upstreamWorked(const InstanceId &upstream) override;
     void upstreamFailed(const InstanceId &upstream, TimePoint now) override;
--- a/wire/relay.thrift
+++ b/wire/relay.thrift
@@ -36,6 +36,8 @@
     8: optional list<i64> ended,
     /// Address at which the sender hands out its copy of the platform's records.
     9: optional string copyAddress,
+    /// Calls whose prompts have been read.
+    10: optional list<i64> readCalls,
 }
 
 /// Record of the platform's store as it was read.
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -113,6 +113,12 @@
             message.ended.push_back(static_cast<std::int64_t>(call.value()));
         }
     }
+    if (!news.load.read.empty()) {
+        message.__isset.readCalls = true;
+        for (const CallNumber &call : news.load.read) {
+            message.readCalls.push_back(static_cast<std::int64_t>(call.value()));
+        }
+    }
     return encode(message);
 }
 
@@ -133,6 +139,9 @@
     for (const wire::relay::RelayPlacement &placement : message.placed) {
         news.load.placed.push_back(fromThrift(placement, news.sender.id));
     }
+    for (const std::int64_t call : message.readCalls) {
+        news.load.read.emplace_back(static_cast<std::uint64_t>(call));
+    }
     for (const std::int64_t call : message.ended) {
         news.load.ended.emplace_back(static_cast<std::uint64_t>(call));
     }
