Gather short streams and try suspected upstreams before a refusal

Cause: streams of a burst of short prompts were spread over all engines, so the next burst of long prompts found no engine without them; and calls were refused while upstreams behind an open circuit breaker had room.

--- a/ibismast/relay/engineplanner.cpp
+++ b/ibismast/relay/engineplanner.cpp
@@ -63,7 +63,9 @@
         }
         const Duration wait = load.backlog(now);
         const std::size_t tight = load.streamsTighterThan(m_settings.tightPause);
-        Duration cost = wait + m_settings.sharedStream * static_cast<int>(load.streams());
+        const std::size_t gathered = std::min(load.streams(), m_settings.gatheredStreams);
+        Duration cost = wait - m_settings.gatheredStream * static_cast<int>(gathered)
+            + m_settings.crowdedStream * static_cast<int>(load.streams() - gathered);
         if (wait + reading > allowed) {
             cost += m_settings.delayedStream * static_cast<int>(tight + 1);
         }
--- a/ibismast/relay/engineplanner.h
+++ b/ibismast/relay/engineplanner.h
@@ -49,10 +49,13 @@
     Duration delayedStream = std::chrono::milliseconds(150);
     /// Cost of putting the first short stream on an engine, which is then lost for undisturbed long reads: a fixed part,
     /// and one for a fleet that long reads keep entirely busy.
-    Duration openedEngine = std::chrono::milliseconds(15);
+    Duration openedEngine = std::chrono::milliseconds(80);
     Duration openedBusyEngine = std::chrono::milliseconds(600);
-    /// Cost of each stream on an engine: all of them take longer.
-    Duration sharedStream = std::chrono::milliseconds(2);
+    /// Streams up to this number attract further ones, so that engines become free of streams when demand falls.
+    std::size_t gatheredStreams = 10;
+    /// Gain of each such stream, and cost of each further one: all of them take longer.
+    Duration gatheredStream = std::chrono::milliseconds(3);
+    Duration crowdedStream = std::chrono::milliseconds(8);
     /// Share of the objective that the prediction for a short prompt may use, and the cost of each ms beyond it: an
     /// answer that is late loses most of its worth.
     double shortContentShare = 0.6;
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -252,22 +252,29 @@
 std::optional<AttemptPlan>
 RelayCore::planAttempt(const RelayCall &call, const std::set<InstanceId> &tried, TimePoint now)
 {
-    std::vector<const UpstreamDirectory::Member *> upstreams = m_directory.candidates(call.service, now);
-    std::vector<const UpstreamDirectory::Member *> fresh;
-    std::ranges::copy_if(upstreams, std::back_inserter(fresh), [&tried](const auto *member) {
-        return !tried.contains(member->record.id);
-    });
-    if (fresh.empty()) {
-        return std::nullopt;
-    }
     const RelayService *target = service(call.service);
     const bool generation = target != nullptr && target->engine && call.size.prompt.value() > 0;
-    return generation ? planGeneration(call, *target->engine, std::move(fresh), now) : planPlainCall(fresh);
+    const UpstreamDirectory::Candidates candidates = m_directory.candidates(call.service, now);
+    for (const auto *upstreams : {&candidates.trusted, &candidates.suspected}) {
+        std::vector<const UpstreamDirectory::Member *> fresh;
+        std::ranges::copy_if(*upstreams, std::back_inserter(fresh), [&tried](const auto *member) {
+            return !tried.contains(member->record.id);
+        });
+        if (fresh.empty()) {
+            continue;
+        }
+        std::optional<AttemptPlan> plan =
+            generation ? planGeneration(call, *target->engine, fresh, now) : planPlainCall(fresh);
+        if (plan) {
+            return plan;
+        }
+    }
+    return std::nullopt;
 }
 
 std::optional<AttemptPlan> RelayCore::planGeneration(const RelayCall &call,
                                                      const EngineProfile &profile,
-                                                     std::vector<const UpstreamDirectory::Member *> engines,
+                                                     const std::vector<const UpstreamDirectory::Member *> &engines,
                                                      TimePoint now)
 {
     const GenerationQuery query {call.size, call.route.objective, call.route.pauseTarget};
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -146,7 +146,7 @@
     [[nodiscard]] const RelayService *service(const ServiceName &name) const;
     [[nodiscard]] std::optional<AttemptPlan> planGeneration(const RelayCall &call,
                                                             const EngineProfile &profile,
-                                                            std::vector<const UpstreamDirectory::Member *> engines,
+                                                            const std::vector<const UpstreamDirectory::Member *> &engines,
                                                             TimePoint now);
     [[nodiscard]] std::optional<AttemptPlan>
     planPlainCall(const std::vector<const UpstreamDirectory::Member *> &upstreams);
--- a/ibismast/relay/upstreamdirectory.cpp
+++ b/ibismast/relay/upstreamdirectory.cpp
@@ -115,18 +115,16 @@
     return now - m_lastReport < m_settings.silence && now - member.reported > m_settings.silence;
 }
 
-std::vector<const UpstreamDirectory::Member *> UpstreamDirectory::candidates(const ServiceName &service,
-                                                                             TimePoint now) const
+UpstreamDirectory::Candidates UpstreamDirectory::candidates(const ServiceName &service, TimePoint now) const
 {
-    std::vector<const Member *> good;
-    std::vector<const Member *> doubtful;
+    Candidates result;
     for (const auto &[id, member] : m_members) {
         if (member.record.service != service || member.record.leaving) {
             continue;
         }
-        (suspected(member, now) ? doubtful : good).push_back(&member);
+        (suspected(member, now) ? result.suspected : result.trusted).push_back(&member);
     }
-    return good.empty() ? doubtful : good;
+    return result;
 }
 
 void UpstreamDirectory::noteDispatch(const InstanceId &id, TimePoint now)
--- a/ibismast/relay/upstreamdirectory.h
+++ b/ibismast/relay/upstreamdirectory.h
@@ -86,9 +86,14 @@
     [[nodiscard]] const Member *find(const InstanceId &id) const;
     /// Returns the upstream that listens at @p address.
     [[nodiscard]] std::optional<InstanceId> idOf(const UpstreamAddress &address) const;
-    /// Returns the upstreams of @p service that may get new work, in the order of their ids. Suspected ones are left
-    /// out unless nothing else is there.
-    [[nodiscard]] std::vector<const Member *> candidates(const ServiceName &service, TimePoint now) const;
+    /// Upstreams that may get new work, in the order of their ids.
+    struct Candidates
+    {
+        std::vector<const Member *> trusted;
+        /// Upstreams that have failed lately or are not heard of; they are worth a try if the others have no room.
+        std::vector<const Member *> suspected;
+    };
+    [[nodiscard]] Candidates candidates(const ServiceName &service, TimePoint now) const;
 
     void noteDispatch(const InstanceId &id, TimePoint now);
     void noteSuccess(const InstanceId &id);
