--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -51,19 +51,20 @@
     return m_call.route.kind == CallKind::Idempotent || m_call.route.kind == CallKind::ResumableStream;
 }
 
-Duration CallFlow::stallTime() const
+TimePoint CallFlow::stallDue() const
 {
     if (m_call.route.kind == CallKind::Idempotent) {
-        return fromSeconds(toSeconds(m_call.route.objective) * m_settings.answerPatience);
+        return m_lastProgress + fromSeconds(toSeconds(m_call.route.objective) * m_settings.answerPatience);
     }
     const double gap = std::max({toSeconds(m_settings.callerGap),
                                  toSeconds(m_call.route.objective) * m_settings.callerGapObjectives,
                                  toSeconds(m_call.route.pauseTarget) * m_settings.callerGapPauses});
-    double stall = gap * m_settings.stallShare;
-    if (m_plan && m_scanner.lastId().empty()) {
-        stall = std::max(stall, toSeconds(m_plan->firstEvent) * m_settings.predictionSlack);
-    }
-    return fromSeconds(stall);
+    const double predicted =
+        m_attemptHasEvents ? 0.0 : toSeconds(m_plan->firstEvent) * m_settings.predictionSlack;
+    const double silent = std::max(gap * m_settings.stallShare, predicted);
+    const double busy = std::max(gap * m_settings.busyStallShare, predicted);
+    const TimePoint engineSilent = m_environment->lastProgress(m_plan->upstream.id) + fromSeconds(silent);
+    return std::min(std::max(m_lastProgress + fromSeconds(silent), engineSilent), m_lastProgress + fromSeconds(busy));
 }
 
 void CallFlow::start(TimePoint now, CallActions &actions)
@@ -183,6 +184,7 @@
         return;
     }
     m_lastProgress = now;
+    m_environment->upstreamProgressed(m_plan->upstream.id, now);
     if (!isStream() || !isSuccess(m_head.status)) {
         m_body.append(bytes);
         if (m_body.size() > m_settings.maxAnswerBytes) {
@@ -260,7 +262,7 @@
     if (!m_plan || m_sent + 1 >= m_call.route.maxAttempts || !mayRepeat()) {
         return m_call.deadline;
     }
-    return std::min(m_call.deadline, m_lastProgress + stallTime());
+    return std::min(m_call.deadline, stallDue());
 }
 
 void CallFlow::timeReached(TimePoint now, CallActions &actions)
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -125,6 +125,10 @@
     virtual void firstEventReceived(const RelayCall &call, TimePoint now) = 0;
     /// The attempt has ended, by an answer or otherwise.
     virtual void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) = 0;
+    /// Bytes of any call have come from @p upstream.
+    virtual void upstreamProgressed(const InstanceId &upstream, TimePoint now) = 0;
+    /// Returns the last time of such bytes.
+    [[nodiscard]] virtual TimePoint lastProgress(const InstanceId &upstream) const = 0;
     virtual void upstreamWorked(const InstanceId &upstream) = 0;
     virtual void upstreamFailed(const InstanceId &upstream, TimePoint now) = 0;
     virtual void upstreamFailedAt(const UpstreamAddress &address, TimePoint now) = 0;
@@ -141,8 +145,10 @@
     Duration callerGap = std::chrono::seconds(2);
     double callerGapObjectives = 4.0;
     double callerGapPauses = 8.0;
-    /// Share of the callers' gap after which a silent stream moves to another upstream.
+    /// Share of the callers' gap after which a silent stream moves to another upstream if its engine is silent as well.
     double stallShare = 0.45;
+    /// The same if the engine sends events of other streams: it is then busy rather than gone.
+    double busyStallShare = 0.8;
     /// A stream is not moved before this multiple of the predicted time to its first event.
     double predictionSlack = 2.0;
     /// Largest event of a stream.
@@ -186,7 +192,8 @@
 private:
     [[nodiscard]] bool isStream() const;
     [[nodiscard]] bool mayRepeat() const;
-    [[nodiscard]] Duration stallTime() const;
+    /// Time at which the attempt under way counts as stalled, as things stand.
+    [[nodiscard]] TimePoint stallDue() const;
     void startAttempt(TimePoint now, CallActions &actions);
     /// Ends the attempt under way; it has or has not run.
     void closeAttempt(TimePoint now);
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -194,6 +194,7 @@
 {
     while (!m_due.empty() && m_due.begin()->first <= now) {
         const auto [due, number] = *m_due.begin();
+        // The step may find that the call is not due yet, because its engine has sent events of other calls.
         run(
             number,
             [now](CallFlow &flow, CallActions &flowActions) {
@@ -375,6 +376,17 @@
     }
 }
 
+void RelayCore::upstreamProgressed(const InstanceId &upstream, TimePoint now)
+{
+    m_progress[upstream] = now;
+}
+
+TimePoint RelayCore::lastProgress(const InstanceId &upstream) const
+{
+    const auto found = m_progress.find(upstream);
+    return found == m_progress.end() ? TimePoint::min() : found->second;
+}
+
 void RelayCore::upstreamWorked(const InstanceId &upstream)
 {
     m_directory.noteSuccess(upstream);
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -132,6 +132,8 @@
     void attemptStarted(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
     void firstEventReceived(const RelayCall &call, TimePoint now) override;
     void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
+    void upstreamProgressed(const InstanceId &upstream, TimePoint now) override;
+    [[nodiscard]] TimePoint lastProgress(const InstanceId &upstream) const override;
     void upstreamWorked(const InstanceId &upstream) override;
     void upstreamFailed(const InstanceId &upstream, TimePoint now) override;
     void upstreamFailedAt(const UpstreamAddress &address, TimePoint now) override;
@@ -168,6 +170,8 @@
     std::uint64_t m_lastPlacement = 0;
     /// Open calls of this entry at each upstream of a plain service.
     std::map<InstanceId, int> m_plainCalls;
+    /// Last time at which bytes of any call came from an upstream.
+    std::map<InstanceId, TimePoint> m_progress;
     std::map<ServiceName, RetryBudget> m_budgets;
     LoadNews m_news;
 };
