Reserve engines' memory for prompts that no single engine holds

Cause: dossiers above an engine's memory (315,000 tokens) were declined by every engine and never served. Their readers now reserve parts of the memory, extended every second and released with the call.

--- a/adapters/relay/callprotocol.h
+++ b/adapters/relay/callprotocol.h
@@ -16,7 +16,7 @@
     std::string requestId;
     InstanceId upstream;
     CustomerId customer;
-    std::vector<UpstreamAddress> helpers;
+    std::vector<AttemptHelper> helpers;
     /// Event behind which the stream continues; empty for the whole stream.
     std::string lastEventId;
     Duration timeLeft {};
--- /dev/null
+++ b/adapters/relay/engineorders.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "ibismast/relay/callflow.h"
+
+#include <functional>
+
+namespace ibismast
+{
+
+/// Orders to engines about their memory.
+class EngineOrders
+{
+public:
+    using GrantHandler = std::function<void(bool granted)>;
+
+    virtual ~EngineOrders() = default;
+
+    /// Reserves memory on @p holder for @p hold, or extends the reservation of the same name. @p handler is called
+    /// exactly once; no answer in time counts as a refusal.
+    virtual void reserve(const AttemptHelper &holder, Duration hold, GrantHandler handler) = 0;
+    /// Ends a reservation. An order that is lost is made good by the end of the reservation's time.
+    virtual void release(const AttemptHelper &holder) = 0;
+};
+
+} // namespace ibismast
--- a/adapters/relay/httprequester.cpp
+++ b/adapters/relay/httprequester.cpp
@@ -21,6 +21,25 @@
 }
 
 void HttpRequester::get(const std::string &target, Duration timeout, Handler handler)
+{
+    send(HttpHeadBuilder::request("GET", target).header("Host", host()).build(), timeout, std::move(handler));
+}
+
+void HttpRequester::post(const std::string &target, const std::string &body, Duration timeout, Handler handler)
+{
+    HttpHeadBuilder head = HttpHeadBuilder::request("POST", target);
+    head.header("Host", host())
+        .header("Content-Type", "application/json")
+        .header("Content-Length", std::to_string(body.size()));
+    send(head.build() + body, timeout, std::move(handler));
+}
+
+std::string HttpRequester::host() const
+{
+    return m_endpoint.address().to_string() + ":" + std::to_string(m_endpoint.port());
+}
+
+void HttpRequester::send(std::string request, Duration timeout, Handler handler)
 {
     assert(!m_handler);
     m_handler = std::move(handler);
@@ -38,8 +57,7 @@
             finish(Error {ResultCode::StoreUnavailable, "no answer in time", std::nullopt});
         }
     });
-    const std::string host = m_endpoint.address().to_string() + ":" + std::to_string(m_endpoint.port());
-    m_connection->send(HttpHeadBuilder::request("GET", target).header("Host", host).build(),
+    m_connection->send(std::move(request),
                        {[this](const HttpHead &head) {
                             m_answer.status = head.status;
                             return true;
--- a/adapters/relay/httprequester.h
+++ b/adapters/relay/httprequester.h
@@ -28,8 +28,12 @@
     /// Sends a GET. @p handler is called exactly once, within @p timeout, unless the object is destroyed before. A
     /// request whose answer is late ends its connection, so that the answer cannot be taken for that of the next one.
     void get(const std::string &target, Duration timeout, Handler handler);
+    /// Sends a POST of a JSON body; like `get` otherwise.
+    void post(const std::string &target, const std::string &body, Duration timeout, Handler handler);
 
 private:
+    void send(std::string request, Duration timeout, Handler handler);
+    [[nodiscard]] std::string host() const;
     void finish(Result<HttpAnswer> result);
 
     boost::asio::io_context *m_loop;
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -214,6 +214,16 @@
     {
         m_process->startAttempt(m_number, *m_exchange, start);
     }
+    void operator()(const ReserveMemory &reserve)
+    {
+        m_process->reserveMemory(m_number, reserve);
+    }
+    void operator()(const ReleaseMemory &release)
+    {
+        for (const AttemptHelper &holder : release.holders) {
+            m_process->m_platform.orders->release(holder);
+        }
+    }
     void operator()(const AbortAttempt & /*abort*/)
     {
         if (m_exchange->connection) {
@@ -303,9 +313,7 @@
     details.lastEventId = start.lastEventId;
     details.timeLeft = start.timeLeft;
     details.customer = m_core.customerOf(number);
-    for (const UpstreamRecord &helper : start.plan.helpers) {
-        details.helpers.push_back(helper.address);
-    }
+    details.helpers = start.plan.helpers;
     const HttpHead &request = exchange.caller->request();
     HttpHeadBuilder head = HttpHeadBuilder::request(request.method, request.target);
     head.endToEnd(request, [this](std::string_view name) {
@@ -320,6 +328,31 @@
     exchange.connection->send(head.build() + exchange.body, answerHandler(number, start.attempt));
 }
 
+void RelayProcess::reserveMemory(CallNumber number, const ReserveMemory &reserve)
+{
+    struct Grants
+    {
+        std::size_t open = 0;
+        bool all = true;
+    };
+    const auto grants = std::make_shared<Grants>();
+    grants->open = reserve.holders.size();
+    for (const AttemptHelper &holder : reserve.holders) {
+        m_platform.orders->reserve(
+            holder, reserve.hold, [this, number, grants, attempt = reserve.attempt, extends = reserve.extends](bool granted) {
+                grants->all = grants->all && granted;
+                if (--grants->open > 0 || extends) {
+                    return;
+                }
+                RelayActions actions;
+                m_core.memoryReserved(number, attempt, grants->all, processNow(), actions);
+                perform(actions);
+                sendNews();
+                armTimer();
+            });
+    }
+}
+
 AnswerHandler RelayProcess::answerHandler(CallNumber number, int attempt)
 {
     // Runs a step of the core and everything that follows from it.
--- a/adapters/relay/relayprocess.h
+++ b/adapters/relay/relayprocess.h
@@ -3,6 +3,7 @@
 #include "adapters/plumbing/metrics.h"
 #include "adapters/relay/callerserver.h"
 #include "adapters/relay/clusterstore.h"
+#include "adapters/relay/engineorders.h"
 #include "adapters/relay/entrypeers.h"
 #include "adapters/relay/httprequester.h"
 #include "adapters/relay/pageserver.h"
@@ -24,6 +25,7 @@
         const CallProtocol *protocol = nullptr;
         const RecordDecoder *decoder = nullptr;
         ClusterStore *store = nullptr;
+        EngineOrders *orders = nullptr;
         /// Path of the balancer's question.
         std::string readyPath;
     };
@@ -53,6 +55,7 @@
 
     void perform(const RelayActions &actions);
     void startAttempt(CallNumber number, Exchange &exchange, const StartAttempt &start);
+    void reserveMemory(CallNumber number, const ReserveMemory &reserve);
     [[nodiscard]] AnswerHandler answerHandler(CallNumber number, int attempt);
     void headArrived(CallNumber number, int attempt, const HttpHead &head);
     void refuse(CallerConnection &connection, const std::string &requestId, const Error &error);
--- a/daemons/relay/main.cpp
+++ b/daemons/relay/main.cpp
@@ -2,6 +2,7 @@
 #include "adapters/relay/relaylog.h"
 #include "adapters/relay/relayprocess.h"
 #include "platform/platformdecoder.h"
+#include "platform/platformorders.h"
 #include "platform/platformprotocol.h"
 #include "platform/platformstore.h"
 #include "platform/wirenames.h"
@@ -127,11 +128,12 @@
     const PlatformProtocol protocol;
     const PlatformDecoder decoder;
     PlatformStore store(loop, settings.store);
+    PlatformOrders orders(loop);
     const std::string instance = settings.core.self.value();
     const auto port = settings.listen.port();
     RelayProcess process(loop,
                          std::move(settings),
-                         {&protocol, &decoder, &store, std::string(platform::ReadyPath)},
+                         {&protocol, &decoder, &store, &orders, std::string(platform::ReadyPath)},
                          randomIncarnation(),
                          listener,
                          metrics);
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -88,8 +88,13 @@
     (void)m_scanner.takeRest();
     m_lastProgress = now;
     m_tried.insert(m_plan->upstream.id);
+    int ticket = 0;
+    for (AttemptHelper &helper : m_plan->helpers) {
+        if (helper.reserved.value() > 0) {
+            helper.ticket = m_call.requestId + "." + std::to_string(m_attempt) + "." + std::to_string(++ticket);
+        }
+    }
     m_environment->attemptStarted(m_call, *m_plan, now);
-    const std::string &lastEventId = m_eventsSent > 0 ? m_scanner.lastId() : m_call.lastEventId;
     m_listener->onEvent("attempt_started",
                         {{"request", m_call.requestId},
                          {"attempt", std::to_string(m_attempt)},
@@ -97,17 +102,68 @@
                          {"helpers", std::to_string(m_plan->helpers.size())},
                          {"part_ms", inMs(m_plan->part)},
                          {"predicted_ms", inMs(m_plan->firstEvent)},
-                         {"behind_event", lastEventId},
+                         {"holders", std::to_string(ticket)},
+                         {"behind_event", m_scanner.lastId()},
                          {"left_ms", inMs(m_call.deadline - now)}});
+    if (ticket > 0) {
+        m_reserving = true;
+        m_nextExtension = now + m_settings.memoryExtension;
+        actions.emplace_back(ReserveMemory {m_attempt, holders(), m_settings.memoryHold, false});
+        return;
+    }
+    sendAttempt(now, actions);
+}
+
+void CallFlow::sendAttempt(TimePoint now, CallActions &actions)
+{
+    m_lastProgress = now;
+    const std::string &lastEventId = m_eventsSent > 0 ? m_scanner.lastId() : m_call.lastEventId;
     actions.emplace_back(StartAttempt {m_attempt, *m_plan, lastEventId, m_call.deadline - now});
 }
 
-void CallFlow::closeAttempt(TimePoint now)
+std::vector<AttemptHelper> CallFlow::holders() const
 {
-    if (m_plan) {
-        m_environment->attemptEnded(m_call, *m_plan, now);
-        m_plan.reset();
+    std::vector<AttemptHelper> result;
+    std::ranges::copy_if(m_plan->helpers, std::back_inserter(result), [](const AttemptHelper &helper) {
+        return !helper.ticket.empty();
+    });
+    return result;
+}
+
+void CallFlow::memoryReserved(int attempt, bool granted, TimePoint now, CallActions &actions)
+{
+    if (m_ended || !m_plan || attempt != m_attempt || !m_reserving) {
+        return;
     }
+    m_reserving = false;
+    if (granted) {
+        sendAttempt(now, actions);
+        return;
+    }
+    closeAttempt(now, actions);
+    ++m_unsent;
+    if (m_unsent <= m_settings.maxUnsent && now < m_call.deadline) {
+        m_listener->onEvent("memory_refused",
+                            {{"request", m_call.requestId}, {"attempt", std::to_string(attempt)}});
+        startAttempt(now, actions);
+        return;
+    }
+    refuse(ResultCode::MemoryExhausted, "the engines' memory is taken", now, actions);
+}
+
+void CallFlow::closeAttempt(TimePoint now, CallActions &actions)
+{
+    if (!m_plan) {
+        return;
+    }
+    std::vector<AttemptHelper> held = holders();
+    if (!held.empty()) {
+        actions.emplace_back(ReleaseMemory {std::move(held)});
+    }
+    m_reserving = false;
+    m_nextExtension.reset();
+    m_environment->attemptEnded(m_call, *m_plan, now);
+    m_plan.reset();
 }
 
 void CallFlow::attemptFailed(
@@ -118,7 +174,7 @@
     }
     const InstanceId upstream = m_plan->upstream.id;
     m_environment->upstreamFailed(upstream, now);
-    closeAttempt(now);
+    closeAttempt(now, actions);
     if (failure == AttemptFailure::NotSent) {
         ++m_unsent;
         if (m_unsent <= m_settings.maxUnsent && now < m_call.deadline) {
@@ -155,7 +211,7 @@
             m_environment->upstreamFailed(m_plan->upstream.id, now);
         }
         actions.emplace_back(AbortAttempt {attempt});
-        closeAttempt(now);
+        closeAttempt(now, actions);
         retryOrEnd("upstream declined with " + std::to_string(head.status), ResultCode::NoUpstream, now, actions);
         return;
     }
@@ -174,7 +230,7 @@
     ++m_sent;
     m_environment->upstreamFailed(m_plan->upstream.id, now);
     actions.emplace_back(AbortAttempt {attempt});
-    closeAttempt(now);
+    closeAttempt(now, actions);
     retryOrEnd("upstream failed with " + std::to_string(head.status), ResultCode::UpstreamFailed, now, actions);
 }
 
@@ -243,7 +299,7 @@
     } else {
         actions.emplace_back(SendWhole {attempt, std::move(m_body)});
     }
-    finish("answered", std::to_string(m_head.status), now);
+    finish("answered", std::to_string(m_head.status), now, actions);
 }
 
 void CallFlow::callerGone(TimePoint now, CallActions &actions)
@@ -254,15 +310,19 @@
     if (m_plan) {
         actions.emplace_back(AbortAttempt {m_attempt});
     }
-    finish("caller_gone", "caller closed its connection", now);
+    finish("caller_gone", "caller closed its connection", now, actions);
 }
 
 TimePoint CallFlow::nextDue() const
 {
-    if (!m_plan || m_sent + 1 >= m_call.route.maxAttempts || !mayRepeat()) {
-        return m_call.deadline;
+    TimePoint due = m_call.deadline;
+    if (m_plan && m_nextExtension) {
+        due = std::min(due, *m_nextExtension);
     }
-    return std::min(m_call.deadline, stallDue());
+    if (m_plan && !m_reserving && m_sent + 1 < m_call.route.maxAttempts && mayRepeat()) {
+        due = std::min(due, stallDue());
+    }
+    return due;
 }
 
 void CallFlow::timeReached(TimePoint now, CallActions &actions)
@@ -270,6 +330,11 @@
     if (m_ended || now < nextDue()) {
         return;
     }
+    if (m_plan && m_nextExtension && now >= *m_nextExtension && now < m_call.deadline) {
+        m_nextExtension = now + m_settings.memoryExtension;
+        actions.emplace_back(ReserveMemory {m_attempt, holders(), m_settings.memoryHold, true});
+        return;
+    }
     if (m_plan) {
         actions.emplace_back(AbortAttempt {m_attempt});
     }
@@ -300,23 +365,23 @@
 {
     if (m_headSent) {
         actions.emplace_back(CutCaller {});
-        finish("cut", reason, now);
+        finish("cut", reason, now, actions);
         return;
     }
     if (m_mayHaveRun && resultCodeInfo(code).notRun) {
         code = ResultCode::UpstreamFailed;
     }
     const bool notRun = resultCodeInfo(code).notRun;
-    finish("refused", reason, now);
+    finish("refused", reason, now, actions);
     actions.emplace_back(
         Refuse {code, std::move(reason), notRun ? std::optional(m_settings.retryAfter) : std::nullopt});
 }
 
-void CallFlow::finish(std::string_view outcome, std::string_view reason, TimePoint now)
+void CallFlow::finish(std::string_view outcome, std::string_view reason, TimePoint now, CallActions &actions)
 {
     assert(!m_ended);
     const std::string upstream = m_plan ? m_plan->upstream.id.value() : std::string("none");
-    closeAttempt(now);
+    closeAttempt(now, actions);
     m_ended = true;
     m_listener->onEvent("call_ended",
                         {{"request", m_call.requestId},
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -27,11 +27,21 @@
     std::string lastEventId;
 };
 
+/// Engine that helps with one attempt.
+struct AttemptHelper
+{
+    UpstreamRecord upstream;
+    /// KV memory to reserve there before the call is sent; 0 for none.
+    Tokens reserved;
+    /// Name of the reservation; empty for none.
+    std::string ticket;
+};
+
 /// Upstream that one attempt goes to.
 struct AttemptPlan
 {
     UpstreamRecord upstream;
-    std::vector<UpstreamRecord> helpers;
+    std::vector<AttemptHelper> helpers;
     /// Predicted time to the first event; zero if nothing is predicted.
     Duration firstEvent {};
     /// Reading on each of the engines.
@@ -47,6 +57,21 @@
     std::string lastEventId;
     Duration timeLeft {};
 };
+/// Reserves memory on the helpers of an attempt that hold a part of the prompt, or extends the reservations. The first
+/// one of an attempt is answered by `memoryReserved`.
+struct ReserveMemory
+{
+    int attempt = 0;
+    std::vector<AttemptHelper> holders;
+    /// Time after which the engines release the memory by themselves.
+    Duration hold {};
+    bool extends = false;
+};
+/// Releases the memory that was reserved for an attempt.
+struct ReleaseMemory
+{
+    std::vector<AttemptHelper> holders;
+};
 /// Closes the connection of an attempt, which cancels it at the upstream.
 struct AbortAttempt
 {
@@ -85,7 +110,7 @@
 };
 /// What the shell has to do for one call.
 using CallAction =
-    std::variant<StartAttempt, AbortAttempt, SendHead, SendBody, EndBody, SendWhole, Refuse, CutCaller>;
+    std::variant<StartAttempt, ReserveMemory, ReleaseMemory, AbortAttempt, SendHead, SendBody, EndBody, SendWhole, Refuse, CutCaller>;
 using CallActions = std::vector<CallAction>;
 
 /// Head of an upstream's answer, as far as decisions depend on it.
@@ -155,6 +180,9 @@
     std::size_t maxEventBytes = std::size_t {1} << 20;
     /// Largest answer that is held until it is complete.
     std::size_t maxAnswerBytes = std::size_t {8} << 20;
+    /// Time for which reserved memory is held without an extension: a crash of this process must not hold it for long.
+    Duration memoryHold = std::chrono::milliseconds(3500);
+    Duration memoryExtension = std::chrono::milliseconds(1000);
     /// Retry-After of calls that found no upstream; callers spread it themselves.
     Duration retryAfter = std::chrono::milliseconds(400);
 };
@@ -170,6 +198,8 @@
     void start(TimePoint now, CallActions &actions);
     /// An attempt failed; reports of attempts that were aborted are ignored.
     void attemptFailed(int attempt, AttemptFailure failure, std::string_view reason, TimePoint now, CallActions &actions);
+    /// The memory for an attempt has been reserved, or could not be.
+    void memoryReserved(int attempt, bool granted, TimePoint now, CallActions &actions);
     void headReceived(int attempt, const UpstreamHead &head, TimePoint now, CallActions &actions);
     void bodyReceived(int attempt, std::string_view bytes, TimePoint now, CallActions &actions);
     /// The answer is complete.
@@ -196,11 +226,14 @@
     [[nodiscard]] TimePoint stallDue() const;
     void startAttempt(TimePoint now, CallActions &actions);
     /// Ends the attempt under way; it has or has not run.
-    void closeAttempt(TimePoint now);
+    void closeAttempt(TimePoint now, CallActions &actions);
+    void sendAttempt(TimePoint now, CallActions &actions);
+    /// Returns the helpers of the attempt under way that hold a part of the prompt.
+    [[nodiscard]] std::vector<AttemptHelper> holders() const;
     /// Starts another attempt if the call allows it, else ends the call.
     void retryOrEnd(std::string_view reason, ResultCode code, TimePoint now, CallActions &actions);
     void refuse(ResultCode code, std::string reason, TimePoint now, CallActions &actions);
-    void finish(std::string_view outcome, std::string_view reason, TimePoint now);
+    void finish(std::string_view outcome, std::string_view reason, TimePoint now, CallActions &actions);
 
     RelayCall m_call;
     CallFlowSettings m_settings;
@@ -211,6 +244,9 @@
     std::optional<AttemptPlan> m_plan;
     /// Number of the attempt under way or of the last one.
     int m_attempt = 0;
+    /// True while the memory for the attempt under way is being reserved.
+    bool m_reserving = false;
+    std::optional<TimePoint> m_nextExtension;
     int m_sent = 0;
     int m_unsent = 0;
     /// True once an upstream may have run the call.
--- a/ibismast/relay/engineload.cpp
+++ b/ibismast/relay/engineload.cpp
@@ -48,6 +48,15 @@
     }));
 }
 
+Duration EngineLoad::shortestPause() const
+{
+    Duration shortest = Duration::max();
+    for (const auto &[id, stream] : m_streams) {
+        shortest = std::min(shortest, stream.pauseTarget);
+    }
+    return shortest;
+}
+
 EngineLoadTable::EngineLoadTable(const EngineLoadSettings &settings) : m_settings(settings) { }
 
 void EngineLoadTable::place(const Placement &placement, TimePoint now)
@@ -65,7 +74,8 @@
     for (const ReadShare &share : placement.reads) {
         EngineLoad &load = m_loads[share.engine];
         load.m_readUntil = std::max(load.m_readUntil, now) + share.reading;
-        call->second.reads.push_back({share.engine, share.reading, load.m_readUntil});
+        load.m_memory += share.memory;
+        call->second.reads.push_back({share.engine, share.reading, load.m_readUntil, share.memory});
         reading += share.reading;
     }
     if (reading > m_settings.longReading) {
@@ -86,13 +96,13 @@
     if (call == m_calls.end()) {
         return;
     }
-    for (const PendingRead &read : call->second.reads) {
+    for (PendingRead &read : call->second.reads) {
         // The engine is ahead of the estimate by what it was still thought to need.
         if (read.until > now) {
             m_loads[read.engine].m_readUntil -= read.until - now;
+            read.until = now;
         }
     }
-    call->second.reads.clear();
 }
 
 void EngineLoadTable::end(const PlacedCallId &id, TimePoint now)
@@ -105,6 +115,7 @@
         if (read.until > now) {
             m_loads[read.engine].m_readUntil -= std::min(read.reading, read.until - now);
         }
+        m_loads[read.engine].m_memory -= read.memory;
     }
     EngineLoad &writer = m_loads[call->second.writer];
     const auto stream = writer.m_streams.find(id);
--- a/ibismast/relay/engineload.h
+++ b/ibismast/relay/engineload.h
@@ -25,6 +25,8 @@
     InstanceId engine;
     /// Time that the engine needs for the share alone.
     Duration reading {};
+    /// KV memory of the prompt that is reserved on the engine for the writer.
+    Tokens memory;
 
     bool operator==(const ReadShare &) const = default;
 };
@@ -37,7 +39,7 @@
     InstanceId writer;
     /// Longest pause between events that the stream bears.
     Duration pauseTarget {};
-    /// Prompt and expected output.
+    /// Prompt and expected output, without what other engines hold.
     Tokens memory;
     /// Expected time from the placement to the end of the stream.
     Duration expected {};
@@ -65,7 +67,9 @@
     }
     /// Streams whose pauses must stay below @p limit.
     [[nodiscard]] std::size_t streamsTighterThan(Duration limit) const;
-    /// KV memory of the streams.
+    /// Shortest pause that a stream on the engine bears; the largest duration if there is none.
+    [[nodiscard]] Duration shortestPause() const;
+    /// KV memory of the streams and of reservations for other engines' streams.
     [[nodiscard]] Tokens memory() const
     {
         return m_memory;
@@ -130,6 +134,7 @@
         InstanceId engine;
         Duration reading {};
         TimePoint until;
+        Tokens memory;
     };
     struct Call
     {
--- a/ibismast/relay/engineplanner.cpp
+++ b/ibismast/relay/engineplanner.cpp
@@ -32,10 +32,7 @@
 
 bool EnginePlanner::hasRoom(const EngineLoad &load, Tokens memory, const EngineProfile &profile) const
 {
-    const auto usable =
-        static_cast<std::int64_t>(static_cast<double>(profile.memory.value()) * m_settings.memoryShare);
-    // A call that exceeds the usable memory alone still gets an idle engine.
-    const bool fits = load.streams() == 0 || load.memory().value() + memory.value() <= usable;
+    const bool fits = load.memory() + memory <= usableMemory(profile);
     return fits && load.streams() < static_cast<std::size_t>(profile.slots);
 }
 
@@ -44,6 +41,17 @@
     return fromSeconds(toSeconds(pauseTarget) * m_settings.pauseShare);
 }
 
+bool EnginePlanner::bears(const EngineLoad &load, Duration reading, TimePoint now) const
+{
+    const Duration shortest = load.shortestPause();
+    return shortest == Duration::max() || load.backlog(now) + reading <= allowedReading(shortest);
+}
+
+bool EnginePlanner::hasShortStreams(const EngineLoad &load) const
+{
+    return load.streamsTighterThan(m_settings.tightPause) > 0;
+}
+
 std::optional<EnginePlan> EnginePlanner::planWhole(const GenerationQuery &query,
                                                    const EngineProfile &profile,
                                                    const std::vector<const UpstreamDirectory::Member *> &engines,
@@ -118,6 +126,26 @@
     return best;
 }
 
+EnginePlanner::Split EnginePlanner::modestSplit(const std::vector<Candidate> &candidates,
+                                                Duration reading,
+                                                Duration limit) const
+{
+    const std::size_t most = std::min(candidates.size(), m_settings.maxHelpers + 1);
+    for (std::size_t count = 1; count <= most; ++count) {
+        const Duration end = candidates[count - 1].start + reading / static_cast<int>(count);
+        if (end <= limit) {
+            return {count, end};
+        }
+    }
+    return bestSplit(candidates, reading);
+}
+
+bool EnginePlanner::isModest(Duration reading, std::size_t engines, TimePoint now) const
+{
+    return reading > m_settings.modestReading
+        && m_loads->longDemand(now) > m_settings.modestBusy * static_cast<double>(engines);
+}
+
 std::optional<EnginePlan> EnginePlanner::planSplit(const GenerationQuery &query,
                                                    const EngineProfile &profile,
                                                    const std::vector<const UpstreamDirectory::Member *> &engines,
@@ -125,50 +153,80 @@
 {
     const Duration reading = readingTime(profile, query.size.prompt);
     const Tokens memory = memoryOf(query, profile);
-    std::vector<Candidate> candidates = ranked(engines, now, [this](const EngineLoad &load) {
-        return load.streamsTighterThan(m_settings.tightPause) == 0;
+    const bool modest = isModest(reading, engines.size(), now);
+    const Duration contentEnd =
+        fromSeconds(toSeconds(query.objective) * (modest ? m_settings.modestEnd : m_settings.contentShare));
+    const Duration part = reading / static_cast<int>(std::min(engines.size(), m_settings.maxHelpers + 1));
+    const auto split = [&](const std::vector<Candidate> &candidates) {
+        return modest ? modestSplit(candidates, reading, contentEnd) : bestSplit(candidates, reading);
+    };
+    // Engines whose streams are not disturbed, then those without short streams as well, then all.
+    std::vector<Candidate> candidates = ranked(engines, now, [&](const EngineLoad &load) {
+        return modest ? load.streams() == 0 : !hasShortStreams(load) && bears(load, part, now);
     });
-    Split split = bestSplit(candidates, reading);
-    if (split.parts == 0 || toSeconds(split.end) > toSeconds(query.objective) * m_settings.contentShare) {
-        // Engines with short streams take what these bear.
-        const Duration part = reading / static_cast<int>(std::min(engines.size(), m_settings.maxHelpers + 1));
-        const Duration allowed = allowedReading(m_settings.tightPause) / 2;
-        std::vector<Candidate> all = ranked(engines, now, [&](const EngineLoad &load) {
-            return load.streamsTighterThan(m_settings.tightPause) == 0 || load.backlog(now) + part <= allowed;
-        });
-        const Split wider = bestSplit(all, reading);
-        if (wider.end < split.end) {
-            split = wider;
-            candidates = std::move(all);
+    Split best = split(candidates);
+    for (const bool all : {false, true}) {
+        if (best.parts > 0 && (all || best.end <= contentEnd)) {
+            break;
         }
-    }
-    if (split.parts == 0) {
-        candidates = ranked(engines, now, [](const EngineLoad & /*load*/) {
-            return true;
+        std::vector<Candidate> wider = ranked(engines, now, [&](const EngineLoad &load) {
+            return all || !hasShortStreams(load) || bears(load, part, now);
         });
-        split = bestSplit(candidates, reading);
-    }
-    // Of the readers the one with most free memory writes: the prompt stays in its memory.
-    std::optional<std::size_t> writer;
-    for (std::size_t index = 0; index < candidates.size() && (index < split.parts || !writer); ++index) {
-        const EngineLoad &load = *candidates[index].load;
-        if (hasRoom(load, memory, profile) && (!writer || load.memory() < candidates[*writer].load->memory())) {
-            writer = index;
+        const Split widerSplit = split(wider);
+        if (widerSplit.end < best.end) {
+            best = widerSplit;
+            candidates = std::move(wider);
         }
     }
-    if (!writer) {
+    // The readers with most free memory come first: the prompt stays in their memory.
+    std::vector<Candidate> readers(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(best.parts));
+    std::ranges::stable_sort(readers, {}, [](const Candidate &candidate) {
+        return candidate.load->memory();
+    });
+    const bool held = memory > usableMemory(profile);
+    const auto writer = std::ranges::find_if(readers, [&](const Candidate &candidate) {
+        return held ? candidate.load->streams() < static_cast<std::size_t>(profile.slots)
+                    : hasRoom(*candidate.load, memory, profile);
+    });
+    if (writer == readers.end()) {
         return std::nullopt;
     }
+    std::rotate(readers.begin(), writer, std::next(writer));
     EnginePlan plan;
-    plan.writer = candidates[*writer].engine;
-    plan.part = reading / static_cast<int>(split.parts);
-    for (std::size_t index = 0; index < candidates.size() && plan.helpers.size() + 1 < split.parts; ++index) {
-        if (index != *writer) {
-            plan.helpers.push_back(candidates[index].engine);
-        }
+    plan.writer = readers.front().engine;
+    plan.part = reading / static_cast<int>(best.parts);
+    plan.firstEvent = best.end + writingPass(profile, readers.front().load->streams() + 1, memory);
+    for (auto reader = std::next(readers.begin()); reader != readers.end(); ++reader) {
+        plan.helpers.push_back({reader->engine, Tokens()});
+    }
+    if (held && !reserve(plan, readers, memory, profile)) {
+        return std::nullopt;
     }
-    plan.firstEvent = split.end + writingPass(profile, candidates[*writer].load->streams() + 1, memory);
     return plan;
 }
 
+bool EnginePlanner::reserve(EnginePlan &plan,
+                            const std::vector<Candidate> &readers,
+                            Tokens memory,
+                            const EngineProfile &profile) const
+{
+    const auto share = [&](const Candidate &candidate) {
+        const std::int64_t free = usableMemory(profile).value() - candidate.load->memory().value();
+        return static_cast<std::int64_t>(static_cast<double>(std::max<std::int64_t>(0, free)) * m_settings.reservedShare);
+    };
+    // The writer holds the output and what the reservations leave.
+    std::int64_t left = memory.value() - share(readers.front());
+    for (std::size_t index = 0; index < plan.helpers.size() && index < m_settings.maxHolders && left > 0; ++index) {
+        const std::int64_t reserved = std::min(left, share(readers[index + 1]));
+        plan.helpers[index].reserved = Tokens(reserved);
+        left -= reserved;
+    }
+    return left <= 0;
+}
+
+Tokens EnginePlanner::usableMemory(const EngineProfile &profile) const
+{
+    return Tokens(static_cast<std::int64_t>(static_cast<double>(profile.memory.value()) * m_settings.memoryShare));
+}
+
 } // namespace ibismast
--- a/ibismast/relay/engineplanner.h
+++ b/ibismast/relay/engineplanner.h
@@ -23,13 +23,21 @@
     Duration pauseTarget {};
 };
 
+/// Engine that reads a part of a prompt for another one.
+struct EngineHelper
+{
+    const UpstreamDirectory::Member *engine = nullptr;
+    /// KV memory to reserve there for the prompt; 0 if the writer's own memory holds all.
+    Tokens reserved;
+};
+
 /// Where a generation runs.
 struct EnginePlan
 {
     /// Engine that gets the call and writes the stream.
     const UpstreamDirectory::Member *writer = nullptr;
-    /// Engines that read parts of the prompt for it.
-    std::vector<const UpstreamDirectory::Member *> helpers;
+    /// Engines that read parts of the prompt for it, those that also hold a part in front.
+    std::vector<EngineHelper> helpers;
     /// Time that each of them needs for its part.
     Duration part {};
     /// Predicted time to the first event.
@@ -64,8 +72,18 @@
     double contentShare = 0.6;
     /// Pauses below this make a stream sensitive to long reads beside it.
     Duration tightPause = std::chrono::milliseconds(400);
+    /// A prompt whose reading takes this long costs several prompts of usual length their objective, since the pairs of
+    /// its tokens grow with the square. While long prompts keep more than this share of the fleet busy, it is read by
+    /// few engines and ends within this multiple of its objective, well before callers give up at four times.
+    Duration modestReading = std::chrono::seconds(6);
+    double modestBusy = 0.15;
+    double modestEnd = 2.0;
     /// Share of an engine's KV memory that may be planned for, since the outputs' lengths are estimates.
     double memoryShare = 0.92;
+    /// Share of an engine's free memory that one reservation may take; other prompts need the rest.
+    double reservedShare = 0.8;
+    /// Largest number of engines that hold parts of one prompt.
+    std::size_t maxHolders = 6;
 };
 
 /// Chooses engines for generations by predicted reading and pauses.
@@ -102,6 +120,9 @@
     [[nodiscard]] Tokens memoryOf(const GenerationQuery &query, const EngineProfile &profile) const;
     [[nodiscard]] bool hasRoom(const EngineLoad &load, Tokens memory, const EngineProfile &profile) const;
     [[nodiscard]] Duration allowedReading(Duration pauseTarget) const;
+    /// True if @p reading more on an engine keeps the pauses of all its streams.
+    [[nodiscard]] bool bears(const EngineLoad &load, Duration reading, TimePoint now) const;
+    [[nodiscard]] bool hasShortStreams(const EngineLoad &load) const;
     [[nodiscard]] std::optional<EnginePlan> planWhole(const GenerationQuery &query,
                                                       const EngineProfile &profile,
                                                       const std::vector<const UpstreamDirectory::Member *> &engines,
@@ -115,7 +136,19 @@
     [[nodiscard]] std::vector<Candidate> ranked(const std::vector<const UpstreamDirectory::Member *> &engines,
                                                 TimePoint now,
                                                 const Filter &accepts) const;
+    /// Spreads a prompt that is larger than an engine's memory over the readers; returns false if it does not fit.
+    [[nodiscard]] bool reserve(EnginePlan &plan,
+                               const std::vector<Candidate> &readers,
+                               Tokens memory,
+                               const EngineProfile &profile) const;
+    [[nodiscard]] Tokens usableMemory(const EngineProfile &profile) const;
     [[nodiscard]] Split bestSplit(const std::vector<Candidate> &candidates, Duration reading) const;
+    /// Returns the split into fewest parts that ends within @p limit, else the best one.
+    [[nodiscard]] Split
+    modestSplit(const std::vector<Candidate> &candidates, Duration reading, Duration limit) const;
+    /// True if a prompt would keep too much of the fleet from others to be read by as many engines as possible.
+    [[nodiscard]] bool
+    isModest(Duration reading, std::size_t engines, TimePoint now) const;
 
     EnginePlannerSettings m_settings;
     const EngineLoadTable *m_loads;
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -148,6 +148,16 @@
         actions);
 }
 
+void RelayCore::memoryReserved(CallNumber call, int attempt, bool granted, TimePoint now, RelayActions &actions)
+{
+    run(
+        call,
+        [=](CallFlow &flow, CallActions &flowActions) {
+            flow.memoryReserved(attempt, granted, now, flowActions);
+        },
+        actions);
+}
+
 void RelayCore::headReceived(
     CallNumber call, int attempt, const UpstreamHead &head, TimePoint now, RelayActions &actions)
 {
@@ -291,8 +301,8 @@
         return std::nullopt;
     }
     AttemptPlan result {plan->writer->record, {}, plan->firstEvent, plan->part};
-    for (const auto *helper : plan->helpers) {
-        result.helpers.push_back(helper->record);
+    for (const EngineHelper &helper : plan->helpers) {
+        result.helpers.push_back({helper.engine->record, helper.reserved, {}});
     }
     return result;
 }
@@ -343,9 +353,10 @@
     placement.memory = call.size.prompt + Tokens(static_cast<std::int64_t>(profile.usualAnswer));
     const double passes = profile.usualAnswer / static_cast<double>(profile.stride);
     placement.expected = plan.firstEvent + fromSeconds(passes * toSeconds(writingPass(profile, 1, placement.memory)));
-    placement.reads.push_back({plan.upstream.id, plan.part});
-    for (const UpstreamRecord &helper : plan.helpers) {
-        placement.reads.push_back({helper.id, plan.part});
+    placement.reads.push_back({plan.upstream.id, plan.part, Tokens()});
+    for (const AttemptHelper &helper : plan.helpers) {
+        placement.reads.push_back({helper.upstream.id, plan.part, helper.reserved});
+        placement.memory -= helper.reserved;
     }
     m_placements[call.number] = placement.id.call;
     m_loads.place(placement, now);
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -104,6 +104,7 @@
                        std::string_view reason,
                        TimePoint now,
                        RelayActions &actions);
+    void memoryReserved(CallNumber call, int attempt, bool granted, TimePoint now, RelayActions &actions);
     void headReceived(CallNumber call, int attempt, const UpstreamHead &head, TimePoint now, RelayActions &actions);
     void bodyReceived(CallNumber call, int attempt, std::string_view bytes, TimePoint now, RelayActions &actions);
     void answerEnded(CallNumber call, int attempt, TimePoint now, RelayActions &actions);
--- a/wire/relay.thrift
+++ b/wire/relay.thrift
@@ -7,6 +7,8 @@
 struct RelayReadShare {
     1: required string engine,
     2: required i64 readingUs,
+    /// KV memory that is reserved on the engine.
+    3: optional i64 memoryTokens,
 }
 
 /// Work that an entry has sent to engines for one call.
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -55,6 +55,9 @@
         wire::relay::RelayReadShare &read = result.reads.emplace_back();
         read.engine = share.engine.value();
         read.readingUs = share.reading.count();
+        if (share.memory.value() > 0) {
+            read.__set_memoryTokens(share.memory.value());
+        }
     }
     return result;
 }
@@ -68,7 +71,7 @@
     result.memory = Tokens(placement.memoryTokens);
     result.expected = Duration(placement.expectedUs);
     for (const wire::relay::RelayReadShare &read : placement.reads) {
-        result.reads.push_back({InstanceId(read.engine), Duration(read.readingUs)});
+        result.reads.push_back({InstanceId(read.engine), Duration(read.readingUs), Tokens(read.memoryTokens)});
     }
     return result;
 }
