Read very long prompts on few idle engines and never read them twice for slowness

Cause: prompts above an engine's memory cost 10 to 50 s of engine time each; read by 17 engines they delayed every other prompt of a burst, and all reads of a pass end with its longest one. A first event that came late was taken for a stall, and the prompt was read again.

--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -59,10 +59,13 @@
     const double gap = std::max({toSeconds(m_settings.callerGap),
                                  toSeconds(m_call.route.objective) * m_settings.callerGapObjectives,
                                  toSeconds(m_call.route.pauseTarget) * m_settings.callerGapPauses});
-    const double predicted =
-        m_attemptHasEvents ? 0.0 : toSeconds(m_plan->firstEvent) * m_settings.predictionSlack;
-    const double silent = std::max(gap * m_settings.stallShare, predicted);
-    const double busy = std::max(gap * m_settings.busyStallShare, predicted);
+    if (!m_attemptHasEvents) {
+        // Reading takes engines longer than predicted when they are busy; a second attempt would read all again.
+        const double predicted = toSeconds(m_plan->firstEvent) * m_settings.predictionSlack;
+        return m_lastProgress + fromSeconds(std::max(gap * m_settings.busyStallShare, predicted));
+    }
+    const double silent = gap * m_settings.stallShare;
+    const double busy = gap * m_settings.busyStallShare;
     const TimePoint engineSilent = m_environment->lastProgress(m_plan->upstream.id) + fromSeconds(silent);
     return std::min(std::max(m_lastProgress + fromSeconds(silent), engineSilent), m_lastProgress + fromSeconds(busy));
 }
@@ -89,7 +92,9 @@
     m_lastProgress = now;
     m_tried.insert(m_plan->upstream.id);
     int ticket = 0;
+    std::string helpers;
     for (AttemptHelper &helper : m_plan->helpers) {
+        helpers += (helpers.empty() ? "" : ",") + helper.upstream.id.value();
         if (helper.reserved.value() > 0) {
             helper.ticket = m_call.requestId + "." + std::to_string(m_attempt) + "." + std::to_string(++ticket);
         }
@@ -99,7 +104,7 @@
                         {{"request", m_call.requestId},
                          {"attempt", std::to_string(m_attempt)},
                          {"upstream", m_plan->upstream.id.value()},
-                         {"helpers", std::to_string(m_plan->helpers.size())},
+                         {"helpers", helpers.empty() ? std::string("none") : helpers},
                          {"part_ms", inMs(m_plan->part)},
                          {"predicted_ms", inMs(m_plan->firstEvent)},
                          {"holders", std::to_string(ticket)},
--- a/ibismast/relay/engineplanner.cpp
+++ b/ibismast/relay/engineplanner.cpp
@@ -162,7 +162,8 @@
     };
     // Engines whose streams are not disturbed, then those without short streams as well, then all.
     std::vector<Candidate> candidates = ranked(engines, now, [&](const EngineLoad &load) {
-        return modest ? load.streams() == 0 : !hasShortStreams(load) && bears(load, part, now);
+        // All reads of a pass end with it, so a very long part must not share one with others.
+        return modest ? load.streams() == 0 && load.backlog(now) == Duration::zero() : !hasShortStreams(load) && bears(load, part, now);
     });
     Split best = split(candidates);
     for (const bool all : {false, true}) {
--- a/ibismast/relay/engineplanner.h
+++ b/ibismast/relay/engineplanner.h
@@ -76,8 +76,8 @@
     /// its tokens grow with the square. While long prompts keep more than this share of the fleet busy, it is read by
     /// few engines and ends within this multiple of its objective, well before callers give up at four times.
     Duration modestReading = std::chrono::seconds(6);
-    double modestBusy = 0.15;
-    double modestEnd = 2.0;
+    double modestBusy = 0.0;
+    double modestEnd = 2.6;
     /// Share of an engine's KV memory that may be planned for, since the outputs' lengths are estimates.
     double memoryShare = 0.92;
     /// Share of an engine's free memory that one reservation may take; other prompts need the rest.
