--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -82,7 +82,35 @@
         refuse(ResultCode::NoUpstream, "no upstream has room", now, actions);
         return;
     }
+    beginAttempt(std::move(*plan), now, actions);
+}
+
+void CallFlow::moveStalled(TimePoint now, CallActions &actions)
+{
+    std::optional<AttemptPlan> plan = m_environment->planAttempt(m_call, m_tried, now);
+    const Duration waited = now - m_lastProgress;
+    const bool better = plan && toSeconds(plan->firstEvent) <= toSeconds(waited) * m_settings.moveShare;
+    if (!better || !m_environment->takeRetry(m_call.service, now)) {
+        m_stallChecked = now + m_settings.stallRecheck;
+        return;
+    }
+    m_listener->onEvent("attempt_moved",
+                        {{"request", m_call.requestId},
+                         {"attempt", std::to_string(m_attempt)},
+                         {"upstream", m_plan->upstream.id.value()},
+                         {"silent_ms", inMs(waited)}});
+    actions.emplace_back(AbortAttempt {m_attempt});
+    m_environment->upstreamFailed(m_plan->upstream.id, now);
+    closeAttempt(now, actions);
+    ++m_sent;
+    m_mayHaveRun = true;
+    beginAttempt(std::move(*plan), now, actions);
+}
+
+void CallFlow::beginAttempt(AttemptPlan plan, TimePoint now, CallActions &actions)
+{
     m_plan = std::move(plan);
+    m_stallChecked = TimePoint::min();
     ++m_attempt;
     m_headReceived = false;
     m_attemptHasEvents = false;
@@ -325,7 +353,7 @@
         due = std::min(due, *m_nextExtension);
     }
     if (m_plan && !m_reserving && m_sent + 1 < m_call.route.maxAttempts && mayRepeat()) {
-        due = std::min(due, stallDue());
+        due = std::min(due, std::max(stallDue(), m_stallChecked));
     }
     return due;
 }
@@ -340,14 +368,14 @@
         actions.emplace_back(ReserveMemory {m_attempt, holders(), m_settings.memoryHold, true});
         return;
     }
+    if (now < m_call.deadline) {
+        moveStalled(now, actions);
+        return;
+    }
     if (m_plan) {
         actions.emplace_back(AbortAttempt {m_attempt});
     }
-    if (now >= m_call.deadline) {
-        refuse(ResultCode::DeadlineExceeded, "the call's time is over", now, actions);
-        return;
-    }
-    attemptFailed(m_attempt, AttemptFailure::Broken, "no progress", now, actions);
+    refuse(ResultCode::DeadlineExceeded, "the call's time is over", now, actions);
 }
 
 void CallFlow::retryOrEnd(std::string_view reason, ResultCode code, TimePoint now, CallActions &actions)
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -170,6 +170,10 @@
     Duration callerGap = std::chrono::seconds(2);
     double callerGapObjectives = 4.0;
     double callerGapPauses = 8.0;
+    /// A stalled call moves only to an upstream that is predicted to answer within this share of the time it has waited,
+    /// and is looked at again after this pause otherwise.
+    double moveShare = 0.5;
+    Duration stallRecheck = std::chrono::milliseconds(250);
     /// Share of the callers' gap after which a silent stream moves to another upstream if its engine is silent as well.
     double stallShare = 0.45;
     /// The same if the engine sends events of other streams: it is then busy rather than gone.
@@ -225,6 +229,9 @@
     /// Time at which the attempt under way counts as stalled, as things stand.
     [[nodiscard]] TimePoint stallDue() const;
     void startAttempt(TimePoint now, CallActions &actions);
+    void beginAttempt(AttemptPlan plan, TimePoint now, CallActions &actions);
+    /// Moves a stalled call to another upstream if that is the better try.
+    void moveStalled(TimePoint now, CallActions &actions);
     /// Ends the attempt under way; it has or has not run.
     void closeAttempt(TimePoint now, CallActions &actions);
     void sendAttempt(TimePoint now, CallActions &actions);
@@ -262,6 +269,8 @@
     std::optional<TimePoint> m_firstEvent;
     TimePoint m_lastEvent;
     Duration m_longestPause {};
+    /// Time before which a stalled call is not looked at again.
+    TimePoint m_stallChecked = TimePoint::min();
     /// Last sign of life of the attempt under way.
     TimePoint m_lastProgress;
     bool m_ended = false;
