--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -405,6 +405,9 @@
         code = ResultCode::UpstreamFailed;
     }
     const bool notRun = resultCodeInfo(code).notRun;
+    if (notRun) {
+        m_environment->callRefused(m_call, now);
+    }
     finish("refused", reason, now, actions);
     actions.emplace_back(
         Refuse {code, std::move(reason), notRun ? std::optional(m_settings.retryAfter) : std::nullopt});
@@ -423,6 +426,7 @@
                          {"route", m_call.route.name},
                          {"customer", m_call.customer.value()},
                          {"upstream", upstream},
+                         {"returning", m_call.returning ? "true" : "false"},
                          {"attempts", std::to_string(m_attempt)},
                          {"first_event_ms", m_firstEvent ? inMs(*m_firstEvent - m_call.arrived) : "none"},
                          {"longest_pause_ms", inMs(m_longestPause)},
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -23,6 +23,10 @@
     TimePoint deadline;
     /// Size of a generation.
     GenerationSize size;
+    /// See `IncomingCall::fingerprint`.
+    std::uint64_t fingerprint = 0;
+    /// True if the call comes back after a refusal.
+    bool returning = false;
     /// Last event that the caller has from an earlier call; empty if it starts anew.
     std::string lastEventId;
 };
@@ -150,6 +154,8 @@
     virtual void firstEventReceived(const RelayCall &call, TimePoint now) = 0;
     /// The attempt has ended, by an answer or otherwise.
     virtual void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) = 0;
+    /// The call is refused as not run; its caller may send it again.
+    virtual void callRefused(const RelayCall &call, TimePoint now) = 0;
     /// Bytes of any call have come from @p upstream.
     virtual void upstreamProgressed(const InstanceId &upstream, TimePoint now) = 0;
     /// Returns the last time of such bytes.
@@ -188,7 +194,7 @@
     Duration memoryHold = std::chrono::milliseconds(3500);
     Duration memoryExtension = std::chrono::milliseconds(1000);
     /// Retry-After of calls that found no upstream; callers spread it themselves.
-    Duration retryAfter = std::chrono::milliseconds(400);
+    Duration retryAfter = std::chrono::milliseconds(1200);
 };
 
 /// Life of one call: attempts at upstreams, one answer to the caller.
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -90,6 +90,8 @@
     call.deadline = now + std::min(route->timeout, incoming.patience.value_or(route->timeout));
     call.size = incoming.size;
     call.lastEventId = incoming.lastEventId;
+    call.fingerprint = incoming.fingerprint;
+    call.returning = m_refused.contains(incoming.fingerprint);
     budget(call.service).noteRequest(now);
 
     const CallNumber number = call.number;
@@ -213,6 +215,9 @@
             actions);
     }
     m_loads.expire(now);
+    std::erase_if(m_refused, [now](const auto &entry) {
+        return now >= entry.second;
+    });
     m_directory.expire(now);
     for (const InstanceId &entry : m_members.expire(now)) {
         m_listener->onEvent("entry_lost", {{"entry", entry.value()}});
@@ -239,6 +244,9 @@
     for (const CallNumber &call : news.read) {
         m_loads.noteRead({entry, call}, now);
     }
+    for (const std::uint64_t fingerprint : news.refused) {
+        rememberRefusal(fingerprint, now);
+    }
     for (const CallNumber &call : news.ended) {
         m_loads.end({entry, call}, now);
     }
@@ -293,7 +301,7 @@
     if (!plan) {
         // All slots are taken by estimate; engines queue a few calls and the estimates lag behind their ends.
         EngineProfile relaxed = profile;
-        relaxed.slots += m_settings.engineQueue;
+        relaxed.slots += call.returning ? m_settings.returningQueue : m_settings.engineQueue;
         relaxed.memory = Tokens(profile.memory.value() * 2);
         plan = m_planner.plan(query, relaxed, engines, now);
     }
@@ -387,6 +395,21 @@
     }
 }
 
+void RelayCore::callRefused(const RelayCall &call, TimePoint now)
+{
+    if (call.fingerprint != 0) {
+        rememberRefusal(call.fingerprint, now);
+        m_news.refused.push_back(call.fingerprint);
+    }
+}
+
+void RelayCore::rememberRefusal(std::uint64_t fingerprint, TimePoint now)
+{
+    if (m_refused.size() < m_settings.maxRefusals) {
+        m_refused[fingerprint] = now + m_settings.refusalMemory;
+    }
+}
+
 void RelayCore::upstreamProgressed(const InstanceId &upstream, TimePoint now)
 {
     m_progress[upstream] = now;
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -26,6 +26,8 @@
     std::optional<Duration> patience;
     GenerationSize size;
     std::string lastEventId;
+    /// Hash of what stays the same when the caller sends the call again after a refusal; 0 if nothing tells.
+    std::uint64_t fingerprint = 0;
 };
 
 /// Action for one open call.
@@ -51,8 +53,14 @@
     double retrySlack = 100.0;
     /// Share of these that is used, since the entries' windows are not aligned with those of the judge of the budget.
     double retryMargin = 0.6;
-    /// Streams that may wait at an engine beyond its slots before calls are refused.
-    int engineQueue = 8;
+    /// Streams that may wait at an engine beyond its slots before calls are refused: a longer wait costs most of an
+    /// answer's worth, and room elsewhere is a second away.
+    int engineQueue = 1;
+    /// The same for calls that come back after a refusal.
+    int returningQueue = 12;
+    /// Time for which a refused call is remembered; callers return within a third of their time.
+    Duration refusalMemory = std::chrono::seconds(6);
+    std::size_t maxRefusals = 4096;
 };
 
 /// Work that this entry tells other entries about.
@@ -62,10 +70,12 @@
     /// Calls whose prompts have been read.
     std::vector<CallNumber> read;
     std::vector<CallNumber> ended;
+    /// Fingerprints of calls that were refused and may come back through another entry.
+    std::vector<std::uint64_t> refused;
 
     [[nodiscard]] bool empty() const
     {
-        return placed.empty() && read.empty() && ended.empty();
+        return placed.empty() && read.empty() && ended.empty() && refused.empty();
     }
 };
 
@@ -133,6 +143,7 @@
     void attemptStarted(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
     void firstEventReceived(const RelayCall &call, TimePoint now) override;
     void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
+    void callRefused(const RelayCall &call, TimePoint now) override;
     void upstreamProgressed(const InstanceId &upstream, TimePoint now) override;
     [[nodiscard]] TimePoint lastProgress(const InstanceId &upstream) const override;
     void upstreamWorked(const InstanceId &upstream) override;
@@ -153,6 +164,7 @@
                                                             TimePoint now);
     [[nodiscard]] std::optional<AttemptPlan>
     planPlainCall(const std::vector<const UpstreamDirectory::Member *> &upstreams);
+    void rememberRefusal(std::uint64_t fingerprint, TimePoint now);
     RetryBudget &budget(const ServiceName &service);
 
     RelayCoreSettings m_settings;
@@ -174,6 +186,8 @@
     /// Last time at which bytes of any call came from an upstream.
     std::map<InstanceId, TimePoint> m_progress;
     std::map<ServiceName, RetryBudget> m_budgets;
+    /// Calls that were refused, by fingerprint, with the time until which they are remembered.
+    std::map<std::uint64_t, TimePoint> m_refused;
     LoadNews m_news;
 };
 
--- a/wire/relay.thrift
+++ b/wire/relay.thrift
@@ -40,6 +40,8 @@
     9: optional string copyAddress,
     /// Calls whose prompts have been read.
     10: optional list<i64> readCalls,
+    /// Fingerprints of refused calls that may come back through another entry.
+    11: optional list<i64> refused,
 }
 
 /// Record of the platform's store as it was read.
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -122,6 +122,12 @@
             message.readCalls.push_back(static_cast<std::int64_t>(call.value()));
         }
     }
+    if (!news.load.refused.empty()) {
+        message.__isset.refused = true;
+        for (const std::uint64_t fingerprint : news.load.refused) {
+            message.refused.push_back(static_cast<std::int64_t>(fingerprint));
+        }
+    }
     return encode(message);
 }
 
@@ -145,6 +151,9 @@
     for (const std::int64_t call : message.readCalls) {
         news.load.read.emplace_back(static_cast<std::uint64_t>(call));
     }
+    for (const std::int64_t fingerprint : message.refused) {
+        news.load.refused.push_back(static_cast<std::uint64_t>(fingerprint));
+    }
     for (const std::int64_t call : message.ended) {
         news.load.ended.emplace_back(static_cast<std::uint64_t>(call));
     }
