--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -22,6 +22,8 @@
 constexpr Duration HousekeepingInterval = std::chrono::seconds(1);
 /// Longest pause of the timer, so that reads of the store stay on time.
 constexpr Duration LongestPause = std::chrono::milliseconds(100);
+/// Placements in one datagram, which stays below the usual packet size unless long prompts are among them.
+constexpr std::size_t PlacementsPerDatagram = 8;
 /// Idle connections kept for each upstream.
 constexpr std::size_t MaxIdlePerUpstream = 24;
 
@@ -419,6 +421,7 @@
                              {"address", news.sender.address},
                              {"restarted", membership == MemberView::News::Restarted ? "true" : "false"}});
         m_core.dropEntry(news.sender.id, now);
+        sendOwnWork(news.sender.address, now);
     }
     for (const std::string &address : news.heard) {
         if (parseUdpEndpoint(address) != m_settings.peers) {
@@ -438,18 +441,12 @@
     if (load.empty()) {
         return;
     }
-    EntryNews news;
+    EntryNews news = emptyNews();
     news.load = std::move(load);
-    news.sender = {m_settings.core.self,
-                   m_incarnation,
-                   m_settings.peers.address().to_string() + ":" + std::to_string(m_settings.peers.port())};
-    news.copyAddress = m_settings.control.address().to_string() + ":" + std::to_string(m_settings.control.port());
-    news.configVersion = m_core.config() != nullptr ? m_core.config()->version : RelayConfigVersion();
-    news.listRevision = m_watch.listRevision();
     m_peers.send(news, m_core.members().addresses());
 }
 
-void RelayProcess::greet()
+EntryNews RelayProcess::emptyNews() const
 {
     EntryNews news;
     news.sender = {m_settings.core.self,
@@ -458,6 +455,24 @@
     news.copyAddress = m_settings.control.address().to_string() + ":" + std::to_string(m_settings.control.port());
     news.configVersion = m_core.config() != nullptr ? m_core.config()->version : RelayConfigVersion();
     news.listRevision = m_watch.listRevision();
+    return news;
+}
+
+void RelayProcess::sendOwnWork(const std::string &address, TimePoint now)
+{
+    const std::vector<Placement> placements = m_core.ownPlacements(now);
+    for (std::size_t start = 0; start < placements.size(); start += PlacementsPerDatagram) {
+        EntryNews news = emptyNews();
+        const std::size_t end = std::min(start + PlacementsPerDatagram, placements.size());
+        news.load.placed.assign(placements.begin() + static_cast<std::ptrdiff_t>(start),
+                                placements.begin() + static_cast<std::ptrdiff_t>(end));
+        m_peers.send(news, {address});
+    }
+}
+
+void RelayProcess::greet()
+{
+    EntryNews news = emptyNews();
     news.heard = m_core.members().addresses();
     std::vector<std::string> addresses = news.heard;
     for (std::string &address : m_core.members().namedAddresses()) {
--- a/adapters/relay/relayprocess.h
+++ b/adapters/relay/relayprocess.h
@@ -64,7 +64,11 @@
 
     void receiveNews(const EntryNews &news);
     void sendNews();
+    /// Tells an entry that has just appeared what this one has under way.
+    void sendOwnWork(const std::string &address, TimePoint now);
     void greet();
+    /// Returns a message with everything that each one carries.
+    [[nodiscard]] EntryNews emptyNews() const;
     void carryOut(const WatchRequest &request);
     void askEntry(const AskEntry &ask);
 
--- a/ibismast/relay/engineload.cpp
+++ b/ibismast/relay/engineload.cpp
@@ -124,6 +124,31 @@
     m_calls.erase(call);
 }
 
+std::vector<Placement> EngineLoadTable::placementsOf(const InstanceId &entry, TimePoint now) const
+{
+    std::vector<Placement> result;
+    for (auto call = m_calls.lower_bound(PlacedCallId {entry, CallNumber()});
+         call != m_calls.end() && call->first.entry == entry;
+         ++call) {
+        const auto &[id, open] = *call;
+        const EngineLoad::Stream &stream = m_loads.at(open.writer).m_streams.at(id);
+        Placement placement;
+        placement.id = id;
+        placement.writer = open.writer;
+        placement.pauseTarget = stream.pauseTarget;
+        placement.memory = stream.memory;
+        placement.expected = std::max(Duration::zero(), open.expiry - now) / 2;
+        for (const PendingRead &read : open.reads) {
+            const Duration left = read.until > now ? std::min(read.reading, read.until - now) : Duration::zero();
+            if (left > Duration::zero() || read.memory.value() > 0) {
+                placement.reads.push_back({read.engine, left, read.memory});
+            }
+        }
+        result.push_back(std::move(placement));
+    }
+    return result;
+}
+
 void EngineLoadTable::endAllOf(const InstanceId &entry, TimePoint now)
 {
     std::vector<PlacedCallId> ended;
--- a/ibismast/relay/engineload.h
+++ b/ibismast/relay/engineload.h
@@ -113,6 +113,8 @@
     void noteRead(const PlacedCallId &id, TimePoint now);
     /// The call has ended or moved away; unknown ones are ignored. Reading that was still to come falls away.
     void end(const PlacedCallId &id, TimePoint now);
+    /// Returns the calls of @p entry with the reading that is still to come.
+    [[nodiscard]] std::vector<Placement> placementsOf(const InstanceId &entry, TimePoint now) const;
     /// Ends all calls of an entry that has gone.
     void endAllOf(const InstanceId &entry, TimePoint now);
     /// Drops what has outlived its time.
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -252,6 +252,11 @@
     }
 }
 
+std::vector<Placement> RelayCore::ownPlacements(TimePoint now) const
+{
+    return m_loads.placementsOf(m_settings.self, now);
+}
+
 LoadNews RelayCore::takeNews()
 {
     return std::exchange(m_news, LoadNews());
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -134,6 +134,8 @@
     void applyNews(const InstanceId &entry, const LoadNews &news, TimePoint now);
     /// Returns and forgets what other entries have not been told yet.
     [[nodiscard]] LoadNews takeNews();
+    /// Returns the work of this entry that is under way, for an entry that has not heard of it.
+    [[nodiscard]] std::vector<Placement> ownPlacements(TimePoint now) const;
     /// Another entry has not been heard of for long, or has started anew.
     void dropEntry(const InstanceId &entry, TimePoint now);
 
