--- /dev/null
+++ b/UnitTests/adapters/relay/callerconnectiontest.cpp
@@ -0,0 +1,177 @@
+#include "UnitTests/adapters/relay/loopbackpeer.h"
+#include "adapters/relay/callerserver.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ibismast;
+using boost::asio::ip::tcp;
+
+namespace
+{
+
+const std::string Get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// Handler that keeps requests until the test answers them.
+class KeepingHandler final : public CallerHandler
+{
+public:
+    void requestReceived(const std::shared_ptr<CallerConnection> &connection, std::string body) override
+    {
+        ++requests;
+        lastBody = std::move(body);
+        last = connection;
+    }
+    void callerGone(const std::shared_ptr<CallerConnection> & /*connection*/) override
+    {
+        ++gone;
+    }
+    RelayLimits limits() const override
+    {
+        return {1'024, 2'048, std::chrono::seconds(3), std::chrono::seconds(15)};
+    }
+
+    int requests = 0;
+    int gone = 0;
+    std::string lastBody;
+    std::shared_ptr<CallerConnection> last;
+};
+
+class ServerFixture
+{
+protected:
+    ServerFixture() : caller(loop)
+    {
+        REQUIRE(errorOf(server.listen(tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))) == nullptr);
+        caller.socket.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), server.port()));
+        caller.read();
+    }
+    ~ServerFixture()
+    {
+        server.stopListening();
+        caller.socket.close();
+        handler.last.reset();
+        (void)runUntil(loop, [this] {
+            server.enforceTimes(TimePoint::min());
+            return server.connections() == 0;
+        });
+    }
+    void awaitRequests(int count)
+    {
+        REQUIRE(runUntil(loop, [this, count] {
+            return handler.requests == count;
+        }));
+    }
+    [[nodiscard]] bool awaitReceived(const std::string &text)
+    {
+        return runUntil(loop, [this, &text] {
+            return caller.received.find(text) != std::string::npos;
+        });
+    }
+
+    boost::asio::io_context loop {1};
+    KeepingHandler handler;
+    CallerServer server {loop, handler, 10};
+    LoopbackPeer caller;
+};
+
+} // namespace
+
+// Guards against requests that arrive long after SIGTERM on the connection of an old stream and are then cut: three
+// hunted days of wtk-ibis broke LOST.
+TEST_CASE_METHOD(ServerFixture, "after a stop began, a connection closes behind its answer", "[relay]")
+{
+    const bool stream = GENERATE(false, true);
+    caller.write(Get);
+    awaitRequests(1);
+    if (stream) {
+        // The head leaves before the stop, so it cannot announce the close.
+        handler.last->beginBody(HttpHeadBuilder::response(200));
+        server.closeAfterAnswers();
+        handler.last->sendBody("x");
+        handler.last->endBody();
+    } else {
+        server.closeAfterAnswers();
+        handler.last->answer(HttpHeadBuilder::response(200), "x");
+        REQUIRE(awaitReceived("Connection: close"));
+    }
+    caller.write(Get);
+    CHECK(runUntil(loop, [this] {
+        return caller.ended;
+    }));
+    CHECK(handler.requests == 1);
+}
+
+// Guards against idle connections that bring requests at the end of a stop.
+TEST_CASE_METHOD(ServerFixture, "idle connections can be closed, busy ones stay", "[relay]")
+{
+    const bool busy = GENERATE(false, true);
+    caller.write(Get);
+    awaitRequests(1);
+    if (!busy) {
+        handler.last->answer(HttpHeadBuilder::response(200), "x");
+        REQUIRE(awaitReceived("x"));
+    }
+    server.closeIdle();
+    CHECK(handler.last->isOpen() == busy);
+    if (busy) {
+        handler.last->answer(HttpHeadBuilder::response(200), "whole");
+        CHECK(awaitReceived("whole"));
+    }
+}
+
+// Guards against malformed and oversized input that is guessed at or held without bound.
+TEST_CASE_METHOD(ServerFixture, "a bad request gets a status and the connection ends", "[relay]")
+{
+    const auto [request, status] = GENERATE(table<std::string, std::string>({
+        {"nonsense\r\n\r\n", " 400 "},
+        {"POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\n", " 400 "},
+        {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", " 400 "},
+        {"GET / HTTP/1.1\r\nX: " + std::string(2'000, 'x') + "\r\n\r\n", " 431 "},
+        {"POST / HTTP/1.1\r\nContent-Length: 3000\r\n\r\n", " 413 "},
+    }));
+    caller.write(request);
+    CHECK(awaitReceived(status));
+    CHECK(runUntil(loop, [this] {
+        return caller.ended;
+    }));
+    CHECK(handler.requests == 0);
+}
+
+// Guards against answers that come out of order or are lost when a caller sends ahead.
+TEST_CASE_METHOD(ServerFixture, "requests that are sent ahead are answered in turn", "[relay]")
+{
+    caller.write("POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc" + Get);
+    awaitRequests(1);
+    CHECK(handler.lastBody == "abc");
+    handler.last->answer(HttpHeadBuilder::response(200), "first");
+    awaitRequests(2);
+    handler.last->answer(HttpHeadBuilder::response(200), "second");
+    REQUIRE(awaitReceived("second"));
+    CHECK(caller.received.find("first") < caller.received.find("second"));
+}
+
+// Guards against work for a caller that has left.
+TEST_CASE_METHOD(ServerFixture, "a caller that leaves is noticed while its answer is due", "[relay]")
+{
+    caller.write(Get);
+    awaitRequests(1);
+    caller.socket.shutdown(tcp::socket::shutdown_send);
+    CHECK(runUntil(loop, [this] {
+        return handler.gone == 1;
+    }));
+}
+
+// Guards against a cut stream that looks complete.
+TEST_CASE_METHOD(ServerFixture, "a cut answer has no last chunk", "[relay]")
+{
+    caller.write(Get);
+    awaitRequests(1);
+    handler.last->beginBody(HttpHeadBuilder::response(200));
+    handler.last->sendBody("part");
+    REQUIRE(awaitReceived("part"));
+    handler.last->cut();
+    REQUIRE(runUntil(loop, [this] {
+        return caller.ended;
+    }));
+    CHECK(caller.received.find("0\r\n\r\n") == std::string::npos);
+}
--- /dev/null
+++ b/UnitTests/adapters/relay/upstreamconnectiontest.cpp
@@ -0,0 +1,157 @@
+#include "adapters/relay/upstreamconnection.h"
+#include "UnitTests/adapters/relay/loopbackpeer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ibismast;
+using boost::asio::ip::tcp;
+
+namespace
+{
+
+const std::string Mine = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok";
+const std::string Foreign = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong";
+const std::string Unframed = "HTTP/1.1 200 OK\r\nId: mine\r\nConnection: close\r\n\r\nok";
+const std::string Cut = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 9\r\n\r\nok";
+const std::string Chunked = "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+
+/// Upstream that accepts one connection, and a connection to it.
+class ConnectionFixture
+{
+protected:
+    ConnectionFixture() : upstream(loop), m_acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    {
+        m_acceptor.async_accept(upstream.socket, [this](const boost::system::error_code & /*error*/) {
+            upstream.read();
+        });
+        connection =
+            std::make_shared<UpstreamConnection>(loop, m_acceptor.local_endpoint(), UpstreamConnectionSettings());
+    }
+    ~ConnectionFixture()
+    {
+        connection->close();
+        loop.restart();
+        loop.poll();
+    }
+    /// Sends a request and waits until the upstream has it.
+    void send()
+    {
+        body.clear();
+        outcome.clear();
+        upstream.received.clear();
+        connection->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                         {[](const HttpHead &head) {
+                              return head.header("Id") == "mine";
+                          },
+                          [this](std::string_view bytes) {
+                              body.append(bytes);
+                          },
+                          [this] {
+                              outcome = "complete";
+                          },
+                          [this](AttemptFailure failure, const std::string & /*reason*/) {
+                              outcome = failure == AttemptFailure::NotSent ? "unsent" : "broken";
+                          }});
+        REQUIRE(runUntil(loop, [this] {
+            return upstream.received.ends_with("\r\n\r\n");
+        }));
+    }
+    void await()
+    {
+        REQUIRE(runUntil(loop, [this] {
+            return !outcome.empty();
+        }));
+    }
+
+    boost::asio::io_context loop {1};
+    LoopbackPeer upstream;
+    std::shared_ptr<UpstreamConnection> connection;
+    std::string body;
+    std::string outcome;
+
+private:
+    tcp::acceptor m_acceptor;
+};
+
+} // namespace
+
+// Guards against a cut answer that looks complete, above all one without a length that is reset, and against an answer
+// to another call that is passed on.
+TEST_CASE_METHOD(ConnectionFixture, "an answer is complete only if nothing of it is missing", "[relay]")
+{
+    struct Row
+    {
+        std::string bytes;
+        /// How the upstream goes on: it stays, closes or resets.
+        std::string end;
+        std::string outcome;
+        bool reusable;
+    };
+    const Row row = GENERATE(values<Row>({
+        {Mine, "stays", "complete", true},
+        {Chunked, "stays", "complete", true},
+        {Unframed, "closes", "complete", false},
+        {Unframed, "resets", "broken", false},
+        {Cut, "closes", "broken", false},
+        {Cut, "resets", "broken", false},
+        {Foreign + Mine, "stays", "complete", true},
+        {Foreign, "closes", "broken", false},
+        {Mine + Foreign, "stays", "complete", false},
+        {"no answer at all\r\n\r\n", "stays", "broken", false},
+        {"", "closes", "broken", false},
+    }));
+    send();
+    upstream.write(row.bytes);
+    if (row.end == "resets") {
+        // The bytes arrive first; the reset must not overtake them.
+        (void)runUntil(loop, [this] {
+            return body == "ok";
+        });
+        upstream.reset();
+    } else if (row.end == "closes") {
+        upstream.socket.shutdown(tcp::socket::shutdown_send);
+    }
+    await();
+    CHECK(outcome == row.outcome);
+    CHECK((outcome != "complete" || body == "ok"));
+    CHECK(connection->isIdle() == row.reusable);
+}
+
+// Guards against a late second answer that is taken for that of the next call.
+TEST_CASE_METHOD(ConnectionFixture, "bytes on an idle connection end it", "[relay]")
+{
+    send();
+    upstream.write(Mine);
+    await();
+    REQUIRE(connection->isIdle());
+    upstream.write(Foreign);
+    CHECK(runUntil(loop, [this] {
+        return !connection->isIdle();
+    }));
+}
+
+// Guards against an unsent call that is taken for one that may have run.
+TEST_CASE("a refused connection counts as unsent", "[relay]")
+{
+    boost::asio::io_context loop(1);
+    tcp::endpoint nobody;
+    {
+        const tcp::acceptor acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+        nobody = acceptor.local_endpoint();
+    }
+    std::string outcome;
+    const auto connection = std::make_shared<UpstreamConnection>(loop, nobody, UpstreamConnectionSettings());
+    connection->send("GET / HTTP/1.1\r\n\r\n",
+                     {[](const HttpHead & /*head*/) {
+                          return true;
+                      },
+                      [](std::string_view /*bytes*/) {},
+                      [] {},
+                      [&outcome](AttemptFailure failure, const std::string & /*reason*/) {
+                          outcome = failure == AttemptFailure::NotSent ? "unsent" : "broken";
+                      }});
+    REQUIRE(runUntil(loop, [&outcome] {
+        return !outcome.empty();
+    }));
+    CHECK(outcome == "unsent");
+}
--- /dev/null
+++ b/UnitTests/platform/platformtest.cpp
@@ -0,0 +1,153 @@
+#include "platform/platformdecoder.h"
+#include "platform/platformprotocol.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ibismast;
+using namespace std::chrono_literals;
+
+// Guards against upstreams that are taken from records of other writers, and against good ones that are lost.
+TEST_CASE("a record names an upstream only if all its fields have their types", "[platform]")
+{
+    const auto [value, readable] = GENERATE(table<std::string, bool>({
+        {R"({"backend":"p","address":"1:2","zone":"z","slots":16,"state":"ready","seq":4,"born":5})", true},
+        {R"({"backend":"p","address":"1:2","zone":"z","slots":16,"state":"draining","seq":4})", true},
+        {R"({"backend":"p","address":"1:2","zone":"z","slots":16,"state":"ready","seq":4,"born":5.5})", false},
+        {R"({"backend":"p","address":"1:2","zone":"z","slots":16,"state":"odd","seq":4})", false},
+        {R"({"backend":7,"address":"1:2","zone":"z","slots":16,"state":"ready","seq":4})", false},
+        {R"({"backend":"p","zone":"z","slots":16,"state":"ready","seq":4})", false},
+        {R"({"backend":"p","address":"1:2","zone":"z","slots":16,"state":"ready","seq":"4"})", false},
+        {R"([1])", false},
+        {"\xff\xfe", false},
+        {"", false},
+    }));
+    const PlatformDecoder decoder;
+    const Result<UpstreamRecord> result = decoder.decodeUpstream({"servers/i-1", value, 3});
+    CHECK((errorOf(result) == nullptr) == readable);
+    if (readable) {
+        CHECK(std::get<UpstreamRecord>(result).id == InstanceId("i-1"));
+        CHECK(std::get<UpstreamRecord>(result).leaving == (value.find("draining") != std::string::npos));
+    }
+}
+
+// Guards against fields of the configuration that are lost or mixed up.
+TEST_CASE("a configuration is decoded into the product's types", "[platform]")
+{
+    const std::string value = R"({"version":7,"routes":[
+        {"name":"r1","host":"h","path_prefix":"/a/","kind":"streaming","timeout_ms":10000,"slo_ms":300,
+         "split":[{"backend":"s1","weight":90},{"backend":"s2","weight":10}],"max_attempts":2,"resumable":true,
+         "gap_target_ms":250},
+        {"name":"r2","host":"h","path_prefix":"/b/","kind":"unsafe","timeout_ms":800,"slo_ms":100,"backend":"s2",
+         "max_attempts":1,"public":true}],
+        "services":[{"name":"s1","max_conns":424,"engine":{"slots":16,"kv_capacity_tokens":315000,"stride":51,
+         "step_ms":0.85,"read_per_s":177000.0,"pairs_per_m":0.184,"usual":{"prompt":11104,"answer":1622}}},
+         {"name":"s2","max_conns":96}],
+        "limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+        "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1}]})";
+    const PlatformDecoder decoder;
+    const Result<RelayConfig> result = decoder.decodeConfig({"op/config", value, 3});
+    REQUIRE(errorOf(result) == nullptr);
+    const auto &config = std::get<RelayConfig>(result);
+    CHECK(config.version == RelayConfigVersion(7));
+    REQUIRE(config.routes.size() == 2);
+    CHECK(config.routes[0].kind == CallKind::ResumableStream);
+    CHECK(config.routes[0].shares.size() == 2);
+    CHECK(config.routes[0].pauseTarget == 250ms);
+    CHECK(config.routes[1].kind == CallKind::AtMostOnce);
+    CHECK(config.routes[1].timeout == 800ms);
+    CHECK(config.routes[1].isPublic);
+    REQUIRE(config.services.at(ServiceName("s1")).engine);
+    CHECK(config.services.at(ServiceName("s1")).engine->memory == Tokens(315'000));
+    CHECK_FALSE(config.services.at(ServiceName("s2")).engine);
+    CHECK(config.limits.maxHeadBytes == 1'000);
+    CHECK(config.customers.at(0).keys.size() == 2);
+}
+
+// Guards against a configuration that is half applied.
+TEST_CASE("a faulty configuration is refused as a whole", "[platform]")
+{
+    const std::string value = GENERATE(as<std::string> {},
+                                       "{",
+                                       R"({"routes":[]})",
+                                       R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/"}]})",
+                                       R"({"version":1,"routes":[{"host":"h","path_prefix":"/","kind":"safe"}]})");
+    const PlatformDecoder decoder;
+    CHECK(errorOf(decoder.decodeConfig({"op/config", value, 3})) != nullptr);
+}
+
+// Guards against callers that pose as another customer or choose their own rank, and against keys shown to upstreams.
+TEST_CASE("headers that the relay sets are not taken from callers", "[platform]")
+{
+    const auto [name, replaced] = GENERATE(table<std::string, bool>({
+        {"Ibismast-Tenant", true},
+        {"ibismast-tenant", true},
+        {"Ibismast-Expect-Instance", true},
+        {"Ibismast-Helpers", true},
+        {"Ibismast-Request-Priority", true},
+        {"Authorization", true},
+        {"Last-Event-Id", true},
+        {"Ibismast-Model", false},
+        {"Ibismast-Token-Counts", false},
+        {"Ibismast-Prompt-Prefix", false},
+        {"X-Other", false},
+    }));
+    CHECK(PlatformProtocol().isReplaced(name) == replaced);
+}
+
+// Guards against malformed requests that are guessed at.
+TEST_CASE("a request's fields are decoded or refused", "[platform]")
+{
+    HttpHead head;
+    head.method = "POST";
+    head.target = "/a/b?c";
+    head.headers = {{"Host", "h"}, {"Ibismast-Attempt-Id", "r1"}, {"Authorization", "Token k1"}};
+    const auto [name, value, readable] = GENERATE(table<std::string, std::string, bool>({
+        {"Ibismast-Deadline-Ms", "1500", true},
+        {"Ibismast-Deadline-Ms", "soon", false},
+        {"Ibismast-Deadline-Ms", "-1", false},
+        {"Ibismast-Token-Counts", "1460,80", true},
+        {"Ibismast-Token-Counts", "many", false},
+        {"Ibismast-Attempt-Id", "r2", false},
+    }));
+    head.headers.emplace_back(name, value);
+    const Result<IncomingCall> result = PlatformProtocol().decodeCall(head);
+    CHECK((errorOf(result) == nullptr) == readable);
+    if (readable) {
+        CHECK(std::get<IncomingCall>(result).path == "/a/b");
+        CHECK(std::get<IncomingCall>(result).key == "k1");
+    }
+}
+
+// Guards against answers that reach the wrong caller or lack the upstream's signature.
+TEST_CASE("an answer is judged by its id, signature and encoding", "[platform]")
+{
+    struct Row
+    {
+        int status;
+        HttpHeaders headers;
+        bool foreign;
+        bool sound;
+        bool notRun;
+    };
+    const HttpHeaders good {{"Ibismast-Attempt-Id", "r1"}, {"Ibismast-Response-Seal", "s"}};
+    const Row row = GENERATE_COPY(values<Row>({
+        {200, good, false, true, false},
+        {200, {{"Ibismast-Attempt-Id", "r0"}, {"Ibismast-Response-Seal", "s"}}, true, true, false},
+        {200, {{"Ibismast-Attempt-Id", "r1"}}, false, false, false},
+        {200, {{"Ibismast-Response-Seal", "s"}}, false, false, false},
+        {200,
+         {{"Ibismast-Attempt-Id", "r1"}, {"Ibismast-Response-Seal", "s"}, {"Content-Encoding", "gzip"}},
+         false,
+         false,
+         false},
+        {503, {{"Ibismast-Not-Executed", "1"}}, false, true, true},
+        {503, {}, false, true, false},
+    }));
+    HttpHead head;
+    head.status = row.status;
+    head.headers = row.headers;
+    const DecodedAnswer answer = PlatformProtocol().decodeAnswer(head, "r1");
+    CHECK(answer.foreign == row.foreign);
+    CHECK(answer.head.sound == row.sound);
+    CHECK(answer.head.notRun == row.notRun);
+}
--- /dev/null
+++ b/UnitTests/relay/engineplannertest.cpp
@@ -0,0 +1,181 @@
+#include "ibismast/relay/engineplanner.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <deque>
+
+using namespace ibismast;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::int64_t ShortPrompt = 5'000;
+constexpr std::int64_t LongPrompt = 154'000;
+constexpr std::int64_t HugePrompt = 350'000;
+
+/// Fleet of engines of the registry's kind.
+class PlannerFixture
+{
+protected:
+    PlannerFixture()
+    {
+        profile.slots = 16;
+        profile.memory = Tokens(315'000);
+        profile.stride = 51;
+        profile.stepMs = 0.85;
+        profile.stepPerSequenceMs = 0.00425;
+        profile.stepPerContextMs = 0.00285;
+        profile.readRate = 177'000.0;
+        profile.pairsMs = 0.184;
+        profile.usualAnswer = 1'600.0;
+    }
+
+    void addEngines(int count)
+    {
+        for (int index = 0; index < count; ++index) {
+            UpstreamDirectory::Member member;
+            member.record.id = InstanceId("e" + std::to_string(m_members.size()));
+            m_members.push_back(member);
+        }
+        engines.clear();
+        for (const auto &member : m_members) {
+            engines.push_back(&member);
+        }
+    }
+    /// Plans a prompt and enters it in the loads.
+    std::optional<EnginePlan> place(std::int64_t prompt, Duration objective, Duration pause)
+    {
+        const GenerationQuery query {{Tokens(prompt), Tokens(1'600)}, objective, pause};
+        std::optional<EnginePlan> plan = planner.plan(query, profile, engines, now);
+        if (!plan) {
+            return plan;
+        }
+        Placement placement;
+        placement.id = {InstanceId("entry"), CallNumber(++m_calls)};
+        placement.writer = plan->writer->record.id;
+        placement.pauseTarget = pause;
+        placement.memory = Tokens(prompt + 1'600);
+        placement.expected = 5s;
+        placement.reads.push_back({placement.writer, plan->part, Tokens()});
+        for (const EngineHelper &helper : plan->helpers) {
+            placement.reads.push_back({helper.engine->record.id, plan->part, helper.reserved});
+            placement.memory -= helper.reserved;
+        }
+        loads.place(placement, now);
+        return plan;
+    }
+    std::optional<EnginePlan> placeShort()
+    {
+        return place(ShortPrompt, 300ms, 250ms);
+    }
+    std::optional<EnginePlan> placeLong(std::int64_t prompt = LongPrompt)
+    {
+        return place(prompt, 3s, 1s);
+    }
+    [[nodiscard]] std::size_t enginesWithShortStreams() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(engines, [this](const auto *engine) {
+            return loads.load(engine->record.id).streamsTighterThan(400ms) > 0;
+        }));
+    }
+
+    EngineProfile profile;
+    std::vector<const UpstreamDirectory::Member *> engines;
+    EngineLoadTable loads {EngineLoadSettings()};
+    EnginePlanner planner {EnginePlannerSettings(), loads};
+    TimePoint now {1'000s};
+
+private:
+    std::deque<UpstreamDirectory::Member> m_members;
+    std::uint64_t m_calls = 0;
+};
+
+} // namespace
+
+// Load: a steady stream of short prompts. Guards against short streams on every engine, which leave no engine where a
+// long read disturbs nobody.
+TEST_CASE_METHOD(PlannerFixture, "short streams are gathered on few engines", "[relay][load]")
+{
+    const auto [streams, mostEngines] = GENERATE(table<int, std::size_t>({{10, 2}, {40, 6}, {100, 12}}));
+    addEngines(23);
+    for (int stream = 0; stream < streams; ++stream) {
+        REQUIRE(placeShort());
+        now += 20ms;
+    }
+    CHECK(enginesWithShortStreams() <= mostEngines);
+}
+
+// Load: a burst of long prompts beside short streams. Guards against pauses of the short streams (regsel-jawa quiet-1).
+TEST_CASE_METHOD(PlannerFixture,
+                 "long prompts are read beside short streams only as far as those bear",
+                 "[relay][load]")
+{
+    const int longPrompts = GENERATE(1, 3, 8);
+    addEngines(23);
+    for (int stream = 0; stream < 60; ++stream) {
+        REQUIRE(placeShort());
+        now += 20ms;
+    }
+    now += 200ms;
+    for (int prompt = 0; prompt < longPrompts; ++prompt) {
+        const std::optional<EnginePlan> plan = placeLong();
+        REQUIRE(plan);
+        CHECK(plan->helpers.size() >= 8);
+        now += 50ms;
+    }
+    for (const auto *engine : engines) {
+        const EngineLoad &load = loads.load(engine->record.id);
+        if (load.streamsTighterThan(400ms) > 0) {
+            CHECK(load.backlog(now) <= 125ms);
+        }
+    }
+}
+
+// Load: a prompt larger than an engine's memory among usual ones. Guards against callers whose largest prompts are
+// never served, and against a fleet that reads nothing else meanwhile.
+TEST_CASE_METHOD(PlannerFixture, "a prompt above an engine's memory is spread and read by few engines", "[relay][load]")
+{
+    addEngines(23);
+    REQUIRE(placeLong());
+    now += 400ms;
+    const std::optional<EnginePlan> plan = placeLong(HugePrompt);
+    REQUIRE(plan);
+    std::int64_t reserved = 0;
+    for (const EngineHelper &helper : plan->helpers) {
+        reserved += helper.reserved.value();
+    }
+    CHECK(HugePrompt - reserved <= 315'000);
+    CHECK(plan->helpers.size() <= 3);
+    CHECK(plan->firstEvent <= 9s);
+    // The next prompt of usual size is not held up by it.
+    const std::optional<EnginePlan> next = placeLong();
+    REQUIRE(next);
+    CHECK(next->firstEvent <= 1s);
+}
+
+// Load: more short prompts than slots. Guards against streams that queue until they are late.
+TEST_CASE_METHOD(PlannerFixture, "a full fleet has no room", "[relay][load]")
+{
+    addEngines(2);
+    for (int stream = 0; stream < 32; ++stream) {
+        REQUIRE(placeShort());
+        now += 100ms;
+    }
+    CHECK_FALSE(placeShort());
+}
+
+// Guards against prompts that preempt each other for want of memory.
+TEST_CASE_METHOD(PlannerFixture, "the writer has memory for the prompt", "[relay]")
+{
+    addEngines(4);
+    for (int prompt = 0; prompt < 4; ++prompt) {
+        REQUIRE(placeLong(200'000));
+        now += 5s;
+        loads.expire(now);
+    }
+    for (const auto *engine : engines) {
+        CHECK(loads.load(engine->record.id).memory().value() <= 315'000);
+    }
+}
--- /dev/null
+++ b/UnitTests/relay/routetabletest.cpp
@@ -0,0 +1,69 @@
+#include "ibismast/relay/routetable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ibismast;
+
+namespace
+{
+
+RelayRoute route(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    RelayRoute result;
+    result.name = name;
+    result.host = host;
+    result.pathPrefix = prefix;
+    result.shares = {{ServiceName("pool"), 90}, {ServiceName("canary"), 10}};
+    return result;
+}
+
+RouteTable exampleTable()
+{
+    RelayConfig config;
+    config.routes = {route("root", "a.example", "/"),
+                     route("short", "a.example", "/x/"),
+                     route("long", "a.example", "/x/y/"),
+                     route("other", "b.example", "/x/")};
+    config.customers = {{CustomerId("north"), {"k1", "k2"}}, {CustomerId("south"), {"k3"}}};
+    return RouteTable(std::move(config));
+}
+
+} // namespace
+
+// Guards against calls that reach a service their route does not lead to.
+TEST_CASE("the longest prefix of the host wins", "[relay]")
+{
+    const auto [host, path, name] = GENERATE(table<std::string, std::string, std::string>({
+        {"a.example", "/x/y/z", "long"},
+        {"a.example", "/x/y/", "long"},
+        {"a.example", "/x/y", "short"},
+        {"a.example", "/x/yy/z", "short"},
+        {"a.example", "/xx/y/", "root"},
+        {"A.Example:8080", "/x/y/z", "long"},
+        {"b.example", "/x/y/z", "other"},
+        {"b.example", "/y/", ""},
+        {"c.example", "/x/", ""},
+        {"a.example", "*", ""},
+    }));
+    const RouteTable table = exampleTable();
+    const RelayRoute *found = table.match(host, path);
+    CHECK((found == nullptr ? "" : found->name) == name);
+}
+
+// Guards against a key that opens another customer's account.
+TEST_CASE("a key names its customer only", "[relay]")
+{
+    const auto [key, customer] = GENERATE(
+        table<std::string, std::string>({{"k1", "north"}, {"k2", "north"}, {"k3", "south"}, {"k", ""}, {"", ""}}));
+    const RouteTable table = exampleTable();
+    const CustomerId *found = table.customerOf(key);
+    CHECK((found == nullptr ? "" : found->value()) == customer);
+}
+
+// Guards against a split that ignores its weights.
+TEST_CASE("a choice falls into a share by weight", "[relay]")
+{
+    const auto [choice, service] =
+        GENERATE(table<double, std::string>({{0.0, "pool"}, {0.899, "pool"}, {0.901, "canary"}, {0.999, "canary"}}));
+    CHECK(RouteTable::serviceOf(route("r", "h", "/"), choice).value() == service);
+}
--- /dev/null
+++ b/UnitTests/wire/relaycodectest.cpp
@@ -0,0 +1,62 @@
+#include "wire/relaycodec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ibismast;
+using namespace std::chrono_literals;
+
+// Guards against fields that are lost between entries.
+TEST_CASE("news between entries survive the wire", "[wire]")
+{
+    EntryNews news;
+    news.sender = {InstanceId("entry-1"), Incarnation(7), "10.0.0.1:1"};
+    news.copyAddress = "10.0.0.1:2";
+    news.heard = {"10.0.0.2:1"};
+    news.configVersion = RelayConfigVersion(9);
+    news.listRevision = 44;
+    Placement placement;
+    placement.id = {InstanceId("entry-1"), CallNumber(3)};
+    placement.writer = InstanceId("e1");
+    placement.pauseTarget = 250ms;
+    placement.memory = Tokens(6'000);
+    placement.expected = 2s;
+    placement.reads = {{InstanceId("e1"), 30ms, Tokens()}, {InstanceId("e2"), 30ms, Tokens(500)}};
+    news.load = {{placement}, {CallNumber(2)}, {CallNumber(1)}, {0xfedcba9876543210U}};
+    const Result<EntryNews> result = decodeEntryNews(encodeEntryNews(news));
+    REQUIRE(errorOf(result) == nullptr);
+    const auto &decoded = std::get<EntryNews>(result);
+    CHECK(decoded.sender == news.sender);
+    CHECK(decoded.copyAddress == news.copyAddress);
+    CHECK(decoded.heard == news.heard);
+    CHECK(decoded.configVersion == news.configVersion);
+    CHECK(decoded.listRevision == news.listRevision);
+    CHECK(decoded.load.placed == news.load.placed);
+    CHECK(decoded.load.read == news.load.read);
+    CHECK(decoded.load.ended == news.load.ended);
+    CHECK(decoded.load.refused == news.load.refused);
+}
+
+// Guards against records that change between entries; values need not be text.
+TEST_CASE("a copy of the records survives the wire", "[wire]")
+{
+    RecordCopy copy;
+    copy.config = StoredRecord {"c", std::string("\0\xff{}", 4), 12};
+    copy.upstreams = {{{"a", "x", 1}, {"b", "", 2}}, 15};
+    copy.age = 300ms;
+    const Result<RecordCopy> result = decodeRecordCopy(encodeRecordCopy(copy));
+    REQUIRE(errorOf(result) == nullptr);
+    const auto &decoded = std::get<RecordCopy>(result);
+    CHECK(decoded.config == copy.config);
+    CHECK(decoded.upstreams.records == copy.upstreams.records);
+    CHECK(decoded.upstreams.revision == 15);
+    CHECK(decoded.age == 300ms);
+}
+
+// Guards against a crash by bytes from elsewhere.
+TEST_CASE("foreign bytes are refused", "[wire]")
+{
+    const std::string bytes =
+        GENERATE(std::string(), std::string("\x00\x01", 2), std::string(100, '\xff'), std::string("GET / HTTP/1.1"));
+    CHECK(errorOf(decodeEntryNews(bytes)) != nullptr);
+    CHECK(errorOf(decodeRecordCopy(bytes)) != nullptr);
+}
--- a/adapters/entrydaemon.h
+++ b/adapters/entrydaemon.h
@@ -7,10 +7,10 @@
 #include "adapters/gracefulstop.h"
 #include "adapters/httpfront.h"
 #include "adapters/instancelistclient.h"
-#include "adapters/plumbing/logging.h"
-#include "adapters/plumbing/metrics.h"
 #include "adapters/operatordriver.h"
 #include "adapters/operatorserver.h"
+#include "adapters/plumbing/logging.h"
+#include "adapters/plumbing/metrics.h"
 #include "adapters/supervisor.h"
 #include "adapters/tls.h"
 
--- a/adapters/httpfront.cpp
+++ b/adapters/httpfront.cpp
@@ -2,8 +2,8 @@
 
 #include "adapters/callerreplies.h"
 #include "adapters/completionbody.h"
-#include "adapters/plumbing/jsontext.h"
 #include "adapters/keyhash.h"
+#include "adapters/plumbing/jsontext.h"
 
 #include <algorithm>
 #include <array>
--- a/adapters/instancelistclient.cpp
+++ b/adapters/instancelistclient.cpp
@@ -1,7 +1,7 @@
 #include "adapters/instancelistclient.h"
 
-#include "adapters/plumbing/logging.h"
 #include "adapters/httpendpoint.h"
+#include "adapters/plumbing/logging.h"
 
 #include <QtNetwork/QNetworkProxy>
 #include <QtNetwork/QNetworkReply>
--- a/adapters/operatorconnection.cpp
+++ b/adapters/operatorconnection.cpp
@@ -1,7 +1,7 @@
 #include "adapters/operatorconnection.h"
 
-#include "adapters/plumbing/logging.h"
 #include "adapters/operatordriver.h"
+#include "adapters/plumbing/logging.h"
 #include "wire/operatorcodec.h"
 
 #include <QtCore/QPointer>
--- a/adapters/plumbing/boundedlogsink.cpp
+++ b/adapters/plumbing/boundedlogsink.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-BoundedLogSink::BoundedLogSink(int descriptor, std::size_t maxBytes) : m_descriptor(descriptor), m_maxBytes(maxBytes) { }
+BoundedLogSink::BoundedLogSink(int descriptor, std::size_t maxBytes)
+    : m_descriptor(descriptor), m_maxBytes(maxBytes) { }
 
 std::uint64_t BoundedLogSink::dropped()
 {
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -162,13 +162,14 @@
 void RelayProcess::refuse(CallerConnection &connection, const std::string &requestId, const Error &error)
 {
     const ResultCodeInfo &info = resultCodeInfo(error.code);
-    m_listener->onEvent("call_refused",
-                        {{"request", requestId},
-                         {"code", std::string(info.name)},
-                         {"status", std::to_string(info.httpStatus)},
-                         {"reason", error.message},
-                         {"config_version", m_core.config() != nullptr ? std::to_string(m_core.config()->version.value())
-                                                                       : std::string("none")}});
+    m_listener->onEvent(
+        "call_refused",
+        {{"request", requestId},
+         {"code", std::string(info.name)},
+         {"status", std::to_string(info.httpStatus)},
+         {"reason", error.message},
+         {"config_version",
+          m_core.config() != nullptr ? std::to_string(m_core.config()->version.value()) : std::string("none")}});
     HttpHeadBuilder head = HttpHeadBuilder::response(info.httpStatus);
     head.headers(m_platform.protocol->ownAnswerHeaders(requestId)).header("Content-Type", "application/json");
     if (error.retryAfter) {
@@ -341,7 +342,9 @@
     grants->open = reserve.holders.size();
     for (const AttemptHelper &holder : reserve.holders) {
         m_platform.orders->reserve(
-            holder, reserve.hold, [this, number, grants, attempt = reserve.attempt, extends = reserve.extends](bool granted) {
+            holder,
+            reserve.hold,
+            [this, number, grants, attempt = reserve.attempt, extends = reserve.extends](bool granted) {
                 grants->all = grants->all && granted;
                 if (--grants->open > 0 || extends) {
                     return;
@@ -483,33 +486,30 @@
 
 void RelayProcess::carryOut(const WatchRequest &request)
 {
-    std::visit(Overloaded {[this](const ReadUpstreams &read) {
-                               m_platform.store->readUpstreams(read.timeout, [this](const Result<StoredUpstreams> &result) {
-                                   m_watch.upstreamsRead(result, processNow());
-                                   armTimer();
-                               });
-                           },
-                           [this](const ReadConfig &read) {
-                               m_platform.store->readConfig(
-                                   read.timeout, [this](const Result<StoredConfig> &result) {
-                                       m_watch.configRead(result, processNow());
-                                       armTimer();
-                                   });
-                           },
-                           [this](const AwaitConfig &await) {
-                               m_platform.store->awaitConfig(
-                                   await.revision,
-                                   await.wait,
-                                   await.timeout,
-                                   [this](const Result<StoredConfig> &result) {
-                                       m_watch.configAwaited(result, processNow());
-                                       tick();
-                                   });
-                           },
-                           [this](const AskEntry &ask) {
-                               askEntry(ask);
-                           }},
-               request);
+    std::visit(
+        Overloaded {[this](const ReadUpstreams &read) {
+                        m_platform.store->readUpstreams(read.timeout, [this](const Result<StoredUpstreams> &result) {
+                            m_watch.upstreamsRead(result, processNow());
+                            armTimer();
+                        });
+                    },
+                    [this](const ReadConfig &read) {
+                        m_platform.store->readConfig(read.timeout, [this](const Result<StoredConfig> &result) {
+                            m_watch.configRead(result, processNow());
+                            armTimer();
+                        });
+                    },
+                    [this](const AwaitConfig &await) {
+                        m_platform.store->awaitConfig(
+                            await.revision, await.wait, await.timeout, [this](const Result<StoredConfig> &result) {
+                                m_watch.configAwaited(result, processNow());
+                                tick();
+                            });
+                    },
+                    [this](const AskEntry &ask) {
+                        askEntry(ask);
+                    }},
+        request);
 }
 
 void RelayProcess::askEntry(const AskEntry &ask)
--- a/adapters/relay/relaysettings.cpp
+++ b/adapters/relay/relaysettings.cpp
@@ -60,10 +60,10 @@
         settings.seeds.push_back(parsed->address().to_string() + ":" + std::to_string(peerPort));
     }
     settings.store = endpoint(file, "store", "address", "10.1.0.7:2379");
-    settings.watch.listInterval = file.milliseconds(
-        "store", "list_interval_ms", settings.watch.listInterval, milliseconds(50), minutes(1));
-    settings.watch.readTimeout = file.milliseconds(
-        "store", "read_timeout_ms", settings.watch.readTimeout, milliseconds(20), minutes(1));
+    settings.watch.listInterval =
+        file.milliseconds("store", "list_interval_ms", settings.watch.listInterval, milliseconds(50), minutes(1));
+    settings.watch.readTimeout =
+        file.milliseconds("store", "read_timeout_ms", settings.watch.readTimeout, milliseconds(20), minutes(1));
     settings.watch.configWait =
         file.milliseconds("store", "config_wait_ms", settings.watch.configWait, milliseconds(50), minutes(1));
     settings.upstream.connectTimeout = file.milliseconds(
--- a/adapters/relay/relaysettings.h
+++ b/adapters/relay/relaysettings.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "adapters/relay/upstreamconnection.h"
 #include "adapters/plumbing/settingsfile.h"
+#include "adapters/relay/upstreamconnection.h"
 
 #include "ibismast/relay/clusterwatch.h"
 
--- a/adapters/relay/sockets.cpp
+++ b/adapters/relay/sockets.cpp
@@ -57,8 +57,7 @@
 
 void prepareSocket(tcp::socket &socket, Duration silence)
 {
-    const auto silenceMs =
-        static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
+    const auto silenceMs = static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
     // A socket that closes meanwhile refuses options; its next read reports that.
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
--- a/adapters/relay/upstreamconnection.h
+++ b/adapters/relay/upstreamconnection.h
@@ -25,7 +25,8 @@
 /// Times and limits of a connection to an upstream.
 struct UpstreamConnectionSettings
 {
-    /// Longest time to connect. A lost first packet is sent again after a second, when another upstream is the better try.
+    /// Longest time to connect. A lost first packet is sent again after a second, when another upstream is the better
+    /// try.
     Duration connectTimeout = std::chrono::milliseconds(300);
     /// A peer that acknowledges nothing for this long is gone.
     Duration silence = std::chrono::milliseconds(1500);
--- a/adapters/relay/upstreampool.h
+++ b/adapters/relay/upstreampool.h
@@ -12,9 +12,8 @@
     UpstreamPool(boost::asio::io_context &loop, const UpstreamConnectionSettings &settings, std::size_t maxIdle);
 
     /// Returns a connection to @p upstream that is free.
-    [[nodiscard]] std::shared_ptr<UpstreamConnection> take(const InstanceId &upstream,
-                                                           const boost::asio::ip::tcp::endpoint &endpoint,
-                                                           TimePoint now);
+    [[nodiscard]] std::shared_ptr<UpstreamConnection>
+    take(const InstanceId &upstream, const boost::asio::ip::tcp::endpoint &endpoint, TimePoint now);
     /// Gives a connection back; one that cannot be used again is dropped.
     void giveBack(const InstanceId &upstream, const std::shared_ptr<UpstreamConnection> &connection);
     /// Closes what has been idle for too long.
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -176,8 +176,7 @@
     closeAttempt(now, actions);
     ++m_unsent;
     if (m_unsent <= m_settings.maxUnsent && now < m_call.deadline) {
-        m_listener->onEvent("memory_refused",
-                            {{"request", m_call.requestId}, {"attempt", std::to_string(attempt)}});
+        m_listener->onEvent("memory_refused", {{"request", m_call.requestId}, {"attempt", std::to_string(attempt)}});
         startAttempt(now, actions);
         return;
     }
@@ -384,10 +383,9 @@
     const bool allowed = mayRepeat() || !m_mayHaveRun;
     if (allowed && m_sent < m_call.route.maxAttempts && now < m_call.deadline && m_unsent <= m_settings.maxUnsent
         && m_environment->takeRetry(m_call.service, now)) {
-        m_listener->onEvent("attempt_retried",
-                            {{"request", m_call.requestId},
-                             {"attempt", std::to_string(m_attempt)},
-                             {"reason", std::string(reason)}});
+        m_listener->onEvent(
+            "attempt_retried",
+            {{"request", m_call.requestId}, {"attempt", std::to_string(m_attempt)}, {"reason", std::string(reason)}});
         startAttempt(now, actions);
         return;
     }
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -113,8 +113,16 @@
 {
 };
 /// What the shell has to do for one call.
-using CallAction =
-    std::variant<StartAttempt, ReserveMemory, ReleaseMemory, AbortAttempt, SendHead, SendBody, EndBody, SendWhole, Refuse, CutCaller>;
+using CallAction = std::variant<StartAttempt,
+                                ReserveMemory,
+                                ReleaseMemory,
+                                AbortAttempt,
+                                SendHead,
+                                SendBody,
+                                EndBody,
+                                SendWhole,
+                                Refuse,
+                                CutCaller>;
 using CallActions = std::vector<CallAction>;
 
 /// Head of an upstream's answer, as far as decisions depend on it.
@@ -176,8 +184,8 @@
     Duration callerGap = std::chrono::seconds(2);
     double callerGapObjectives = 4.0;
     double callerGapPauses = 8.0;
-    /// A stalled call moves only to an upstream that is predicted to answer within this share of the time it has waited,
-    /// and is looked at again after this pause otherwise.
+    /// A stalled call moves only to an upstream that is predicted to answer within this share of the time it has
+    /// waited, and is looked at again after this pause otherwise.
     double moveShare = 0.5;
     Duration stallRecheck = std::chrono::milliseconds(250);
     /// Share of the callers' gap after which a silent stream moves to another upstream if its engine is silent as well.
@@ -207,7 +215,8 @@
 
     void start(TimePoint now, CallActions &actions);
     /// An attempt failed; reports of attempts that were aborted are ignored.
-    void attemptFailed(int attempt, AttemptFailure failure, std::string_view reason, TimePoint now, CallActions &actions);
+    void
+    attemptFailed(int attempt, AttemptFailure failure, std::string_view reason, TimePoint now, CallActions &actions);
     /// The memory for an attempt has been reserved, or could not be.
     void memoryReserved(int attempt, bool granted, TimePoint now, CallActions &actions);
     void headReceived(int attempt, const UpstreamHead &head, TimePoint now, CallActions &actions);
--- a/ibismast/relay/clusterwatch.cpp
+++ b/ibismast/relay/clusterwatch.cpp
@@ -67,7 +67,8 @@
 {
     m_pause = std::clamp(m_pause * 2, m_settings.retryPause, m_settings.longestRetryPause);
     // Spread over half the pause, so that entries do not return to a recovered store in step.
-    return m_pause / 2 + Duration(static_cast<std::int64_t>(m_random.uniform() * static_cast<double>(m_pause.count() / 2)));
+    return m_pause / 2
+        + Duration(static_cast<std::int64_t>(m_random.uniform() * static_cast<double>(m_pause.count() / 2)));
 }
 
 void ClusterWatch::noteStore(bool answered, std::string_view reason, TimePoint now)
--- a/ibismast/relay/clusterwatch.h
+++ b/ibismast/relay/clusterwatch.h
@@ -36,7 +36,8 @@
 /// Settings of a `ClusterWatch`.
 struct ClusterWatchSettings
 {
-    /// Pause between two reads of the upstreams. A leaving upstream gets no new work after 2 s, one failed read included.
+    /// Pause between two reads of the upstreams. A leaving upstream gets no new work after 2 s, one failed read
+    /// included.
     Duration listInterval = std::chrono::milliseconds(700);
     /// A read without an answer is given up after this time; the store answers in 4 ms, and in 300 ms when it is slow.
     Duration readTimeout = std::chrono::milliseconds(500);
--- a/ibismast/relay/engineload.cpp
+++ b/ibismast/relay/engineload.cpp
@@ -61,8 +61,8 @@
 
 void EngineLoadTable::place(const Placement &placement, TimePoint now)
 {
-    const Duration longest = std::max(m_settings.leastExpiry,
-                                      fromSeconds(toSeconds(placement.expected) * m_settings.expiryFactor));
+    const Duration longest =
+        std::max(m_settings.leastExpiry, fromSeconds(toSeconds(placement.expected) * m_settings.expiryFactor));
     const auto [call, added] = m_calls.try_emplace(placement.id, Call {placement.writer, now + longest, {}});
     if (!added) {
         return;
--- a/ibismast/relay/engineplanner.cpp
+++ b/ibismast/relay/engineplanner.cpp
@@ -94,10 +94,8 @@
 }
 
 template<typename Filter>
-std::vector<EnginePlanner::Candidate>
-EnginePlanner::ranked(const std::vector<const UpstreamDirectory::Member *> &engines,
-                      TimePoint now,
-                      const Filter &accepts) const
+std::vector<EnginePlanner::Candidate> EnginePlanner::ranked(
+    const std::vector<const UpstreamDirectory::Member *> &engines, TimePoint now, const Filter &accepts) const
 {
     std::vector<Candidate> candidates;
     for (const auto *engine : engines) {
@@ -112,9 +110,10 @@
 
 EnginePlanner::Split EnginePlanner::bestSplit(const std::vector<Candidate> &candidates, Duration reading) const
 {
-    const std::size_t most = std::min({candidates.size(),
-                                       m_settings.maxHelpers + 1,
-                                       std::max<std::size_t>(1, static_cast<std::size_t>(reading / m_settings.leastPart))});
+    const std::size_t most =
+        std::min({candidates.size(),
+                  m_settings.maxHelpers + 1,
+                  std::max<std::size_t>(1, static_cast<std::size_t>(reading / m_settings.leastPart))});
     // More parts end sooner until the next engine's backlog outweighs the smaller part.
     Split best;
     for (std::size_t count = 1; count <= most; ++count) {
@@ -126,9 +125,8 @@
     return best;
 }
 
-EnginePlanner::Split EnginePlanner::modestSplit(const std::vector<Candidate> &candidates,
-                                                Duration reading,
-                                                Duration limit) const
+EnginePlanner::Split
+EnginePlanner::modestSplit(const std::vector<Candidate> &candidates, Duration reading, Duration limit) const
 {
     const std::size_t most = std::min(candidates.size(), m_settings.maxHelpers + 1);
     for (std::size_t count = 1; count <= most; ++count) {
@@ -163,7 +161,8 @@
     // Engines whose streams are not disturbed, then those without short streams as well, then all.
     std::vector<Candidate> candidates = ranked(engines, now, [&](const EngineLoad &load) {
         // All reads of a pass end with it, so a very long part must not share one with others.
-        return modest ? load.streams() == 0 && load.backlog(now) == Duration::zero() : !hasShortStreams(load) && bears(load, part, now);
+        return modest ? load.streams() == 0 && load.backlog(now) == Duration::zero()
+                      : !hasShortStreams(load) && bears(load, part, now);
     });
     Split best = split(candidates);
     for (const bool all : {false, true}) {
@@ -213,7 +212,8 @@
 {
     const auto share = [&](const Candidate &candidate) {
         const std::int64_t free = usableMemory(profile).value() - candidate.load->memory().value();
-        return static_cast<std::int64_t>(static_cast<double>(std::max<std::int64_t>(0, free)) * m_settings.reservedShare);
+        return static_cast<std::int64_t>(static_cast<double>(std::max<std::int64_t>(0, free))
+                                         * m_settings.reservedShare);
     };
     // The writer holds the output and what the reservations leave.
     std::int64_t left = memory.value() - share(readers.front());
--- a/ibismast/relay/engineplanner.h
+++ b/ibismast/relay/engineplanner.h
@@ -55,8 +55,8 @@
     double pauseShare = 0.5;
     /// Cost of reading that delays one stream past its longest pause.
     Duration delayedStream = std::chrono::milliseconds(150);
-    /// Cost of putting the first short stream on an engine, which is then lost for undisturbed long reads: a fixed part,
-    /// and one for a fleet that long reads keep entirely busy.
+    /// Cost of putting the first short stream on an engine, which is then lost for undisturbed long reads: a fixed
+    /// part, and one for a fleet that long reads keep entirely busy.
     Duration openedEngine = std::chrono::milliseconds(80);
     Duration openedBusyEngine = std::chrono::milliseconds(600);
     /// Streams up to this number attract further ones, so that engines become free of streams when demand falls.
@@ -133,22 +133,17 @@
                                                       TimePoint now) const;
     /// Returns the engines for which @p accepts holds, those that can begin first in front.
     template<typename Filter>
-    [[nodiscard]] std::vector<Candidate> ranked(const std::vector<const UpstreamDirectory::Member *> &engines,
-                                                TimePoint now,
-                                                const Filter &accepts) const;
+    [[nodiscard]] std::vector<Candidate>
+    ranked(const std::vector<const UpstreamDirectory::Member *> &engines, TimePoint now, const Filter &accepts) const;
     /// Spreads a prompt that is larger than an engine's memory over the readers; returns false if it does not fit.
-    [[nodiscard]] bool reserve(EnginePlan &plan,
-                               const std::vector<Candidate> &readers,
-                               Tokens memory,
-                               const EngineProfile &profile) const;
+    [[nodiscard]] bool
+    reserve(EnginePlan &plan, const std::vector<Candidate> &readers, Tokens memory, const EngineProfile &profile) const;
     [[nodiscard]] Tokens usableMemory(const EngineProfile &profile) const;
     [[nodiscard]] Split bestSplit(const std::vector<Candidate> &candidates, Duration reading) const;
     /// Returns the split into fewest parts that ends within @p limit, else the best one.
-    [[nodiscard]] Split
-    modestSplit(const std::vector<Candidate> &candidates, Duration reading, Duration limit) const;
+    [[nodiscard]] Split modestSplit(const std::vector<Candidate> &candidates, Duration reading, Duration limit) const;
     /// True if a prompt would keep too much of the fleet from others to be read by as many engines as possible.
-    [[nodiscard]] bool
-    isModest(Duration reading, std::size_t engines, TimePoint now) const;
+    [[nodiscard]] bool isModest(Duration reading, std::size_t engines, TimePoint now) const;
 
     EnginePlannerSettings m_settings;
     const EngineLoadTable *m_loads;
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -135,12 +135,8 @@
     }
 }
 
-void RelayCore::attemptFailed(CallNumber call,
-                              int attempt,
-                              AttemptFailure failure,
-                              std::string_view reason,
-                              TimePoint now,
-                              RelayActions &actions)
+void RelayCore::attemptFailed(
+    CallNumber call, int attempt, AttemptFailure failure, std::string_view reason, TimePoint now, RelayActions &actions)
 {
     run(
         call,
@@ -171,8 +167,7 @@
         actions);
 }
 
-void RelayCore::bodyReceived(
-    CallNumber call, int attempt, std::string_view bytes, TimePoint now, RelayActions &actions)
+void RelayCore::bodyReceived(CallNumber call, int attempt, std::string_view bytes, TimePoint now, RelayActions &actions)
 {
     run(
         call,
@@ -320,8 +315,7 @@
     return result;
 }
 
-std::optional<AttemptPlan>
-RelayCore::planPlainCall(const std::vector<const UpstreamDirectory::Member *> &upstreams)
+std::optional<AttemptPlan> RelayCore::planPlainCall(const std::vector<const UpstreamDirectory::Member *> &upstreams)
 {
     const auto cost = [this](const UpstreamDirectory::Member *member) {
         const auto calls = m_plainCalls.find(member->record.id);
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -160,10 +160,11 @@
     void run(CallNumber number, const FlowStep &step, RelayActions &actions);
     void reschedule(CallNumber number, OpenCall &open);
     [[nodiscard]] const RelayService *service(const ServiceName &name) const;
-    [[nodiscard]] std::optional<AttemptPlan> planGeneration(const RelayCall &call,
-                                                            const EngineProfile &profile,
-                                                            const std::vector<const UpstreamDirectory::Member *> &engines,
-                                                            TimePoint now);
+    [[nodiscard]] std::optional<AttemptPlan>
+    planGeneration(const RelayCall &call,
+                   const EngineProfile &profile,
+                   const std::vector<const UpstreamDirectory::Member *> &engines,
+                   TimePoint now);
     [[nodiscard]] std::optional<AttemptPlan>
     planPlainCall(const std::vector<const UpstreamDirectory::Member *> &upstreams);
     void rememberRefusal(std::uint64_t fingerprint, TimePoint now);
