--- a/adapters/relay/callerconnection.cpp
+++ b/adapters/relay/callerconnection.cpp
@@ -130,7 +130,7 @@
     announceClose(head);
     std::string bytes = head.build();
     bytes.append(body);
-    write(std::move(bytes));
+    write(bytes);
     answerEnded();
 }
 
@@ -155,12 +155,12 @@
     }
     std::string chunk;
     appendChunk(chunk, bytes);
-    write(std::move(chunk));
+    write(chunk);
 }
 
 void CallerConnection::endBody()
 {
-    write(std::string(LastChunk));
+    write(LastChunk);
     answerEnded();
 }
 
@@ -182,7 +182,7 @@
     }
 }
 
-void CallerConnection::write(std::string bytes)
+void CallerConnection::write(std::string_view bytes)
 {
     if (!m_open) {
         return;
--- a/adapters/relay/callerconnection.h
+++ b/adapters/relay/callerconnection.h
@@ -67,7 +67,7 @@
     void received(std::string_view bytes);
     void parse();
     void refuse(const Error &error);
-    void write(std::string bytes);
+    void write(std::string_view bytes);
     void flush();
     void announceClose(HttpHeadBuilder &head);
     void answerEnded();
--- a/adapters/relay/callerserver.cpp
+++ b/adapters/relay/callerserver.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 CallerServer::CallerServer(boost::asio::io_context &loop, CallerHandler &handler, std::size_t maxConnections)
-    : m_loop(&loop), m_handler(&handler), m_maxConnections(maxConnections), m_acceptor(loop), m_pause(loop)
+    : m_handler(&handler), m_maxConnections(maxConnections), m_acceptor(loop), m_pause(loop)
 {
 }
 
--- a/adapters/relay/callerserver.h
+++ b/adapters/relay/callerserver.h
@@ -33,7 +33,6 @@
 private:
     void accept();
 
-    boost::asio::io_context *m_loop;
     CallerHandler *m_handler;
     std::size_t m_maxConnections;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -29,7 +29,6 @@
 
 constexpr int OkStatus = 200;
 constexpr int UnavailableStatus = 503;
-constexpr double MsPerSecond = 1000.0;
 
 } // namespace
 
--- a/adapters/relay/upstreampool.cpp
+++ b/adapters/relay/upstreampool.cpp
@@ -15,7 +15,7 @@
 {
     auto &idle = m_idle[upstream];
     while (!idle.empty()) {
-        const std::shared_ptr<UpstreamConnection> connection = std::move(idle.back());
+        std::shared_ptr<UpstreamConnection> connection = std::move(idle.back());
         idle.pop_back();
         if (connection->isIdle() && connection->idleUntil() > now) {
             return connection;
