--- a/ibismast/relay/clusterwatch.cpp
+++ b/ibismast/relay/clusterwatch.cpp
@@ -67,8 +67,8 @@
 {
     m_pause = std::clamp(m_pause * 2, m_settings.retryPause, m_settings.longestRetryPause);
     // Spread over half the pause, so that entries do not return to a recovered store in step.
-    return m_pause / 2
-        + Duration(static_cast<std::int64_t>(m_random.uniform() * static_cast<double>(m_pause.count() / 2)));
+    const Duration half = m_pause / 2;
+    return half + fromSeconds(m_random.uniform() * toSeconds(half));
 }
 
 void ClusterWatch::noteStore(bool answered, std::string_view reason, TimePoint now)
