Let a stopping instance listen to its end and take what it can answer

Now a stopping instance accepts to its end, answers plain calls, and refuses streams that would be cut as not run. The retry budget now follows the number of entries.

--- a/UnitTests/relay/relaycoretest.cpp
+++ b/UnitTests/relay/relaycoretest.cpp
@@ -100,6 +100,18 @@
     CHECK(submit(path, key) == status);
 }
 
+// Guards against calls that a stopping instance takes and cuts, and against calls that it turns away although it has
+// the time: while three instances stopped in turn, 45 callers found none that listened (incident inc-763b).
+TEST_CASE_METHOD(CoreFixture, "a stopping instance takes what it can still answer", "[relay]")
+{
+    const auto [left, status] =
+        GENERATE(table<Duration, int>({{7'000ms, 0}, {4'700ms, 0}, {4'500ms, 503}, {0ms, 503}}));
+    configure();
+    listEngine();
+    core.beginStop(now + left);
+    CHECK(submit("/g/x", "key") == status);
+}
+
 // Load: more short prompts than slots. Guards against queues that make all calls late, and against calls that come back
 // and are refused again.
 TEST_CASE_METHOD(CoreFixture, "a returning call may wait where a new one is refused", "[relay][load]")
--- a/UnitTests/retry/retrytest.cpp
+++ b/UnitTests/retry/retrytest.cpp
@@ -69,3 +69,19 @@
     CHECK_FALSE(policy.pauseBefore(RetryCause::Failure, 5, 10s, random));
     CHECK(policy.pauseBefore(RetryCause::Moved, attempts, 10ms, random) == Duration::zero());
 }
+
+// Guards against a budget that keeps the limits of a fleet whose size has changed.
+TEST_CASE("a budget takes new limits and keeps its counts", "[retry]")
+{
+    const auto [minimum, left] = GENERATE(table<double, int>({{10.0, 8}, {2.0, 0}, {1.0, 0}}));
+    RetryBudget budget(RetryBudgetSettings {0.0, 5.0});
+    const TimePoint now(1'000s);
+    CHECK(budget.take(now));
+    CHECK(budget.take(now));
+    budget.setSettings({0.0, minimum});
+    int taken = 0;
+    while (budget.take(now)) {
+        ++taken;
+    }
+    CHECK(taken == left);
+}
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -120,12 +120,6 @@
         return;
     }
     const auto &incoming = std::get<IncomingCall>(decoded);
-    if (!m_listening) {
-        refuse(*connection,
-               incoming.requestId,
-               {ResultCode::ShuttingDown, "the instance has no time left for new calls", Duration::zero()});
-        return;
-    }
     RelayActions actions;
     const Result<CallNumber> admitted = m_core.submit(incoming, processNow(), actions);
     if (const Error *error = errorOf(admitted)) {
@@ -602,6 +596,7 @@
     }
     m_stopBegun = processNow();
     m_stopped = std::move(stopped);
+    m_core.beginStop(*m_stopBegun + m_settings.stop.total);
     m_callers.closeAfterAnswers();
     checkStop(*m_stopBegun);
 }
@@ -612,12 +607,12 @@
         return;
     }
     const Duration elapsed = now - *m_stopBegun;
-    if (m_listening && elapsed >= m_settings.stop.listen) {
-        m_listening = false;
-        m_callers.stopListening();
+    if (!m_idleClosed && elapsed >= m_settings.stop.listen) {
+        m_idleClosed = true;
         m_callers.closeIdle();
     }
-    const bool done = !m_listening && m_core.openCalls() == 0;
+    // Connections are accepted to the end: where several instances stop at once, the balancer has no other.
+    const bool done = m_idleClosed && m_core.openCalls() == 0;
     if (!done && elapsed < m_settings.stop.total) {
         return;
     }
--- a/adapters/relay/relayprocess.h
+++ b/adapters/relay/relayprocess.h
@@ -101,7 +101,7 @@
     TimePoint m_nextGreeting = TimePoint::min();
     TimePoint m_nextHousekeeping = TimePoint::min();
     std::optional<TimePoint> m_stopBegun;
-    bool m_listening = true;
+    bool m_idleClosed = false;
     std::function<void(std::size_t cut)> m_stopped;
 };
 
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -8,8 +8,10 @@
 namespace
 {
 
-/// Window of `RetryBudget`.
-constexpr double RetryWindowMinimum = 1.0;
+/// Retry-After of a stopping instance: other instances serve the call at once.
+constexpr Duration StopRetryAfter = std::chrono::milliseconds(100);
+/// Retries that an entry may make in ten seconds however many entries there are.
+constexpr double LeastRetries = 1.0;
 
 } // namespace
 
@@ -57,6 +59,11 @@
     return m_routes ? &m_routes->config() : nullptr;
 }
 
+void RelayCore::beginStop(TimePoint end)
+{
+    m_stopEnd = end;
+}
+
 bool RelayCore::ready() const
 {
     return m_routes && m_directory.known();
@@ -82,6 +89,9 @@
     if (!m_directory.known()) {
         return Error {ResultCode::NotReady, "no upstream is known yet", m_settings.call.retryAfter};
     }
+    if (m_stopEnd && now + usualTime(*route) > *m_stopEnd) {
+        return Error {ResultCode::ShuttingDown, "the instance stops before the answer would end", StopRetryAfter};
+    }
     call.number = CallNumber(++m_lastCall);
     call.requestId = incoming.requestId;
     call.route = *route;
@@ -105,6 +115,12 @@
     return number;
 }
 
+Duration RelayCore::usualTime(const RelayRoute &route) const
+{
+    const bool plain = route.kind == CallKind::Idempotent || route.kind == CallKind::AtMostOnce;
+    return plain ? route.timeout : std::min(route.timeout, m_settings.usualStream);
+}
+
 void RelayCore::run(CallNumber number, const FlowStep &step, RelayActions &actions)
 {
     const auto found = m_calls.find(number);
@@ -328,15 +344,13 @@
 
 RetryBudget &RelayCore::budget(const ServiceName &service)
 {
-    const auto found = m_budgets.find(service);
-    if (found != m_budgets.end()) {
-        return found->second;
-    }
     // The allowance beside the share is divided by the entries, one more than known in case some are not heard.
     const double entries = static_cast<double>(m_members.others()) + 2.0;
-    const double slack = std::max(RetryWindowMinimum, m_settings.retrySlack * m_settings.retryMargin / entries);
-    return m_budgets.emplace(service, RetryBudget({m_settings.retryRatio * m_settings.retryMargin, slack}))
-        .first->second;
+    const double slack = std::max(LeastRetries, m_settings.retrySlack * m_settings.retryMargin / entries);
+    const RetryBudgetSettings settings {m_settings.retryRatio * m_settings.retryMargin, slack};
+    RetryBudget &budget = m_budgets.try_emplace(service, settings).first->second;
+    budget.setSettings(settings);
+    return budget;
 }
 
 bool RelayCore::takeRetry(const ServiceName &service, TimePoint now)
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -58,6 +58,8 @@
     int engineQueue = 1;
     /// The same for calls that come back after a refusal.
     int returningQueue = 12;
+    /// Time that a stream needs at most but for rare ones; a stopping instance takes none with less time left.
+    Duration usualStream = std::chrono::milliseconds(4600);
     /// Time for which a refused call is remembered; callers return within a third of their time.
     Duration refusalMemory = std::chrono::seconds(6);
     std::size_t maxRefusals = 4096;
@@ -103,6 +105,8 @@
     }
     /// Returns the configuration in force, or null.
     [[nodiscard]] const RelayConfig *config() const;
+    /// The instance stops at @p end: from now on it takes only calls that it can answer by then.
+    void beginStop(TimePoint end);
     /// True if calls can be served: a configuration and the upstreams are known.
     [[nodiscard]] bool ready() const;
 
@@ -158,6 +162,8 @@
 
     /// Runs @p step on an open call and hands its actions on; does nothing if the call has ended.
     void run(CallNumber number, const FlowStep &step, RelayActions &actions);
+    /// Returns the time within which a call ends but for rare ones.
+    [[nodiscard]] Duration usualTime(const RelayRoute &route) const;
     void reschedule(CallNumber number, OpenCall &open);
     [[nodiscard]] const RelayService *service(const ServiceName &name) const;
     [[nodiscard]] std::optional<AttemptPlan>
@@ -180,6 +186,7 @@
     std::shared_ptr<const RouteTable> m_routes;
     std::map<CallNumber, std::unique_ptr<OpenCall>> m_calls;
     std::set<std::pair<TimePoint, CallNumber>> m_due;
+    std::optional<TimePoint> m_stopEnd;
     std::uint64_t m_lastCall = 0;
     /// Number under which the present attempt of each call is known to the other entries.
     std::map<CallNumber, CallNumber> m_placements;
--- a/ibismast/retry/retrybudget.h
+++ b/ibismast/retry/retrybudget.h
@@ -23,6 +23,11 @@
 public:
     explicit RetryBudget(const RetryBudgetSettings &settings);
 
+    /// Replaces the limits; what was counted stays.
+    void setSettings(const RetryBudgetSettings &settings)
+    {
+        m_settings = settings;
+    }
     void noteRequest(TimePoint now);
     /// Takes one retry from the budget; returns false and takes nothing if it is used up.
     [[nodiscard]] bool take(TimePoint now);
