--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -226,6 +226,9 @@
             actions);
     }
     m_loads.expire(now);
+    std::erase_if(m_progress, [this](const auto &entry) {
+        return m_directory.find(entry.first) == nullptr;
+    });
     std::erase_if(m_refused, [now](const auto &entry) {
         return now >= entry.second;
     });
