Give the relay's memory orders names of their own

ReserveMemory was the name of another message in the same namespace; the check of type names in scripts/test found it.

--- a/UnitTests/relay/callflowtest.cpp
+++ b/UnitTests/relay/callflowtest.cpp
@@ -74,10 +74,10 @@
                                       return "start " + start.plan.upstream.id.value()
                                           + (start.lastEventId.empty() ? "" : " behind " + start.lastEventId);
                                   },
-                                  [](const ReserveMemory &reserve) {
+                                  [](const ReserveEngineMemory &reserve) {
                                       return std::string(reserve.extends ? "extend" : "reserve");
                                   },
-                                  [](const ReleaseMemory & /*release*/) {
+                                  [](const ReleaseEngineMemory & /*release*/) {
                                       return std::string("release");
                                   },
                                   [](const AbortAttempt & /*abort*/) {
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -210,11 +210,11 @@
     {
         m_process->startAttempt(m_number, *m_exchange, start);
     }
-    void operator()(const ReserveMemory &reserve)
+    void operator()(const ReserveEngineMemory &reserve)
     {
         m_process->reserveMemory(m_number, reserve);
     }
-    void operator()(const ReleaseMemory &release)
+    void operator()(const ReleaseEngineMemory &release)
     {
         for (const AttemptHelper &holder : release.holders) {
             m_process->m_platform.orders->release(holder);
@@ -324,7 +324,7 @@
     exchange.connection->send(head.build() + exchange.body, answerHandler(number, start.attempt));
 }
 
-void RelayProcess::reserveMemory(CallNumber number, const ReserveMemory &reserve)
+void RelayProcess::reserveMemory(CallNumber number, const ReserveEngineMemory &reserve)
 {
     struct Grants
     {
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -141,7 +141,7 @@
     if (ticket > 0) {
         m_reserving = true;
         m_nextExtension = now + m_settings.memoryExtension;
-        actions.emplace_back(ReserveMemory {m_attempt, holders(), m_settings.memoryHold, false});
+        actions.emplace_back(ReserveEngineMemory {m_attempt, holders(), m_settings.memoryHold, false});
         return;
     }
     sendAttempt(now, actions);
@@ -190,7 +190,7 @@
     }
     std::vector<AttemptHelper> held = holders();
     if (!held.empty()) {
-        actions.emplace_back(ReleaseMemory {std::move(held)});
+        actions.emplace_back(ReleaseEngineMemory {std::move(held)});
     }
     m_reserving = false;
     m_nextExtension.reset();
@@ -364,7 +364,7 @@
     }
     if (m_plan && m_nextExtension && now >= *m_nextExtension && now < m_call.deadline) {
         m_nextExtension = now + m_settings.memoryExtension;
-        actions.emplace_back(ReserveMemory {m_attempt, holders(), m_settings.memoryHold, true});
+        actions.emplace_back(ReserveEngineMemory {m_attempt, holders(), m_settings.memoryHold, true});
         return;
     }
     if (now < m_call.deadline) {
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -63,7 +63,7 @@
 };
 /// Reserves memory on the helpers of an attempt that hold a part of the prompt, or extends the reservations. The first
 /// one of an attempt is answered by `memoryReserved`.
-struct ReserveMemory
+struct ReserveEngineMemory
 {
     int attempt = 0;
     std::vector<AttemptHelper> holders;
@@ -72,7 +72,7 @@
     bool extends = false;
 };
 /// Releases the memory that was reserved for an attempt.
-struct ReleaseMemory
+struct ReleaseEngineMemory
 {
     std::vector<AttemptHelper> holders;
 };
@@ -114,8 +114,8 @@
 };
 /// What the shell has to do for one call.
 using CallAction = std::variant<StartAttempt,
-                                ReserveMemory,
-                                ReleaseMemory,
+                                ReserveEngineMemory,
+                                ReleaseEngineMemory,
                                 AbortAttempt,
                                 SendHead,
                                 SendBody,
