--- a/UnitTests/relay/callflowtest.cpp
+++ b/UnitTests/relay/callflowtest.cpp
@@ -57,7 +57,10 @@
     }
     void upstreamWorked(const InstanceId & /*upstream*/) override { }
     void upstreamFailed(const InstanceId & /*upstream*/, TimePoint /*now*/) override { }
-    void upstreamFailedAt(const UpstreamAddress & /*address*/, TimePoint /*now*/) override { }
+    std::optional<InstanceId> upstreamFailedAt(const UpstreamAddress &address, TimePoint /*now*/) override
+    {
+        return InstanceId(address.value());
+    }
 
     std::vector<std::string> upstreams {"a", "b", "c"};
     Tokens reserved;
@@ -203,6 +206,15 @@
     CHECK(done() == row.expected);
 }
 
+// Guards against a second attempt with the helper that made the first one fail (regsel-jawa trouble-3).
+TEST_CASE_METHOD(FlowFixture, "an upstream that is blamed for a refusal is not asked again", "[relay]")
+{
+    begin(CallKind::ResumableStream, 2);
+    CHECK(done() == "start a");
+    flow().headReceived(1, {503, true, true, UpstreamAddress("b")}, now, actions);
+    CHECK(done() == "abort, start c");
+}
+
 // Guards against pieces of a stream that are missing, come twice or come from two runs out of order.
 TEST_CASE_METHOD(FlowFixture, "a broken stream continues behind its last whole event", "[relay]")
 {
--- a/UnitTests/relay/upstreamdirectorytest.cpp
+++ b/UnitTests/relay/upstreamdirectorytest.cpp
@@ -120,6 +120,18 @@
     CHECK(usable() == "a");
 }
 
+// Load: nine of 23 engines leave while the store does not answer. Guards against long prompts that are refused one
+// after the other because of the same helpers (regsel-jawa trouble-3).
+TEST_CASE_METHOD(DirectoryFixture, "an upstream that is blamed once is avoided for 3 s", "[relay][load]")
+{
+    const auto [later, suspected] = GENERATE(table<Duration, std::size_t>({{0ms, 1}, {2'900ms, 1}, {3'100ms, 0}}));
+    apply({"a", "b"});
+    directory.noteBlamed(InstanceId("b"), now);
+    now += later;
+    apply({"a", "b"});
+    CHECK(directory.candidates(Pool, now).suspected.size() == suspected);
+}
+
 // Guards against calls that fail one after the other at an upstream that is gone.
 TEST_CASE_METHOD(DirectoryFixture, "a failing or silent upstream is suspected, a restarted one is not", "[relay]")
 {
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -235,7 +235,9 @@
     m_head = head;
     m_headReceived = true;
     if (!head.faultAt.empty()) {
-        m_environment->upstreamFailedAt(head.faultAt, now);
+        if (const std::optional<InstanceId> blamed = m_environment->upstreamFailedAt(head.faultAt, now)) {
+            m_tried.insert(*blamed);
+        }
     }
     if (head.notRun) {
         ++m_sent;
@@ -244,7 +246,9 @@
         }
         actions.emplace_back(AbortAttempt {attempt});
         closeAttempt(now, actions);
-        retryOrEnd("upstream declined with " + std::to_string(head.status), ResultCode::NoUpstream, now, actions);
+        const std::string blame = head.faultAt.empty() ? "" : ", blames " + head.faultAt.value();
+        retryOrEnd(
+            "upstream declined with " + std::to_string(head.status) + blame, ResultCode::NoUpstream, now, actions);
         return;
     }
     m_mayHaveRun = true;
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -170,7 +170,8 @@
     [[nodiscard]] virtual TimePoint lastProgress(const InstanceId &upstream) const = 0;
     virtual void upstreamWorked(const InstanceId &upstream) = 0;
     virtual void upstreamFailed(const InstanceId &upstream, TimePoint now) = 0;
-    virtual void upstreamFailedAt(const UpstreamAddress &address, TimePoint now) = 0;
+    /// An answer blames the upstream at @p address. Returns its id, or nothing if no upstream is known there.
+    virtual std::optional<InstanceId> upstreamFailedAt(const UpstreamAddress &address, TimePoint now) = 0;
 };
 
 /// Settings of a `CallFlow`.
@@ -262,6 +263,7 @@
     CallEnvironment *m_environment;
     EventListener *m_listener;
     EventScanner m_scanner;
+    /// Upstreams that are not asked again, those that were blamed for a refusal included.
     std::set<InstanceId> m_tried;
     std::optional<AttemptPlan> m_plan;
     /// Number of the attempt under way or of the last one.
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -447,11 +447,13 @@
     m_directory.noteFailure(upstream, now);
 }
 
-void RelayCore::upstreamFailedAt(const UpstreamAddress &address, TimePoint now)
+std::optional<InstanceId> RelayCore::upstreamFailedAt(const UpstreamAddress &address, TimePoint now)
 {
-    if (const std::optional<InstanceId> upstream = m_directory.idOf(address)) {
-        m_directory.noteFailure(*upstream, now);
+    const std::optional<InstanceId> upstream = m_directory.idOf(address);
+    if (upstream) {
+        m_directory.noteBlamed(*upstream, now);
     }
+    return upstream;
 }
 
 } // namespace ibismast
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -154,7 +154,7 @@
     [[nodiscard]] TimePoint lastProgress(const InstanceId &upstream) const override;
     void upstreamWorked(const InstanceId &upstream) override;
     void upstreamFailed(const InstanceId &upstream, TimePoint now) override;
-    void upstreamFailedAt(const UpstreamAddress &address, TimePoint now) override;
+    std::optional<InstanceId> upstreamFailedAt(const UpstreamAddress &address, TimePoint now) override;
 
 private:
     struct OpenCall;
--- a/ibismast/relay/upstreamdirectory.cpp
+++ b/ibismast/relay/upstreamdirectory.cpp
@@ -66,6 +66,7 @@
     }
     if (restarted) {
         m_health.noteSuccess(record.id);
+        member.avoidedUntil.reset();
     }
     if (added || restarted || member.record.reportNumber != record.reportNumber) {
         member.reported = now;
@@ -108,7 +109,8 @@
 
 bool UpstreamDirectory::suspected(const Member &member, TimePoint now) const
 {
-    if (member.returnsUntil || !m_health.allows(member.record.id, now)) {
+    if (member.returnsUntil || (member.avoidedUntil && now < *member.avoidedUntil)
+        || !m_health.allows(member.record.id, now)) {
         return true;
     }
     // Silence says something only while the list moves.
@@ -137,6 +139,16 @@
     m_health.noteSuccess(id);
 }
 
+void UpstreamDirectory::noteBlamed(const InstanceId &id, TimePoint now)
+{
+    const auto found = m_members.find(id);
+    if (found == m_members.end()) {
+        return;
+    }
+    found->second.avoidedUntil = now + m_settings.blameTime;
+    m_listener->onEvent("upstream_blamed", {{"upstream", id.value()}});
+}
+
 void UpstreamDirectory::noteFailure(const InstanceId &id, TimePoint now)
 {
     m_health.noteFailure(id, now);
--- a/ibismast/relay/upstreamdirectory.h
+++ b/ibismast/relay/upstreamdirectory.h
@@ -48,6 +48,9 @@
     std::size_t massLossCount = 3;
     /// An upstream without a report for this long is avoided while others report.
     Duration silence = std::chrono::milliseconds(2900);
+    /// An upstream that another one blamed for a refusal is avoided for this long: most likely it leaves or is cut off,
+    /// and the list tells so within about this time.
+    Duration blameTime = std::chrono::seconds(3);
     CircuitBreakerSettings breaker {2, std::chrono::milliseconds(700), std::chrono::seconds(4)};
 };
 
@@ -60,6 +63,8 @@
         UpstreamRecord record;
         /// Set while the upstream is missing from the list but may return until then.
         std::optional<TimePoint> returnsUntil;
+        /// Set while the upstream is avoided because it was blamed for a refusal.
+        std::optional<TimePoint> avoidedUntil;
         /// Time of the last new report.
         TimePoint reported;
     };
@@ -98,6 +103,8 @@
     void noteDispatch(const InstanceId &id, TimePoint now);
     void noteSuccess(const InstanceId &id);
     void noteFailure(const InstanceId &id, TimePoint now);
+    /// Another upstream has refused a call because of @p id.
+    void noteBlamed(const InstanceId &id, TimePoint now);
 
 private:
     [[nodiscard]] bool suspected(const Member &member, TimePoint now) const;
