--- a/UnitTests/adapters/relay/callerconnectiontest.cpp
+++ b/UnitTests/adapters/relay/callerconnectiontest.cpp
@@ -1,4 +1,5 @@
 #include "UnitTests/adapters/relay/loopbackpeer.h"
+#include "adapters/plumbing/processclock.h"
 #include "adapters/relay/callerserver.h"
 
 #include <catch2/catch.hpp>
@@ -51,7 +52,7 @@
         caller.socket.close();
         handler.last.reset();
         (void)runUntil(loop, [this] {
-            server.enforceTimes(TimePoint::min());
+            server.enforceTimes(processNow());
             return server.connections() == 0;
         });
     }
