--- /dev/null
+++ b/adapters/relay/relayprocessnews.cpp
@@ -0,0 +1,91 @@
+#include "adapters/relay/relayprocess.h"
+
+#include "adapters/plumbing/processclock.h"
+
+namespace ibismast
+{
+
+namespace
+{
+
+/// Placements in one datagram, which stays below the usual packet size unless long prompts are among them.
+constexpr std::size_t PlacementsPerDatagram = 8;
+
+} // namespace
+
+// What RelayProcess tells other entries and learns from them.
+
+void RelayProcess::receiveNews(const EntryNews &news)
+{
+    if (news.sender.id == m_settings.core.self) {
+        return;
+    }
+    const TimePoint now = processNow();
+    const MemberView::News membership = m_core.members().heard(news.sender, now);
+    if (membership != MemberView::News::None) {
+        m_listener->onEvent("entry_heard",
+                            {{"entry", news.sender.id.value()},
+                             {"address", news.sender.address},
+                             {"restarted", membership == MemberView::News::Restarted ? "true" : "false"}});
+        m_core.dropEntry(news.sender.id, now);
+        sendOwnWork(news.sender.address, now);
+    }
+    for (const std::string &address : news.heard) {
+        if (parseUdpEndpoint(address) != m_settings.peers) {
+            m_core.members().named(address, now);
+        }
+    }
+    m_watch.noteEntry(news.copyAddress, news.configVersion, now);
+    m_core.applyNews(news.sender.id, news.load, now);
+    if (m_core.config() == nullptr || news.configVersion > m_core.config()->version) {
+        tick();
+    }
+}
+
+void RelayProcess::sendNews()
+{
+    LoadNews load = m_core.takeNews();
+    if (load.empty()) {
+        return;
+    }
+    EntryNews news = emptyNews();
+    news.load = std::move(load);
+    m_peers.send(news, m_core.members().addresses());
+}
+
+EntryNews RelayProcess::emptyNews() const
+{
+    EntryNews news;
+    news.sender = {m_settings.core.self,
+                   m_incarnation,
+                   m_settings.peers.address().to_string() + ":" + std::to_string(m_settings.peers.port())};
+    news.copyAddress = m_settings.control.address().to_string() + ":" + std::to_string(m_settings.control.port());
+    news.configVersion = m_core.config() != nullptr ? m_core.config()->version : RelayConfigVersion();
+    news.listRevision = m_watch.listRevision();
+    return news;
+}
+
+void RelayProcess::sendOwnWork(const std::string &address, TimePoint now)
+{
+    const std::vector<Placement> placements = m_core.ownPlacements(now);
+    for (std::size_t start = 0; start < placements.size(); start += PlacementsPerDatagram) {
+        EntryNews news = emptyNews();
+        const std::size_t end = std::min(start + PlacementsPerDatagram, placements.size());
+        news.load.placed.assign(placements.begin() + static_cast<std::ptrdiff_t>(start),
+                                placements.begin() + static_cast<std::ptrdiff_t>(end));
+        m_peers.send(news, {address});
+    }
+}
+
+void RelayProcess::greet()
+{
+    EntryNews news = emptyNews();
+    news.heard = m_core.members().addresses();
+    std::vector<std::string> addresses = news.heard;
+    for (std::string &address : m_core.members().namedAddresses()) {
+        addresses.push_back(std::move(address));
+    }
+    m_peers.send(news, addresses);
+}
+
+} // namespace ibismast
