--- a/daemons/relay/main.cpp
+++ b/daemons/relay/main.cpp
@@ -30,7 +30,7 @@
 Smallest settings file:
   [instance]
   id = entry-1
-  domain = kielce-a
+  domain = zone-a
   [http]
   listen = 10.1.0.40:8080
   ready = 10.1.0.40:8081
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -183,7 +183,7 @@
 
 std::optional<InstanceId> RelayCore::upstreamFailedAt(const UpstreamAddress &address, TimePoint now)
 {
-    const std::optional<InstanceId> upstream = m_directory.idOf(address);
+    std::optional<InstanceId> upstream = m_directory.idOf(address);
     if (upstream) {
         m_directory.noteBlamed(*upstream, now);
     }
