Give the relay's engine load a name of its own

Cause: class EngineLoad had the name of a struct in core/upstreammessages.h. The address sanitizer reported a broken tree in a unit test; the program itself links no other definition. The check of type names compared 'class X' with 'struct X' as different.

--- a/UnitTests/relay/engineplannertest.cpp
+++ b/UnitTests/relay/engineplannertest.cpp
@@ -126,7 +126,7 @@
         now += 50ms;
     }
     for (const auto *engine : engines) {
-        const EngineLoad &load = loads.load(engine->record.id);
+        const EngineWorkload &load = loads.load(engine->record.id);
         if (load.streamsTighterThan(400ms) > 0) {
             CHECK(load.backlog(now) <= 125ms);
         }
--- a/ibismast/relay/engineload.cpp
+++ b/ibismast/relay/engineload.cpp
@@ -36,19 +36,19 @@
     return fromMs(step * static_cast<double>(profile.stride));
 }
 
-Duration EngineLoad::backlog(TimePoint now) const
+Duration EngineWorkload::backlog(TimePoint now) const
 {
     return m_readUntil > now ? m_readUntil - now : Duration::zero();
 }
 
-std::size_t EngineLoad::streamsTighterThan(Duration limit) const
+std::size_t EngineWorkload::streamsTighterThan(Duration limit) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_streams, [limit](const auto &entry) {
         return entry.second.pauseTarget < limit;
     }));
 }
 
-Duration EngineLoad::shortestPause() const
+Duration EngineWorkload::shortestPause() const
 {
     Duration shortest = Duration::max();
     for (const auto &[id, stream] : m_streams) {
@@ -67,12 +67,12 @@
     if (!added) {
         return;
     }
-    EngineLoad &writer = m_loads[placement.writer];
-    writer.m_streams.emplace(placement.id, EngineLoad::Stream {placement.pauseTarget, placement.memory});
+    EngineWorkload &writer = m_loads[placement.writer];
+    writer.m_streams.emplace(placement.id, EngineWorkload::Stream {placement.pauseTarget, placement.memory});
     writer.m_memory += placement.memory;
     Duration reading {};
     for (const ReadShare &share : placement.reads) {
-        EngineLoad &load = m_loads[share.engine];
+        EngineWorkload &load = m_loads[share.engine];
         load.m_readUntil = std::max(load.m_readUntil, now) + share.reading;
         load.m_memory += share.memory;
         call->second.reads.push_back({share.engine, share.reading, load.m_readUntil, share.memory});
@@ -117,7 +117,7 @@
         }
         m_loads[read.engine].m_memory -= read.memory;
     }
-    EngineLoad &writer = m_loads[call->second.writer];
+    EngineWorkload &writer = m_loads[call->second.writer];
     const auto stream = writer.m_streams.find(id);
     writer.m_memory -= stream->second.memory;
     writer.m_streams.erase(stream);
@@ -131,7 +131,7 @@
          call != m_calls.end() && call->first.entry == entry;
          ++call) {
         const auto &[id, open] = *call;
-        const EngineLoad::Stream &stream = m_loads.at(open.writer).m_streams.at(id);
+        const EngineWorkload::Stream &stream = m_loads.at(open.writer).m_streams.at(id);
         Placement placement;
         placement.id = id;
         placement.writer = open.writer;
@@ -175,7 +175,7 @@
     }
 }
 
-const EngineLoad &EngineLoadTable::load(const InstanceId &engine) const
+const EngineWorkload &EngineLoadTable::load(const InstanceId &engine) const
 {
     const auto found = m_loads.find(engine);
     return found == m_loads.end() ? m_none : found->second;
--- a/ibismast/relay/engineload.h
+++ b/ibismast/relay/engineload.h
@@ -55,7 +55,7 @@
 [[nodiscard]] Duration writingPass(const EngineProfile &profile, std::size_t streams, Tokens context);
 
 /// Work on one engine, as far as this entry knows.
-class EngineLoad
+class EngineWorkload
 {
 public:
     /// Reading that has been placed and has not been done at @p now, in time of the engine.
@@ -121,7 +121,7 @@
     void expire(TimePoint now);
 
     /// Returns the load of @p engine; an unknown one has none.
-    [[nodiscard]] const EngineLoad &load(const InstanceId &engine) const;
+    [[nodiscard]] const EngineWorkload &load(const InstanceId &engine) const;
     /// Engines that the reading of long prompts has kept busy lately, as a number of whole engines.
     [[nodiscard]] double longDemand(TimePoint now) const;
     [[nodiscard]] std::size_t calls() const
@@ -146,9 +146,9 @@
     };
 
     EngineLoadSettings m_settings;
-    std::map<InstanceId, EngineLoad> m_loads;
+    std::map<InstanceId, EngineWorkload> m_loads;
     std::map<PlacedCallId, Call> m_calls;
-    EngineLoad m_none;
+    EngineWorkload m_none;
     /// Reading of long prompts in seconds of engine time, decayed to `m_longReadingTime`.
     double m_longReading = 0.0;
     TimePoint m_longReadingTime;
--- a/ibismast/relay/engineplanner.cpp
+++ b/ibismast/relay/engineplanner.cpp
@@ -30,7 +30,7 @@
     return query.size.prompt + Tokens(output);
 }
 
-bool EnginePlanner::hasRoom(const EngineLoad &load, Tokens memory, const EngineProfile &profile) const
+bool EnginePlanner::hasRoom(const EngineWorkload &load, Tokens memory, const EngineProfile &profile) const
 {
     const bool fits = load.memory() + memory <= usableMemory(profile);
     return fits && load.streams() < static_cast<std::size_t>(profile.slots);
@@ -41,13 +41,13 @@
     return fromSeconds(toSeconds(pauseTarget) * m_settings.pauseShare);
 }
 
-bool EnginePlanner::bears(const EngineLoad &load, Duration reading, TimePoint now) const
+bool EnginePlanner::bears(const EngineWorkload &load, Duration reading, TimePoint now) const
 {
     const Duration shortest = load.shortestPause();
     return shortest == Duration::max() || load.backlog(now) + reading <= allowedReading(shortest);
 }
 
-bool EnginePlanner::hasShortStreams(const EngineLoad &load) const
+bool EnginePlanner::hasShortStreams(const EngineWorkload &load) const
 {
     return load.streamsTighterThan(m_settings.tightPause) > 0;
 }
@@ -65,7 +65,7 @@
     std::optional<EnginePlan> best;
     Duration bestCost = Duration::max();
     for (const auto *engine : engines) {
-        const EngineLoad &load = m_loads->load(engine->record.id);
+        const EngineWorkload &load = m_loads->load(engine->record.id);
         if (!hasRoom(load, memory, profile)) {
             continue;
         }
@@ -99,7 +99,7 @@
 {
     std::vector<Candidate> candidates;
     for (const auto *engine : engines) {
-        const EngineLoad &load = m_loads->load(engine->record.id);
+        const EngineWorkload &load = m_loads->load(engine->record.id);
         if (accepts(load)) {
             candidates.push_back({engine, &load, load.backlog(now)});
         }
@@ -159,7 +159,7 @@
         return modest ? modestSplit(candidates, reading, contentEnd) : bestSplit(candidates, reading);
     };
     // Engines whose streams are not disturbed, then those without short streams as well, then all.
-    std::vector<Candidate> candidates = ranked(engines, now, [&](const EngineLoad &load) {
+    std::vector<Candidate> candidates = ranked(engines, now, [&](const EngineWorkload &load) {
         // All reads of a pass end with it, so a very long part must not share one with others.
         return modest ? load.streams() == 0 && load.backlog(now) == Duration::zero()
                       : !hasShortStreams(load) && bears(load, part, now);
@@ -169,7 +169,7 @@
         if (best.parts > 0 && (all || best.end <= contentEnd)) {
             break;
         }
-        std::vector<Candidate> wider = ranked(engines, now, [&](const EngineLoad &load) {
+        std::vector<Candidate> wider = ranked(engines, now, [&](const EngineWorkload &load) {
             return all || !hasShortStreams(load) || bears(load, part, now);
         });
         const Split widerSplit = split(wider);
--- a/ibismast/relay/engineplanner.h
+++ b/ibismast/relay/engineplanner.h
@@ -106,7 +106,7 @@
     struct Candidate
     {
         const UpstreamDirectory::Member *engine = nullptr;
-        const EngineLoad *load = nullptr;
+        const EngineWorkload *load = nullptr;
         /// Time after which a part of a long read can begin.
         Duration start {};
     };
@@ -118,11 +118,11 @@
     };
 
     [[nodiscard]] Tokens memoryOf(const GenerationQuery &query, const EngineProfile &profile) const;
-    [[nodiscard]] bool hasRoom(const EngineLoad &load, Tokens memory, const EngineProfile &profile) const;
+    [[nodiscard]] bool hasRoom(const EngineWorkload &load, Tokens memory, const EngineProfile &profile) const;
     [[nodiscard]] Duration allowedReading(Duration pauseTarget) const;
     /// True if @p reading more on an engine keeps the pauses of all its streams.
-    [[nodiscard]] bool bears(const EngineLoad &load, Duration reading, TimePoint now) const;
-    [[nodiscard]] bool hasShortStreams(const EngineLoad &load) const;
+    [[nodiscard]] bool bears(const EngineWorkload &load, Duration reading, TimePoint now) const;
+    [[nodiscard]] bool hasShortStreams(const EngineWorkload &load) const;
     [[nodiscard]] std::optional<EnginePlan> planWhole(const GenerationQuery &query,
                                                       const EngineProfile &profile,
                                                       const std::vector<const UpstreamDirectory::Member *> &engines,
