Give the load tool's report a name of its own

The stricter check of type names found class LoadReport beside the message of that name. Only the name changes; the three files that use it compile.

--- a/UnitTests/load/loadrunnertest.cpp
+++ b/UnitTests/load/loadrunnertest.cpp
@@ -117,7 +117,7 @@
     CHECK(count(outcomes, Verdict::Answered) == outcomes.size());
 
     std::ostringstream csv;
-    const LoadReport report(settings, outcomes);
+    const LoadRunReport report(settings, outcomes);
     report.writeCsv(csv);
     CHECK(static_cast<std::size_t>(std::ranges::count(csv.str(), '\n')) == outcomes.size() + 1);
     CHECK(report.correct());
@@ -132,7 +132,7 @@
     static_cast<void>(entry.execute({{"fault", "cross_answers"}, {"count", 2}}));
     const std::vector<Outcome> outcomes = run(settings);
     CHECK(count(outcomes, Verdict::Wrong) == 2);
-    CHECK_FALSE(LoadReport(settings, outcomes).correct());
+    CHECK_FALSE(LoadRunReport(settings, outcomes).correct());
 }
 
 TEST_CASE("a request whose connection breaks or whose entry is gone is sent to the next entry", "[load]")
@@ -178,7 +178,7 @@
     const std::vector<Outcome> outcomes = run(settings);
     CHECK(count(outcomes, Verdict::Failed) == outcomes.size());
     std::ostringstream text;
-    LoadReport(settings, outcomes).print(text);
+    LoadRunReport(settings, outcomes).print(text);
     CHECK(text.str().find("failure code=2001 name=DeadlineNotFeasible count=" + std::to_string(outcomes.size()))
           != std::string::npos);
 }
--- a/load/loadreport.cpp
+++ b/load/loadreport.cpp
@@ -78,7 +78,7 @@
     return values[static_cast<std::size_t>(index)];
 }
 
-LoadReport::LoadReport(const LoadSettings &settings, const std::vector<Outcome> &outcomes)
+LoadRunReport::LoadRunReport(const LoadSettings &settings, const std::vector<Outcome> &outcomes)
     : m_settings(settings), m_outcomes(outcomes)
 {
     for (const Outcome &outcome : outcomes) {
@@ -86,18 +86,18 @@
     }
 }
 
-std::size_t LoadReport::count(Verdict verdict) const
+std::size_t LoadRunReport::count(Verdict verdict) const
 {
     const auto entry = m_counts.find(verdict);
     return entry == m_counts.end() ? 0 : entry->second;
 }
 
-bool LoadReport::correct() const
+bool LoadRunReport::correct() const
 {
     return count(Verdict::Lost) + count(Verdict::Wrong) + count(Verdict::Duplicate) + count(Verdict::Late) == 0;
 }
 
-void LoadReport::print(std::ostream &out) const
+void LoadRunReport::print(std::ostream &out) const
 {
     std::map<std::string, std::vector<const Outcome *>> byClass;
     std::map<std::string, std::vector<const Outcome *>> byCustomer;
@@ -147,9 +147,9 @@
     out << '\n';
 }
 
-void LoadReport::printGroup(std::ostream &out,
-                            const std::string &label,
-                            const std::vector<const Outcome *> &group) const
+void LoadRunReport::printGroup(std::ostream &out,
+                               const std::string &label,
+                               const std::vector<const Outcome *> &group) const
 {
     const auto answered = std::ranges::count_if(group, [](const Outcome *outcome) {
         return outcome->verdict == Verdict::Answered;
@@ -170,7 +170,7 @@
     out << '\n';
 }
 
-void LoadReport::printHeadOfLine(std::ostream &out) const
+void LoadRunReport::printHeadOfLine(std::ostream &out) const
 {
     std::vector<const Outcome *> alone;
     std::vector<const Outcome *> beside;
@@ -185,7 +185,7 @@
         << " ttft_p95_ms=" << toMilliseconds(percentile(firstTokens(beside), 0.95)) << '\n';
 }
 
-void LoadReport::writeCsv(std::ostream &out) const
+void LoadRunReport::writeCsv(std::ostream &out) const
 {
     out << "number,start_ms,customer,class,prompt_tokens,max_tokens,tokens,deadline_ms,ttft_ms,end_ms,verdict,code,"
            "http_status,broken_connections,beside_long,target\n";
@@ -202,7 +202,7 @@
     }
 }
 
-void LoadReport::writePlot(std::ostream &out) const
+void LoadRunReport::writePlot(std::ostream &out) const
 {
     // Decades of the axes: 10^3 to 10^6 tokens, 10^0 to 10^5 milliseconds.
     constexpr double Left = 70;
--- a/load/loadreport.h
+++ b/load/loadreport.h
@@ -13,10 +13,10 @@
 [[nodiscard]] Duration percentile(std::vector<Duration> values, double quantile);
 
 /// Figures over all requests of a run.
-class LoadReport
+class LoadRunReport
 {
 public:
-    LoadReport(const LoadSettings &settings, const std::vector<Outcome> &outcomes);
+    LoadRunReport(const LoadSettings &settings, const std::vector<Outcome> &outcomes);
 
     /// Number of requests with @p verdict.
     [[nodiscard]] std::size_t count(Verdict verdict) const;
--- a/load/main.cpp
+++ b/load/main.cpp
@@ -136,7 +136,7 @@
         Qt::QueuedConnection);
     QCoreApplication::exec();
 
-    const LoadReport report(settings, runner.outcomes());
+    const LoadRunReport report(settings, runner.outcomes());
     report.print(std::cout);
     const bool csvWritten = writeFile(options.csv, [&report](std::ostream &out) {
         report.writeCsv(out);
