--- a/daemons/agent/main.cpp
+++ b/daemons/agent/main.cpp
@@ -18,7 +18,7 @@
 Smallest settings file:
   [instance]
   id = agent-1
-  domain = kielce-a
+  domain = zone-a
   [peers]
   listen = 127.0.0.1:7070
   [engine]
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -19,7 +19,7 @@
 Smallest settings file:
   [instance]
   id = entry-1
-  domain = kielce-a
+  domain = zone-a
   [http]
   listen = 127.0.0.1:8080
   [peers]
--- a/ibismast/core/ids.h
+++ b/ibismast/core/ids.h
@@ -11,7 +11,7 @@
 using InstanceId = StrongString<struct InstanceIdTag>;
 /// Name of a failure domain (availability zone).
 using FailureDomain = StrongString<struct FailureDomainTag>;
-/// Name of a customer (tenant).
+/// Name of a customer.
 using CustomerId = StrongString<struct CustomerIdTag>;
 /// Name of a model deployment.
 using ModelName = StrongString<struct ModelNameTag>;
