Share the reads of the store in large fleets

Cause: each entry read the list of upstreams every 0.7 s and waited for the configuration in calls of 1.2 s, about 2.3 calls a second and entry.

Entries of a fleet of six or more now tell each other a digest of their list with the age of their own read, and put off their reads by 0.6 to 0.9 s from the newest read of the same list; each still reads every 2.1 s for the upstreams' reports. Four entries wait for a new configuration for all; the others read it once they hear of it. An age that was passed on would grow younger on the way, so only own reads are told. An entry that the store does not answer asks one that has read a newer list.

In virtual time: 26 entries make 0.75 calls a second each or fewer (2.3 before), and a leaving upstream or a new configuration is noticed within 2 s also with 3, 9 or 16 of 26 entries cut off from the store.

--- a/UnitTests/relay/clusterwatchtest.cpp
+++ b/UnitTests/relay/clusterwatchtest.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <memory>
+
 using namespace ibismast;
 using namespace std::chrono_literals;
 
@@ -30,6 +33,7 @@
         upstream.id = InstanceId(record.key);
         upstream.service = ServiceName("pool");
         upstream.address = UpstreamAddress(record.value);
+        upstream.leaving = record.value == "leaving";
         return upstream;
     }
 };
@@ -64,6 +68,10 @@
     {
         return core.config() == nullptr ? 0 : core.config()->version.value();
     }
+    static EntryKnowledge peer(std::int64_t configVersion)
+    {
+        return {"peer", RelayConfigVersion(configVersion), false, 0, std::nullopt};
+    }
     static Error failure()
     {
         return {ResultCode::StoreUnavailable, "no answer", std::nullopt};
@@ -76,8 +84,225 @@
     TimePoint now {1'000s};
 };
 
+/// Entries of a large fleet and the store in virtual time. Entries greet each other every 500 ms.
+class SharingFleet
+{
+public:
+    explicit SharingFleet(std::size_t size)
+    {
+        for (std::size_t index = 0; index < size; ++index) {
+            m_entries.push_back(std::make_unique<Entry>(*this, index));
+        }
+    }
+
+    void run(Duration time)
+    {
+        for (const TimePoint end = m_now + time; m_now < end; m_now += 5ms) {
+            for (auto &entry : m_entries) {
+                entry->step(*this);
+            }
+        }
+    }
+    /// The store does not answer the entries from @p first to @p last any more.
+    void cut(std::size_t first, std::size_t last)
+    {
+        for (std::size_t index = first; index <= last; ++index) {
+            m_entries[index]->cut = true;
+        }
+    }
+    /// Runs until @p reached holds for all entries and returns the time that took.
+    template<typename Condition> Duration runUntilAll(const Condition &reached)
+    {
+        const TimePoint start = m_now;
+        while (m_now - start < 10s && !std::ranges::all_of(m_entries, [&](const auto &entry) {
+            return reached(entry->core);
+        })) {
+            run(5ms);
+        }
+        return m_now - start;
+    }
+    /// Stores three upstreams, of which "c" may be leaving, and a configuration.
+    void store(bool leaving, std::int64_t config)
+    {
+        ++m_revision;
+        m_upstreams = {{"a", "1:1", m_revision}, {"b", "1:2", m_revision}, {"c", leaving ? "leaving" : "1:3", m_revision}};
+        if (config != m_config) {
+            m_config = config;
+            m_configRevision = m_revision;
+        }
+    }
+
+    int calls = 0;
+
+private:
+    struct Answer
+    {
+        TimePoint due;
+        WatchRequest request;
+    };
+    struct Entry
+    {
+        Entry(const SharingFleet &fleet, std::size_t index)
+            : name(std::to_string(100 + index))
+            , greeting(fleet.m_now + 20ms * static_cast<int>(index))
+            , core(settings(name), index + 1, listener)
+            , watch(ClusterWatchSettings(), decoder, core, index + 1, listener)
+        {
+        }
+        static RelayCoreSettings settings(const std::string &name)
+        {
+            RelayCoreSettings result;
+            result.self = InstanceId(name);
+            return result;
+        }
+
+        void step(SharingFleet &fleet)
+        {
+            const TimePoint now = fleet.m_now;
+            for (std::size_t index = 0; index < answers.size();) {
+                if (fleet.isDue(answers[index])) {
+                    const Answer answer = answers[index];
+                    answers.erase(answers.begin() + static_cast<std::ptrdiff_t>(index));
+                    fleet.give(*this, answer.request);
+                } else {
+                    ++index;
+                }
+            }
+            watch.expire(now);
+            std::vector<WatchRequest> requests;
+            watch.tick(now, requests);
+            for (const WatchRequest &request : requests) {
+                fleet.calls += std::holds_alternative<AskEntry>(request) ? 0 : 1;
+                answers.push_back({now + (cut ? fleet.timeoutOf(request) : fleet.answerTimeOf(request)), request});
+            }
+            if (watch.takeNewsDue() || now >= greeting) {
+                greeting = now + 500ms;
+                EntryKnowledge knowledge = watch.knowledge(now);
+                knowledge.copyAddress = name;
+                for (auto &other : fleet.m_entries) {
+                    if (other.get() != this) {
+                        other->watch.noteEntry(InstanceId(name), knowledge, now);
+                    }
+                }
+            }
+        }
+
+        std::string name;
+        bool cut = false;
+        TimePoint greeting;
+        FakeDecoder decoder;
+        EventListener listener;
+        RelayCore core;
+        ClusterWatch watch;
+        std::vector<Answer> answers;
+    };
+
+    static Duration timeoutOf(const WatchRequest &request)
+    {
+        return std::visit(
+            [](const auto &read) {
+                return read.timeout;
+            },
+            request);
+    }
+    static Duration answerTimeOf(const WatchRequest &request)
+    {
+        const auto *await = std::get_if<AwaitConfig>(&request);
+        return await != nullptr ? await->wait : Duration(5ms);
+    }
+    [[nodiscard]] bool isDue(const Answer &answer) const
+    {
+        const auto *await = std::get_if<AwaitConfig>(&answer.request);
+        return m_now >= answer.due || (await != nullptr && m_configRevision > await->revision);
+    }
+    void give(Entry &entry, const WatchRequest &request)
+    {
+        const Error failure {ResultCode::StoreUnavailable, "no answer", std::nullopt};
+        const StoredConfig config {StoredRecord {"c", std::to_string(m_config), m_configRevision}, m_revision};
+        std::visit(Overloaded {[&](const ReadUpstreams & /*read*/) {
+                                   entry.watch.upstreamsRead(entry.cut ? Result<StoredUpstreams>(failure)
+                                                                       : StoredUpstreams {m_upstreams, m_revision},
+                                                             m_now);
+                               },
+                               [&](const ReadConfig & /*read*/) {
+                                   entry.watch.configRead(entry.cut ? Result<StoredConfig>(failure) : config, m_now);
+                               },
+                               [&](const AwaitConfig & /*await*/) {
+                                   entry.watch.configAwaited(entry.cut ? Result<StoredConfig>(failure) : config, m_now);
+                               },
+                               [&](const AskEntry &ask) {
+                                   for (const auto &other : m_entries) {
+                                       if (other->name == ask.address) {
+                                           entry.watch.copyReceived(other->watch.copy(m_now), m_now);
+                                       }
+                                   }
+                               }},
+                   request);
+    }
+
+    TimePoint m_now {1'000s};
+    std::vector<StoredRecord> m_upstreams;
+    std::int64_t m_revision = 0;
+    std::int64_t m_config = 0;
+    std::int64_t m_configRevision = 0;
+    std::vector<std::unique_ptr<Entry>> m_entries;
+};
+
 } // namespace
 
+// Guards against calls to the store that grow with the number of entries: each one costs money.
+// Pattern: 26 entries that watch 78 upstreams in quiet times.
+TEST_CASE("the entries of a large fleet share their reads of the store", "[relay]")
+{
+    const auto [entries, most] = GENERATE(table<std::size_t, double>({{3, 2.4}, {26, 0.75}, {100, 0.65}}));
+    SharingFleet fleet(entries);
+    fleet.store(false, 1);
+    fleet.run(5s);
+    fleet.calls = 0;
+    fleet.run(20s);
+    // Calls of one entry in a second.
+    CHECK(fleet.calls / 20.0 / static_cast<double>(entries) <= most);
+}
+
+// Guards against shared reads that delay what must be noticed within 2 s, also while some entries do not reach the
+// store. The first four wait for configurations.
+TEST_CASE("a change is noticed in time by all entries that share reads", "[relay]")
+{
+    const auto [entries, firstCut, lastCut] = GENERATE(table<std::size_t, std::size_t, std::size_t>(
+        {{3, 1, 0}, {26, 1, 0}, {26, 0, 0}, {26, 0, 2}, {26, 1, 9}, {26, 10, 25}, {100, 0, 2}}));
+    const bool list = GENERATE(true, false);
+    SharingFleet fleet(entries);
+    fleet.store(false, 1);
+    fleet.run(5s);
+    fleet.cut(firstCut, lastCut);
+    const Duration before = GENERATE(0ms, 300ms, 1'200ms);
+    fleet.run(before);
+    fleet.store(list, list ? 1 : 2);
+    const Duration taken = fleet.runUntilAll([list](RelayCore &core) {
+        return list ? core.directory().find(InstanceId("c"))->record.leaving
+                    : core.config() != nullptr && core.config()->version.value() == 2;
+    });
+    CAPTURE(entries, firstCut, lastCut, list, before.count());
+    CHECK(taken <= 2s);
+}
+
+// Guards against a list whose age is passed on between entries and grows younger on the way.
+TEST_CASE_METHOD(WatchFixture, "only an own read is told to other entries", "[relay]")
+{
+    (void)due();
+    watch.upstreamsRead(StoredUpstreams {{{"a", "1:1", 5}}, 5}, now);
+    const std::uint64_t digest = watch.knowledge(now).listDigest;
+    now += 500ms;
+    for (const std::string name : {"p", "q", "r", "s", "t"}) {
+        watch.noteEntry(InstanceId(name), {name, RelayConfigVersion(), false, digest, 10ms}, now);
+    }
+    CHECK(watch.knowledge(now).listAge == std::optional<Duration>(500ms));
+    now += 1s;
+    CHECK(due().find("list") != std::string::npos);
+    watch.copyReceived(RecordCopy {std::nullopt, {{{"b", "2:2", 8}}, 9}, 100ms}, now);
+    CHECK(watch.knowledge(now).listAge == std::nullopt);
+}
+
 // Guards against a configuration that goes back to an older version.
 TEST_CASE_METHOD(WatchFixture, "only a newer configuration is put in force", "[relay]")
 {
@@ -111,17 +336,17 @@
     (void)due();
     SECTION("old configuration")
     {
-        watch.noteEntry("peer", RelayConfigVersion(8), now);
+        watch.noteEntry(InstanceId("p"), peer(8), now);
         CHECK(due() == "ask:peer ");
         watch.copyReceived(RecordCopy {StoredRecord {"c", "8", 6}, {}, 0ms}, now);
         CHECK(version() == 8);
     }
     SECTION("stale list")
     {
-        watch.noteEntry("peer", RelayConfigVersion(7), now);
+        watch.noteEntry(InstanceId("p"), peer(7), now);
         CHECK(due().empty());
         now += 1'200ms;
-        watch.noteEntry("peer", RelayConfigVersion(7), now);
+        watch.noteEntry(InstanceId("p"), peer(7), now);
         CHECK(due() == "list ask:peer ");
         watch.copyReceived(RecordCopy {std::nullopt, {{{"b", "2:2", 8}}, 9}, 100ms}, now);
         CHECK(core.directory().find(InstanceId("b")) != nullptr);
--- a/UnitTests/wire/relaycodectest.cpp
+++ b/UnitTests/wire/relaycodectest.cpp
@@ -10,9 +10,9 @@
 {
     EntryNews news;
     news.sender = {InstanceId("entry-1"), Incarnation(7), "10.0.0.1:1"};
-    news.copyAddress = "10.0.0.1:2";
+    const std::optional<Duration> listAge = GENERATE(std::optional<Duration>(), std::optional<Duration>(250ms));
+    news.knowledge = {"10.0.0.1:2", RelayConfigVersion(9), listAge.has_value(), listAge ? 0xfedcba9876543210U : 0, listAge};
     news.heard = {"10.0.0.2:1"};
-    news.configVersion = RelayConfigVersion(9);
     news.listRevision = 44;
     Placement placement;
     placement.id = {InstanceId("entry-1"), CallNumber(3)};
@@ -26,9 +26,8 @@
     REQUIRE(errorOf(result) == nullptr);
     const auto &decoded = std::get<EntryNews>(result);
     CHECK(decoded.sender == news.sender);
-    CHECK(decoded.copyAddress == news.copyAddress);
+    CHECK(decoded.knowledge == news.knowledge);
     CHECK(decoded.heard == news.heard);
-    CHECK(decoded.configVersion == news.configVersion);
     CHECK(decoded.listRevision == news.listRevision);
     CHECK(decoded.load.placed == news.load.placed);
     CHECK(decoded.load.read == news.load.read);
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -68,13 +68,13 @@
         Overloaded {[this](const ReadUpstreams &read) {
                         m_platform.store->readUpstreams(read.timeout, [this](const Result<StoredUpstreams> &result) {
                             m_watch.upstreamsRead(result, processNow());
-                            armTimer();
+                            tick();
                         });
                     },
                     [this](const ReadConfig &read) {
                         m_platform.store->readConfig(read.timeout, [this](const Result<StoredConfig> &result) {
                             m_watch.configRead(result, processNow());
-                            armTimer();
+                            tick();
                         });
                     },
                     [this](const AwaitConfig &await) {
@@ -122,7 +122,7 @@
     for (const WatchRequest &request : requests) {
         carryOut(request);
     }
-    if (now >= m_nextGreeting) {
+    if (m_watch.takeNewsDue() || now >= m_nextGreeting) {
         m_nextGreeting = now + GreetingInterval;
         greet();
     }
--- a/adapters/relay/relayprocessnews.cpp
+++ b/adapters/relay/relayprocessnews.cpp
@@ -35,9 +35,9 @@
             m_core.members().named(address, now);
         }
     }
-    m_watch.noteEntry(news.copyAddress, news.configVersion, now);
+    m_watch.noteEntry(news.sender.id, news.knowledge, now);
     m_core.applyNews(news.sender.id, news.load, now);
-    if (m_core.config() == nullptr || news.configVersion > m_core.config()->version) {
+    if (m_core.config() == nullptr || news.knowledge.configVersion > m_core.config()->version) {
         tick();
     }
 }
@@ -59,8 +59,9 @@
     news.sender = {m_settings.core.self,
                    m_incarnation,
                    m_settings.peers.address().to_string() + ":" + std::to_string(m_settings.peers.port())};
-    news.copyAddress = m_settings.control.address().to_string() + ":" + std::to_string(m_settings.control.port());
-    news.configVersion = m_core.config() != nullptr ? m_core.config()->version : RelayConfigVersion();
+    news.knowledge = m_watch.knowledge(processNow());
+    news.knowledge.copyAddress =
+        m_settings.control.address().to_string() + ":" + std::to_string(m_settings.control.port());
     news.listRevision = m_watch.listRevision();
     return news;
 }
--- a/ibismast/relay/clusterwatch.cpp
+++ b/ibismast/relay/clusterwatch.cpp
@@ -1,6 +1,7 @@
 #include "ibismast/relay/clusterwatch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ibismast
 {
@@ -8,9 +9,33 @@
 namespace
 {
 
-/// An entry whose address was not heard for this long is not asked.
+/// An entry that was not heard for this long is not asked.
 constexpr Duration EntrySilence = std::chrono::milliseconds(2500);
 
+/// Returns a digest of what a list says apart from the reports. It is compared between processes of one build.
+std::uint64_t digestOf(const UpstreamList &list)
+{
+    // FNV-1a, since the digest must not depend on the process as that of std::hash may.
+    constexpr std::uint64_t Offset = 14695981039346656037ULL;
+    constexpr std::uint64_t Prime = 1099511628211ULL;
+    std::uint64_t digest = Offset;
+    const auto add = [&digest](std::string_view text) {
+        for (const char character : text) {
+            digest = (digest ^ static_cast<unsigned char>(character)) * Prime;
+        }
+        digest = digest * Prime;
+    };
+    for (const UpstreamRecord &record : list.records) {
+        add(record.id.value());
+        add(record.service.value());
+        add(record.address.value());
+        add(record.domain.value());
+        add(record.leaving ? "leaving" : "");
+        add(std::to_string(record.incarnation.value()));
+    }
+    return digest;
+}
+
 } // namespace
 
 ClusterWatch::ClusterWatch(const ClusterWatchSettings &settings,
@@ -28,7 +53,7 @@
         m_listPending = true;
         requests.emplace_back(ReadUpstreams {m_settings.readTimeout});
     }
-    if (!m_configPending && now >= m_nextConfig) {
+    if (!m_configPending && now >= m_nextConfig && (m_configUnknown || !othersAwaitConfig(now))) {
         m_configPending = true;
         if (m_configUnknown) {
             requests.emplace_back(ReadConfig {m_settings.readTimeout});
@@ -48,19 +73,61 @@
 
 std::optional<std::string> ClusterWatch::entryToAsk(TimePoint now)
 {
-    const RelayConfig *config = m_core->config();
-    const RelayConfigVersion version = config != nullptr ? config->version : RelayConfigVersion();
-    for (const auto &[address, entry] : m_entries) {
-        if (entry.configVersion > version) {
-            return address;
+    const RelayConfigVersion version = configVersion();
+    // A new configuration may be large, so the entries of a large fleet get it from the store while that answers.
+    if (!sharesReads() || !m_storeAnswers) {
+        for (const auto &[id, entry] : m_entries) {
+            if (entry.knowledge.configVersion > version) {
+                return entry.knowledge.copyAddress;
+            }
+        }
+    }
+    const bool stale = !m_upstreams || now - m_listTime >= m_settings.staleList;
+    std::vector<const KnownEntry *> newer;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.knowledge.listAge && entry.heard - *entry.knowledge.listAge > m_listTime
+            && (stale || entry.knowledge.listDigest != m_listDigest)) {
+            newer.push_back(&entry);
         }
     }
-    if (m_entries.empty() || (m_upstreams && now - m_listTime < m_settings.staleList)) {
+    if (!newer.empty() && (stale || !m_storeAnswers)) {
+        return newer[m_random.below(newer.size())]->knowledge.copyAddress;
+    }
+    if (m_entries.empty() || !stale) {
         return std::nullopt;
     }
     auto chosen = m_entries.begin();
     std::advance(chosen, static_cast<std::ptrdiff_t>(m_random.below(m_entries.size())));
-    return chosen->first;
+    return chosen->second.knowledge.copyAddress;
+}
+
+RelayConfigVersion ClusterWatch::configVersion() const
+{
+    const RelayConfig *config = m_core->config();
+    return config != nullptr ? config->version : RelayConfigVersion();
+}
+
+Duration ClusterWatch::sharedPause()
+{
+    return m_settings.sharedListInterval + fromSeconds(m_random.uniform() * toSeconds(m_settings.sharedListSpread));
+}
+
+bool ClusterWatch::sharesReads() const
+{
+    return m_entries.size() >= m_settings.sharingFleet;
+}
+
+bool ClusterWatch::othersAwaitConfig(TimePoint now) const
+{
+    if (!sharesReads()) {
+        return false;
+    }
+    std::size_t waiters = 0;
+    for (const auto &[id, entry] : m_entries) {
+        const bool waits = entry.knowledge.awaitsConfig && now - entry.heard < m_settings.waiterSilence;
+        waiters += waits && id < m_core->self() ? 1 : 0;
+    }
+    return waiters >= m_settings.configWaiters;
 }
 
 Duration ClusterWatch::nextPause()
@@ -97,7 +164,13 @@
         return;
     }
     noteStore(true, "upstreams read", now);
+    m_ownListTime = now;
     m_nextList = now + m_settings.listInterval;
+    if (sharesReads()) {
+        // Others put off their reads as soon as they know of this one.
+        m_newsDue = true;
+        m_nextList = now + sharedPause();
+    }
     applyUpstreams(std::get<StoredUpstreams>(result), "store", now, now);
 }
 
@@ -150,6 +223,7 @@
     }
     const TimePoint read = now - copy.age;
     if (copy.upstreams.revision > 0 && (!m_upstreams || read > m_listTime)) {
+        m_ownListTime = TimePoint::min();
         applyUpstreams(copy.upstreams, "entry", read, now);
     }
 }
@@ -170,6 +244,7 @@
     }
     m_listener->onEvent("config_received",
                         {{"revision", std::to_string(record.revision)}, {"source", std::string(source)}});
+    m_newsDue = true;
     m_core->applyConfig(std::move(std::get<RelayConfig>(config)), now);
 }
 
@@ -199,12 +274,60 @@
     }
     m_upstreams = upstreams;
     m_listTime = read;
+    const std::uint64_t digest = digestOf(list);
+    m_newsDue = m_newsDue || digest != m_listDigest;
+    m_listDigest = digest;
     m_core->directory().apply(list, now);
 }
 
-void ClusterWatch::noteEntry(const std::string &address, RelayConfigVersion configVersion, TimePoint now)
+void ClusterWatch::confirmList(TimePoint read)
+{
+    m_listTime = std::max(m_listTime, read);
+    if (m_storeAnswers) {
+        const Duration pause = sharedPause();
+        m_nextList = std::min(m_listTime + pause, m_ownListTime + m_settings.ownListInterval);
+    }
+}
+
+void ClusterWatch::noteEntry(const InstanceId &id, const EntryKnowledge &knowledge, TimePoint now)
 {
-    m_entries[address] = KnownEntry {configVersion, now};
+    m_entries[id] = KnownEntry {knowledge, now};
+    if (!sharesReads()) {
+        return;
+    }
+    if (knowledge.configVersion > configVersion() && m_storeAnswers && !m_configPending) {
+        m_configUnknown = true;
+        m_nextConfig = std::min(m_nextConfig, now);
+    }
+    if (!knowledge.listAge || !m_upstreams || m_listPending) {
+        return;
+    }
+    const TimePoint read = now - *knowledge.listAge;
+    if (read <= m_listTime) {
+        return;
+    }
+    if (knowledge.listDigest == m_listDigest) {
+        confirmList(read);
+    } else if (m_storeAnswers) {
+        m_nextList = std::min(m_nextList, now);
+    }
+}
+
+bool ClusterWatch::takeNewsDue()
+{
+    return std::exchange(m_newsDue, false);
+}
+
+EntryKnowledge ClusterWatch::knowledge(TimePoint now) const
+{
+    EntryKnowledge result;
+    result.configVersion = configVersion();
+    result.awaitsConfig = m_configPending && !m_configUnknown && m_storeAnswers;
+    if (m_ownListTime > TimePoint::min()) {
+        result.listDigest = m_listDigest;
+        result.listAge = now - m_ownListTime;
+    }
+    return result;
 }
 
 void ClusterWatch::expire(TimePoint now)
--- a/ibismast/relay/clusterwatch.h
+++ b/ibismast/relay/clusterwatch.h
@@ -51,6 +51,21 @@
     Duration staleList = std::chrono::milliseconds(1100);
     /// Pause between two questions to other entries.
     Duration askInterval = std::chrono::milliseconds(400);
+    /// Entries of a fleet larger than this share their reads of the store, whose calls cost money; a smaller one gains
+    /// little and would rest on a single reader.
+    std::size_t sharingFleet = 5;
+    /// Pause between reads of a sharing entry, counted from the newest read of the same list by any entry, and the
+    /// random time added to it so that few entries read at once. The sum and one failed read must stay below the time
+    /// after which a leaving upstream gets no new work.
+    Duration sharedListInterval = std::chrono::milliseconds(600);
+    Duration sharedListSpread = std::chrono::milliseconds(300);
+    /// A sharing entry reads at least this often, since only a read shows the upstreams' reports.
+    Duration ownListInterval = std::chrono::milliseconds(2100);
+    /// Number of entries that wait at the store for a new configuration for the whole fleet, those with the smallest
+    /// ids. All of them must fail at once before a new configuration is noticed late.
+    std::size_t configWaiters = 4;
+    /// Time for which an entry's word that it waits for a new configuration counts; entries greet every 500 ms.
+    Duration waiterSilence = std::chrono::milliseconds(1200);
 };
 
 /// Keeps the configuration and the list of upstreams current: by the store, and by other entries' copies while the
@@ -72,8 +87,12 @@
     void configAwaited(const Result<StoredConfig> &result, TimePoint now);
     void copyReceived(const Result<RecordCopy> &result, TimePoint now);
 
-    /// Another entry has told what it knows; @p address hands out its copy.
-    void noteEntry(const std::string &address, RelayConfigVersion configVersion, TimePoint now);
+    /// The entry @p id has told what it knows.
+    void noteEntry(const InstanceId &id, const EntryKnowledge &knowledge, TimePoint now);
+    /// Returns what this entry knows, without the address of its copy.
+    [[nodiscard]] EntryKnowledge knowledge(TimePoint now) const;
+    /// True once after a read or a change that other entries should hear of at once.
+    [[nodiscard]] bool takeNewsDue();
     /// Forgets the addresses of entries that are gone.
     void expire(TimePoint now);
     /// Returns the records that this entry knows.
@@ -87,7 +106,7 @@
 private:
     struct KnownEntry
     {
-        RelayConfigVersion configVersion;
+        EntryKnowledge knowledge;
         TimePoint heard;
     };
 
@@ -96,6 +115,16 @@
     void noteStore(bool answered, std::string_view reason, TimePoint now);
     [[nodiscard]] Duration nextPause();
     [[nodiscard]] std::optional<std::string> entryToAsk(TimePoint now);
+    /// True if the fleet is large enough to share reads of the store.
+    [[nodiscard]] bool sharesReads() const;
+    /// Returns the pause between a read by any entry and the next one of this entry.
+    [[nodiscard]] Duration sharedPause();
+    /// True if enough other entries wait at the store for a new configuration.
+    [[nodiscard]] bool othersAwaitConfig(TimePoint now) const;
+    /// Another entry has read the list that this one has at @p read.
+    void confirmList(TimePoint read);
+    /// Version in force; 0 if there is none.
+    [[nodiscard]] RelayConfigVersion configVersion() const;
 
     ClusterWatchSettings m_settings;
     const RecordDecoder *m_decoder;
@@ -107,6 +136,10 @@
     std::optional<StoredUpstreams> m_upstreams;
     /// Time at which the list was true, by this process's clock.
     TimePoint m_listTime = TimePoint::min();
+    /// Time of this entry's read of the list that it has; the earliest time if the list is another entry's copy. Only
+    /// own reads are told to others: a time that was passed on would grow younger with each delay on its way.
+    TimePoint m_ownListTime = TimePoint::min();
+    std::uint64_t m_listDigest = 0;
     std::set<std::pair<std::string, std::int64_t>> m_reportedRecords;
 
     bool m_listPending = false;
@@ -120,8 +153,9 @@
     TimePoint m_nextConfig = TimePoint::min();
     TimePoint m_nextAsk = TimePoint::min();
     bool m_storeAnswers = true;
+    bool m_newsDue = false;
     Duration m_pause {};
-    std::map<std::string, KnownEntry> m_entries;
+    std::map<InstanceId, KnownEntry> m_entries;
 };
 
 } // namespace ibismast
--- a/ibismast/relay/platformrecords.h
+++ b/ibismast/relay/platformrecords.h
@@ -42,6 +42,22 @@
     Duration age {};
 };
 
+/// What an entry tells others of the records that it has.
+struct EntryKnowledge
+{
+    /// Address at which it hands out its copy.
+    std::string copyAddress;
+    RelayConfigVersion configVersion;
+    /// True while it waits at the store for a new configuration.
+    bool awaitsConfig = false;
+    /// Digest of its list of upstreams without their reports; lists with the same digest name the same upstreams.
+    std::uint64_t listDigest = 0;
+    /// Time since it read the list; nothing if it has none.
+    std::optional<Duration> listAge;
+
+    bool operator==(const EntryKnowledge &) const = default;
+};
+
 /// Translates the platform's records into the product's types.
 class RecordDecoder
 {
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -53,6 +53,8 @@
     double retrySlack = 100.0;
     /// Share of these that is used, since the entries' windows are not aligned with those of the judge of the budget.
     double retryMargin = 0.6;
+    /// Multiple of the engines' memory that may be taken by estimate, since outputs are usually shorter than estimated.
+    double memoryOvercommit = 2.0;
     /// Streams that may wait at an engine beyond its slots before calls are refused: a longer wait costs most of an
     /// answer's worth, and room elsewhere is a second away.
     int engineQueue = 1;
--- a/wire/relay.thrift
+++ b/wire/relay.thrift
@@ -42,6 +42,11 @@
     10: optional list<i64> readCalls,
     /// Fingerprints of refused calls that may come back through another entry.
     11: optional list<i64> refused,
+    /// Digest of the sender's list of upstreams without their reports, and time since the list was read.
+    12: optional i64 listDigest,
+    13: optional i64 listAgeMs,
+    /// True while the sender waits at the store for a new configuration.
+    14: optional bool awaitsConfig,
 }
 
 /// Record of the platform's store as it was read.
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -98,9 +98,17 @@
     message.entry = news.sender.id.value();
     message.incarnation = static_cast<std::int64_t>(news.sender.incarnation.value());
     message.address = news.sender.address;
-    message.configVersion = news.configVersion.value();
+    const EntryKnowledge &knowledge = news.knowledge;
+    message.configVersion = knowledge.configVersion.value();
     message.listRevision = news.listRevision;
-    message.__set_copyAddress(news.copyAddress);
+    message.__set_copyAddress(knowledge.copyAddress);
+    if (knowledge.listAge) {
+        message.__set_listDigest(static_cast<std::int64_t>(knowledge.listDigest));
+        message.__set_listAgeMs(std::chrono::duration_cast<std::chrono::milliseconds>(*knowledge.listAge).count());
+    }
+    if (knowledge.awaitsConfig) {
+        message.__set_awaitsConfig(true);
+    }
     if (!news.heard.empty()) {
         message.__set_heard(news.heard);
     }
@@ -141,9 +149,14 @@
     EntryNews news;
     news.sender = {
         InstanceId(message.entry), Incarnation(static_cast<std::uint64_t>(message.incarnation)), message.address};
-    news.copyAddress = message.copyAddress;
+    news.knowledge.copyAddress = message.copyAddress;
     news.heard = message.heard;
-    news.configVersion = RelayConfigVersion(message.configVersion);
+    news.knowledge.configVersion = RelayConfigVersion(message.configVersion);
+    news.knowledge.awaitsConfig = message.__isset.awaitsConfig && message.awaitsConfig;
+    if (message.__isset.listAgeMs && message.listAgeMs >= 0) {
+        news.knowledge.listDigest = static_cast<std::uint64_t>(message.listDigest);
+        news.knowledge.listAge = std::chrono::milliseconds(message.listAgeMs);
+    }
     news.listRevision = message.listRevision;
     for (const wire::relay::RelayPlacement &placement : message.placed) {
         news.load.placed.push_back(fromThrift(placement, news.sender.id));
--- a/wire/relaycodec.h
+++ b/wire/relaycodec.h
@@ -11,11 +11,9 @@
 struct EntryNews
 {
     EntryMember sender;
-    /// Address at which the sender hands out its copy of the platform's records.
-    std::string copyAddress;
+    EntryKnowledge knowledge;
     /// Other entries that the sender hears.
     std::vector<std::string> heard;
-    RelayConfigVersion configVersion;
     std::int64_t listRevision = 0;
     LoadNews load;
 };
