Let long prompts wait at the entry for the reading in front of them

Cause: an engine reads all that waits in one pass, and parts that it reads for others go first, so a long prompt that is sent early delays those that wait there already (seen: a part of 5.3 s joined the pass of a prompt whose first event was predicted after 0.6 s and came after 8.7 s).

--- a/UnitTests/relay/callflowtest.cpp
+++ b/UnitTests/relay/callflowtest.cpp
@@ -22,6 +22,7 @@
                 AttemptPlan plan;
                 plan.upstream.id = InstanceId(name);
                 plan.firstEvent = 100ms;
+                plan.delay = delay;
                 if (reserved.value() > 0) {
                     plan.helpers.push_back({UpstreamRecord(), reserved, {}});
                 }
@@ -64,6 +65,7 @@
 
     std::vector<std::string> upstreams {"a", "b", "c"};
     Tokens reserved;
+    Duration delay {};
     int retriesLeft = 100;
     int open = 0;
     int refused = 0;
@@ -348,3 +350,38 @@
     }
     CHECK(environment.open == 0);
 }
+
+// Guards against a call that reaches its engines while they still read for others, and against one that is lost, kept
+// or releases memory that it never reserved while it waits.
+TEST_CASE_METHOD(FlowFixture, "a call leaves once its engines have done the reading in front", "[relay]")
+{
+    const bool large = GENERATE(false, true);
+    environment.delay = 400ms;
+    environment.reserved = Tokens(large ? 100'000 : 0);
+    begin(CallKind::ResumableStream, 2);
+    CHECK(done().empty());
+    CHECK(environment.open == 1);
+    CHECK(flow().nextDue() == now + 400ms);
+    SECTION("in time")
+    {
+        now += 400ms;
+        flow().timeReached(now, actions);
+        CHECK(done() == (large ? "reserve" : "start a"));
+        CHECK(flow().nextDue() > now);
+    }
+    SECTION("the caller leaves")
+    {
+        now += 100ms;
+        flow().callerGone(now, actions);
+        CHECK(done() == "abort");
+        CHECK(flow().ended());
+        CHECK(environment.open == 0);
+    }
+    SECTION("the deadline passes first")
+    {
+        now += 20s;
+        flow().timeReached(now, actions);
+        CHECK(done() == "abort, refuse 504");
+        CHECK(environment.open == 0);
+    }
+}
--- a/UnitTests/relay/clusterwatchtest.cpp
+++ b/UnitTests/relay/clusterwatchtest.cpp
@@ -115,8 +115,8 @@
     {
         const TimePoint start = m_now;
         while (m_now - start < 10s && !std::ranges::all_of(m_entries, [&](const auto &entry) {
-            return reached(entry->core);
-        })) {
+                   return reached(entry->core);
+               })) {
             run(5ms);
         }
         return m_now - start;
@@ -125,7 +125,8 @@
     void store(bool leaving, std::int64_t config)
     {
         ++m_revision;
-        m_upstreams = {{"a", "1:1", m_revision}, {"b", "1:2", m_revision}, {"c", leaving ? "leaving" : "1:3", m_revision}};
+        m_upstreams = {
+            {"a", "1:1", m_revision}, {"b", "1:2", m_revision}, {"c", leaving ? "leaving" : "1:3", m_revision}};
         if (config != m_config) {
             m_config = config;
             m_configRevision = m_revision;
--- a/UnitTests/relay/engineplannertest.cpp
+++ b/UnitTests/relay/engineplannertest.cpp
@@ -155,6 +155,24 @@
     CHECK(next->firstEvent <= 1s);
 }
 
+// Load: long prompts that arrive faster than they are read. Guards against prompts that an engine reads in one pass, so
+// that each of them takes as long as all.
+TEST_CASE_METHOD(PlannerFixture, "a long prompt waits at the entry for the reading in front of it", "[relay][load]")
+{
+    addEngines(4);
+    const std::optional<EnginePlan> first = placeLong();
+    REQUIRE(first);
+    CHECK(first->delay == Duration::zero());
+    const std::optional<EnginePlan> second = placeLong();
+    REQUIRE(second);
+    CHECK(second->delay >= first->part / 2);
+    CHECK(second->delay <= second->firstEvent - second->part);
+    now += 10s;
+    const std::optional<EnginePlan> third = placeLong();
+    REQUIRE(third);
+    CHECK(third->delay == Duration::zero());
+}
+
 // Load: more short prompts than slots. Guards against streams that queue until they are late.
 TEST_CASE_METHOD(PlannerFixture, "a full fleet has no room", "[relay][load]")
 {
--- a/UnitTests/relay/relaycoretest.cpp
+++ b/UnitTests/relay/relaycoretest.cpp
@@ -44,7 +44,10 @@
         core.directory().apply({{engine}, 1}, now);
     }
     /// Sends a call and returns the status of its refusal, or 0 if it was sent on.
-    int submit(const std::string &path, const std::string &key, std::uint64_t fingerprint = 0, Tokens prompt = Tokens(1'000))
+    int submit(const std::string &path,
+               const std::string &key,
+               std::uint64_t fingerprint = 0,
+               Tokens prompt = Tokens(1'000))
     {
         IncomingCall call;
         call.requestId = "r";
@@ -58,7 +61,7 @@
         if (const Error *error = errorOf(result)) {
             return resultCodeInfo(error->code).httpStatus;
         }
-        const auto *refuse = std::get_if<Refuse>(&actions.back().action);
+        const auto *refuse = actions.empty() ? nullptr : std::get_if<Refuse>(&actions.back().action);
         return refuse == nullptr ? 0 : resultCodeInfo(refuse->code).httpStatus;
     }
 
@@ -155,7 +158,16 @@
     if (submit("/g/x", "key", 0, Tokens(prompt)) == 503) {
         return;
     }
-    const auto *reserve = std::get_if<ReserveEngineMemory>(&actions.back().action);
+    // It may wait for the reading in front of it.
+    const auto *reserve = actions.empty() ? nullptr : std::get_if<ReserveEngineMemory>(&actions.back().action);
+    while (reserve == nullptr && core.nextDue() && *core.nextDue() < now + 60s) {
+        now = *core.nextDue();
+        actions.clear();
+        core.tick(now, actions);
+        for (const RelayAction &action : actions) {
+            reserve = reserve != nullptr ? reserve : std::get_if<ReserveEngineMemory>(&action.action);
+        }
+    }
     REQUIRE(reserve != nullptr);
     std::int64_t reserved = 0;
     for (const AttemptHelper &holder : reserve->holders) {
--- a/UnitTests/wire/relaycodectest.cpp
+++ b/UnitTests/wire/relaycodectest.cpp
@@ -11,7 +11,8 @@
     EntryNews news;
     news.sender = {InstanceId("entry-1"), Incarnation(7), "10.0.0.1:1"};
     const std::optional<Duration> listAge = GENERATE(std::optional<Duration>(), std::optional<Duration>(250ms));
-    news.knowledge = {"10.0.0.1:2", RelayConfigVersion(9), listAge.has_value(), listAge ? 0xfedcba9876543210U : 0, listAge};
+    news.knowledge = {
+        "10.0.0.1:2", RelayConfigVersion(9), listAge.has_value(), listAge ? 0xfedcba9876543210U : 0, listAge};
     news.heard = {"10.0.0.2:1"};
     news.listRevision = 44;
     Placement placement;
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -137,8 +137,19 @@
                          {"predicted_ms", inMs(m_plan->firstEvent)},
                          {"holders", std::to_string(ticket)},
                          {"behind_event", m_scanner.lastId()},
+                         {"delay_ms", inMs(m_plan->delay)},
                          {"left_ms", inMs(m_call.deadline - now)}});
-    if (ticket > 0) {
+    if (m_plan->delay > Duration::zero()) {
+        m_sendDue = now + m_plan->delay;
+        return;
+    }
+    releaseAttempt(now, actions);
+}
+
+void CallFlow::releaseAttempt(TimePoint now, CallActions &actions)
+{
+    m_sendDue.reset();
+    if (!holders().empty()) {
         m_reserving = true;
         m_nextExtension = now + m_settings.memoryExtension;
         actions.emplace_back(ReserveEngineMemory {m_attempt, holders(), m_settings.memoryHold, false});
@@ -189,10 +200,11 @@
         return;
     }
     std::vector<AttemptHelper> held = holders();
-    if (!held.empty()) {
+    if (!held.empty() && !m_sendDue) {
         actions.emplace_back(ReleaseEngineMemory {std::move(held)});
     }
     m_reserving = false;
+    m_sendDue.reset();
     m_nextExtension.reset();
     m_environment->attemptEnded(m_call, *m_plan, now);
     m_plan.reset();
@@ -352,6 +364,9 @@
 TimePoint CallFlow::nextDue() const
 {
     TimePoint due = m_call.deadline;
+    if (m_plan && m_sendDue) {
+        return std::min(due, *m_sendDue);
+    }
     if (m_plan && m_nextExtension) {
         due = std::min(due, *m_nextExtension);
     }
@@ -366,6 +381,10 @@
     if (m_ended || now < nextDue()) {
         return;
     }
+    if (m_plan && m_sendDue && now < m_call.deadline) {
+        releaseAttempt(now, actions);
+        return;
+    }
     if (m_plan && m_nextExtension && now >= *m_nextExtension && now < m_call.deadline) {
         m_nextExtension = now + m_settings.memoryExtension;
         actions.emplace_back(ReserveEngineMemory {m_attempt, holders(), m_settings.memoryHold, true});
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -50,6 +50,8 @@
     Duration firstEvent {};
     /// Reading on each of the engines.
     Duration part {};
+    /// Time until the engines have done the reading in front; the call leaves no earlier.
+    Duration delay {};
 };
 
 /// Sends the call to an upstream.
@@ -251,6 +253,8 @@
     /// Ends the attempt under way; it has or has not run.
     void closeAttempt(TimePoint now, CallActions &actions);
     void sendAttempt(TimePoint now, CallActions &actions);
+    /// Sends the attempt, or reserves the memory that it needs first.
+    void releaseAttempt(TimePoint now, CallActions &actions);
     /// Returns the helpers of the attempt under way that hold a part of the prompt.
     [[nodiscard]] std::vector<AttemptHelper> holders() const;
     /// Starts another attempt if the call allows it, else ends the call.
@@ -271,6 +275,8 @@
     /// True while the memory for the attempt under way is being reserved.
     bool m_reserving = false;
     std::optional<TimePoint> m_nextExtension;
+    /// Time at which the attempt under way leaves for its engines; none once it has left.
+    std::optional<TimePoint> m_sendDue;
     int m_sent = 0;
     int m_unsent = 0;
     /// True once an upstream may have run the call.
--- a/ibismast/relay/engineplanner.cpp
+++ b/ibismast/relay/engineplanner.cpp
@@ -202,6 +202,7 @@
     EnginePlan plan;
     plan.writer = readers.front().engine;
     plan.part = reading / static_cast<int>(best.parts);
+    plan.delay = fromSeconds(toSeconds(candidates[best.parts - 1].start) * m_settings.delayShare);
     plan.firstEvent = best.end + writingPass(profile, readers.front().load->streams() + 1, memory);
     for (auto reader = std::next(readers.begin()); reader != readers.end(); ++reader) {
         plan.helpers.push_back({reader->engine, Tokens()});
--- a/ibismast/relay/engineplanner.h
+++ b/ibismast/relay/engineplanner.h
@@ -51,6 +51,9 @@
     Duration part {};
     /// Predicted time to the first event.
     Duration firstEvent {};
+    /// Time until the engines have done the reading in front. An engine reads all that waits in one pass, so a call
+    /// that arrives earlier delays the prompts that wait there.
+    Duration delay {};
 };
 
 /// Settings of an `EnginePlanner`.
@@ -87,6 +90,9 @@
     Duration modestReading = std::chrono::seconds(6);
     double modestBusy = 0.0;
     double modestEnd = 2.6;
+    /// Share of the predicted wait for other reading that a long prompt spends at the entry. The rest covers
+    /// predictions that are too long.
+    double delayShare = 0.8;
     /// Share of an engine's KV memory that may be planned for, since the outputs' lengths are estimates.
     double memoryShare = 0.92;
     /// Share of an engine's free memory that one reservation may take; other prompts need the rest.
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -59,7 +59,7 @@
     if (!plan) {
         return std::nullopt;
     }
-    AttemptPlan result {plan->writer->record, {}, plan->firstEvent, plan->part};
+    AttemptPlan result {plan->writer->record, {}, plan->firstEvent, plan->part, plan->delay};
     for (const EngineHelper &helper : plan->helpers) {
         result.helpers.push_back({helper.engine->record, helper.reserved, {}});
     }
