Give a prompt above an engine's memory as many engines as hold it

Cause: while long prompts keep the fleet busy, a very long one is read by the fewest engines that end in time, and that number ignored its memory. Ruled out: refusals by the engines (none of these calls reached one).

The split now has at least as many readers as hold the prompt.

--- a/UnitTests/relay/engineplannertest.cpp
+++ b/UnitTests/relay/engineplannertest.cpp
@@ -155,6 +155,28 @@
     CHECK(next->firstEvent <= 1s);
 }
 
+// Load: prompts around and above the memory of one engine among usual ones. Guards against prompts that are read by too
+// few engines to hold them and are then refused: those between one and two memories never found a plan.
+TEST_CASE_METHOD(PlannerFixture, "a prompt above an engine's memory gets as many engines as hold it", "[relay][load]")
+{
+    const std::int64_t prompt = GENERATE(240'000, 260'000, 300'000, 350'000, 450'000, 600'000, 800'000);
+    const int usualPrompts = GENERATE(0, 1, 6);
+    profile.memory = Tokens(267'750);
+    addEngines(78);
+    for (int usual = 0; usual < usualPrompts; ++usual) {
+        REQUIRE(placeLong());
+    }
+    now += 400ms;
+    const std::optional<EnginePlan> plan = place(prompt, 4s, 1s);
+    REQUIRE(plan);
+    std::int64_t reserved = 0;
+    for (const EngineHelper &helper : plan->helpers) {
+        CHECK(helper.reserved.value() <= profile.memory.value());
+        reserved += helper.reserved.value();
+    }
+    CHECK(prompt - reserved <= profile.memory.value());
+}
+
 // Load: long prompts that arrive faster than they are read. Guards against prompts that an engine reads in one pass, so
 // that each of them takes as long as all.
 TEST_CASE_METHOD(PlannerFixture, "a long prompt waits at the entry for the reading in front of it", "[relay][load]")
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -446,6 +446,7 @@
                          {"reason", std::string(reason)},
                          {"route", m_call.route.name},
                          {"customer", m_call.customer.value()},
+                         {"prompt_tokens", std::to_string(m_call.size.prompt.value())},
                          {"upstream", upstream},
                          {"returning", m_call.returning ? "true" : "false"},
                          {"attempts", std::to_string(m_attempt)},
--- a/ibismast/relay/engineplanner.cpp
+++ b/ibismast/relay/engineplanner.cpp
@@ -162,8 +162,19 @@
     const Duration contentEnd =
         fromSeconds(toSeconds(query.objective) * (modest ? m_settings.modestEnd : m_settings.contentShare));
     const Duration part = reading / static_cast<int>(std::min(engines.size(), m_settings.maxHelpers + 1));
+    const bool held = memory > usableMemory(profile);
     const auto split = [&](const std::vector<Candidate> &candidates) {
-        return modest ? modestSplit(candidates, reading, contentEnd) : bestSplit(candidates, reading);
+        Split result = modest ? modestSplit(candidates, reading, contentEnd) : bestSplit(candidates, reading);
+        if (held) {
+            const std::size_t holders = holdersFor(candidates, memory, profile);
+            if (holders == 0) {
+                return Split {};
+            }
+            if (holders > result.parts) {
+                result = {holders, candidates[holders - 1].start + reading / static_cast<int>(holders)};
+            }
+        }
+        return result;
     };
     // Engines whose streams are not disturbed, then those without short streams as well, then all.
     std::vector<Candidate> candidates = ranked(engines, now, [&](const EngineWorkload &load) {
@@ -190,7 +201,9 @@
     std::ranges::stable_sort(readers, {}, [](const Candidate &candidate) {
         return candidate.load->memory();
     });
-    const bool held = memory > usableMemory(profile);
+    if (best.parts == 0) {
+        return std::nullopt;
+    }
     const auto writer = std::ranges::find_if(readers, [&](const Candidate &candidate) {
         return held ? candidate.load->streams() < static_cast<std::size_t>(profile.slots + over.slots)
                     : hasRoom(*candidate.load, memory, profile, over);
@@ -213,20 +226,36 @@
     return plan;
 }
 
+std::int64_t EnginePlanner::reservable(const EngineWorkload &load, const EngineProfile &profile) const
+{
+    const std::int64_t free = usableMemory(profile).value() - load.memory().value();
+    return static_cast<std::int64_t>(static_cast<double>(std::max<std::int64_t>(0, free)) * m_settings.reservedShare);
+}
+
+std::size_t EnginePlanner::holdersFor(const std::vector<Candidate> &candidates,
+                                      Tokens memory,
+                                      const EngineProfile &profile) const
+{
+    std::int64_t left = memory.value();
+    const std::size_t most = std::min(candidates.size(), m_settings.maxHolders + 1);
+    for (std::size_t count = 1; count <= most; ++count) {
+        left -= reservable(*candidates[count - 1].load, profile);
+        if (left <= 0) {
+            return count;
+        }
+    }
+    return 0;
+}
+
 bool EnginePlanner::reserve(EnginePlan &plan,
                             const std::vector<Candidate> &readers,
                             Tokens memory,
                             const EngineProfile &profile) const
 {
-    const auto share = [&](const Candidate &candidate) {
-        const std::int64_t free = usableMemory(profile).value() - candidate.load->memory().value();
-        return static_cast<std::int64_t>(static_cast<double>(std::max<std::int64_t>(0, free))
-                                         * m_settings.reservedShare);
-    };
     // The writer holds the output and what the reservations leave.
-    std::int64_t left = memory.value() - share(readers.front());
+    std::int64_t left = memory.value() - reservable(*readers.front().load, profile);
     for (std::size_t index = 0; index < plan.helpers.size() && index < m_settings.maxHolders && left > 0; ++index) {
-        const std::int64_t reserved = std::min(left, share(readers[index + 1]));
+        const std::int64_t reserved = std::min(left, reservable(*readers[index + 1].load, profile));
         plan.helpers[index].reserved = Tokens(reserved);
         left -= reserved;
     }
--- a/ibismast/relay/engineplanner.h
+++ b/ibismast/relay/engineplanner.h
@@ -156,6 +156,11 @@
     template<typename Filter>
     [[nodiscard]] std::vector<Candidate>
     ranked(const std::vector<const UpstreamDirectory::Member *> &engines, TimePoint now, const Filter &accepts) const;
+    /// Memory of an engine that a prompt which is larger than the engine's memory may take.
+    [[nodiscard]] std::int64_t reservable(const EngineWorkload &load, const EngineProfile &profile) const;
+    /// Returns how many of the first candidates hold @p memory together; 0 if too few do.
+    [[nodiscard]] std::size_t
+    holdersFor(const std::vector<Candidate> &candidates, Tokens memory, const EngineProfile &profile) const;
     /// Spreads a prompt that is larger than an engine's memory over the readers; returns false if it does not fit.
     [[nodiscard]] bool
     reserve(EnginePlan &plan, const std::vector<Candidate> &readers, Tokens memory, const EngineProfile &profile) const;
