Spread the entries over equal engines and keep very long prompts apart

Cause: entries that place prompts at the same time all took the first of the engines that were equal by estimate.

Each entry now takes equal engines from a position of its own. A new prompt above one engine's memory is refused while no engine is free of other work; one that comes back is placed beside it.

--- a/UnitTests/relay/engineplannertest.cpp
+++ b/UnitTests/relay/engineplannertest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 
 using namespace ibismast;
 using namespace std::chrono_literals;
@@ -177,6 +178,45 @@
     CHECK(prompt - reserved <= profile.memory.value());
 }
 
+// Load: a prompt above an engine's memory while all engines read or write for others. Guards against one that delays
+// all of them: its reading takes as long as that of several usual prompts.
+TEST_CASE_METHOD(PlannerFixture, "a new very long prompt is not put beside other work", "[relay][load]")
+{
+    addEngines(4);
+    for (int usual = 0; usual < 4; ++usual) {
+        REQUIRE(placeLong(60'000));
+    }
+    const GenerationQuery query {{Tokens(HugePrompt), Tokens(1'600)}, 3s, 1s};
+    CHECK_FALSE(planner.plan(query, profile, engines, now));
+    CHECK_FALSE(planner.plan(query, profile, engines, now, {1, 2.0, false}));
+    CHECK(planner.plan(query, profile, engines, now, {12, 2.0, true}));
+    // Placements are forgotten after 12.5 s here.
+    now += 20s;
+    loads.expire(now);
+    CHECK(planner.plan(query, profile, engines, now));
+}
+
+// Load: 26 entries that place prompts at the same time, before they hear of each other. Guards against entries that all
+// choose the same engines.
+TEST_CASE_METHOD(PlannerFixture, "entries that choose at once spread over equal engines", "[relay][load]")
+{
+    const std::int64_t prompt = GENERATE(12'000, 45'000, LongPrompt);
+    addEngines(78);
+    std::map<InstanceId, int> parts;
+    for (std::size_t entry = 0; entry < 26; ++entry) {
+        const GenerationQuery query {{Tokens(prompt), Tokens(1'600)}, 3s, 1s, entry * 3};
+        const std::optional<EnginePlan> plan = planner.plan(query, profile, engines, now);
+        REQUIRE(plan);
+        ++parts[plan->writer->record.id];
+        for (const EngineHelper &helper : plan->helpers) {
+            ++parts[helper.engine->record.id];
+        }
+    }
+    for (const auto &[engine, count] : parts) {
+        CHECK(count <= 6);
+    }
+}
+
 // Load: long prompts that arrive faster than they are read. Guards against prompts that an engine reads in one pass, so
 // that each of them takes as long as all.
 TEST_CASE_METHOD(PlannerFixture, "a long prompt waits at the entry for the reading in front of it", "[relay][load]")
--- a/ibismast/relay/engineplanner.cpp
+++ b/ibismast/relay/engineplanner.cpp
@@ -100,17 +100,23 @@
 }
 
 template<typename Filter>
-std::vector<EnginePlanner::Candidate> EnginePlanner::ranked(
-    const std::vector<const UpstreamDirectory::Member *> &engines, TimePoint now, const Filter &accepts) const
+std::vector<EnginePlanner::Candidate>
+EnginePlanner::ranked(const std::vector<const UpstreamDirectory::Member *> &engines,
+                      std::size_t firstChoice,
+                      TimePoint now,
+                      const Filter &accepts) const
 {
     std::vector<Candidate> candidates;
-    for (const auto *engine : engines) {
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        const auto *engine = engines[(firstChoice + index) % engines.size()];
         const EngineWorkload &load = m_loads->load(engine->record.id);
         if (accepts(load)) {
             candidates.push_back({engine, &load, load.backlog(now)});
         }
     }
-    std::ranges::stable_sort(candidates, {}, &Candidate::start);
+    std::ranges::stable_sort(candidates, {}, [](const Candidate &candidate) {
+        return candidate.start;
+    });
     return candidates;
 }
 
@@ -177,17 +183,18 @@
         return result;
     };
     // Engines whose streams are not disturbed, then those without short streams as well, then all.
-    std::vector<Candidate> candidates = ranked(engines, now, [&](const EngineWorkload &load) {
+    std::vector<Candidate> candidates = ranked(engines, query.firstChoice, now, [&](const EngineWorkload &load) {
         // All reads of a pass end with it, so a very long part must not share one with others.
         return modest ? load.streams() == 0 && load.backlog(now) == Duration::zero()
                       : !hasShortStreams(load) && bears(load, part, now);
     });
     Split best = split(candidates);
     for (const bool all : {false, true}) {
-        if (best.parts > 0 && (all || best.end <= contentEnd)) {
+        // A very long prompt beside other work delays all of it, so a new one is refused and may come back.
+        if ((held && !over.insists) || (best.parts > 0 && (all || best.end <= contentEnd))) {
             break;
         }
-        std::vector<Candidate> wider = ranked(engines, now, [&](const EngineWorkload &load) {
+        std::vector<Candidate> wider = ranked(engines, query.firstChoice, now, [&](const EngineWorkload &load) {
             return all || !hasShortStreams(load) || bears(load, part, now);
         });
         const Split widerSplit = split(wider);
@@ -232,9 +239,8 @@
     return static_cast<std::int64_t>(static_cast<double>(std::max<std::int64_t>(0, free)) * m_settings.reservedShare);
 }
 
-std::size_t EnginePlanner::holdersFor(const std::vector<Candidate> &candidates,
-                                      Tokens memory,
-                                      const EngineProfile &profile) const
+std::size_t
+EnginePlanner::holdersFor(const std::vector<Candidate> &candidates, Tokens memory, const EngineProfile &profile) const
 {
     std::int64_t left = memory.value();
     const std::size_t most = std::min(candidates.size(), m_settings.maxHolders + 1);
--- a/ibismast/relay/engineplanner.h
+++ b/ibismast/relay/engineplanner.h
@@ -21,6 +21,9 @@
     /// Time to the first event that counts as on time.
     Duration objective {};
     Duration pauseTarget {};
+    /// Position in the list of engines from which equal ones are taken. It must differ between entries: those that take
+    /// the same one at the same time queue there. One entry keeps to its position, which leaves other engines idle.
+    std::size_t firstChoice = 0;
 };
 
 /// Engine that reads a part of a prompt for another one.
@@ -38,6 +41,8 @@
     int slots = 0;
     /// Multiple of the memory that may be planned for. A prompt that is larger than the memory itself gains nothing.
     double memory = 1.0;
+    /// True for a call that comes back after a refusal: it is placed beside other work if no engine is free of it.
+    bool insists = false;
 };
 
 /// Where a generation runs.
@@ -154,8 +159,10 @@
                                                       const EngineOvercommit &over) const;
     /// Returns the engines for which @p accepts holds, those that can begin first in front.
     template<typename Filter>
-    [[nodiscard]] std::vector<Candidate>
-    ranked(const std::vector<const UpstreamDirectory::Member *> &engines, TimePoint now, const Filter &accepts) const;
+    [[nodiscard]] std::vector<Candidate> ranked(const std::vector<const UpstreamDirectory::Member *> &engines,
+                                                std::size_t firstChoice,
+                                                TimePoint now,
+                                                const Filter &accepts) const;
     /// Memory of an engine that a prompt which is larger than the engine's memory may take.
     [[nodiscard]] std::int64_t reservable(const EngineWorkload &load, const EngineProfile &profile) const;
     /// Returns how many of the first candidates hold @p memory together; 0 if too few do.
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -33,6 +33,7 @@
     , m_members(m_settings.members)
     , m_loads(m_settings.load)
     , m_planner(m_settings.planner, m_loads)
+    , m_firstChoice(std::hash<std::string>()(m_settings.self.value()))
 {
 }
 
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -197,6 +197,8 @@
     /// Number under which the present attempt of each call is known to the other entries.
     std::map<CallNumber, CallNumber> m_placements;
     std::uint64_t m_lastPlacement = 0;
+    /// Position from which this entry takes equal engines, see `GenerationQuery`.
+    std::size_t m_firstChoice;
     /// Open calls of this entry at each upstream of a plain service.
     std::map<InstanceId, int> m_plainCalls;
     /// Last time at which bytes of any call came from an upstream.
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -49,12 +49,13 @@
                                                      const std::vector<const UpstreamDirectory::Member *> &engines,
                                                      TimePoint now)
 {
-    const GenerationQuery query {call.size, call.route.objective, call.route.pauseTarget};
+    const GenerationQuery query {
+        call.size, call.route.objective, call.route.pauseTarget, m_firstChoice % engines.size()};
     std::optional<EnginePlan> plan = m_planner.plan(query, profile, engines, now);
     if (!plan) {
         // All slots are taken by estimate; engines queue a few calls and the estimates lag behind their ends.
         const int queue = call.returning ? m_settings.returningQueue : m_settings.engineQueue;
-        plan = m_planner.plan(query, profile, engines, now, {queue, m_settings.memoryOvercommit});
+        plan = m_planner.plan(query, profile, engines, now, {queue, m_settings.memoryOvercommit, call.returning});
     }
     if (!plan) {
         return std::nullopt;
