--- a/ibismast/relay/engineplanner.cpp
+++ b/ibismast/relay/engineplanner.cpp
@@ -5,6 +5,16 @@
 namespace ibismast
 {
 
+namespace
+{
+
+std::size_t slotsOf(const EngineProfile &profile, const EngineOvercommit &over)
+{
+    return static_cast<std::size_t>(profile.slots) + static_cast<std::size_t>(over.slots);
+}
+
+} // namespace
+
 EnginePlanner::EnginePlanner(const EnginePlannerSettings &settings, const EngineLoadTable &loads)
     : m_settings(settings), m_loads(&loads)
 {
@@ -38,7 +48,7 @@
 {
     const double usable = static_cast<double>(usableMemory(profile).value()) * over.memory;
     const bool fits = static_cast<double>((load.memory() + memory).value()) <= usable;
-    return fits && load.streams() < static_cast<std::size_t>(profile.slots + over.slots);
+    return fits && load.streams() < slotsOf(profile, over);
 }
 
 Duration EnginePlanner::allowedReading(Duration pauseTarget) const
@@ -212,7 +222,7 @@
         return std::nullopt;
     }
     const auto writer = std::ranges::find_if(readers, [&](const Candidate &candidate) {
-        return held ? candidate.load->streams() < static_cast<std::size_t>(profile.slots + over.slots)
+        return held ? candidate.load->streams() < slotsOf(profile, over)
                     : hasRoom(*candidate.load, memory, profile, over);
     });
     if (writer == readers.end()) {
