Suspect silent upstreams only while most others report

Cause: an upstream without a new report for 2.9 s was avoided while any other reported.

Silence now counts as records that vanish do: three or more upstreams and a third of all are too many to have failed at once. Changes of this belief are logged. Two of the test's six rows failed before.

--- a/UnitTests/relay/upstreamdirectorytest.cpp
+++ b/UnitTests/relay/upstreamdirectorytest.cpp
@@ -132,6 +132,27 @@
     CHECK(directory.candidates(Pool, now).suspected.size() == suspected);
 }
 
+// Load: long prompts while reports are held up on their way. Guards against one or two upstreams that get all work
+// because the others are thought silent: inc-2b1d read prompts of 2 s on one engine of 15.
+TEST_CASE_METHOD(DirectoryFixture, "silent upstreams are suspected only while most others report", "[relay][load]")
+{
+    const auto [silent, suspected] =
+        GENERATE(table<int, std::size_t>({{0, 0}, {1, 1}, {2, 2}, {3, 3}, {4, 0}, {9, 0}}));
+    UpstreamList list;
+    for (int index = 0; index < 10; ++index) {
+        list.records.push_back(record("e" + std::to_string(index)));
+    }
+    list.revision = 1;
+    directory.apply(list, now);
+    now += 3s;
+    for (int index = silent; index < 10; ++index) {
+        ++list.records[static_cast<std::size_t>(index)].reportNumber;
+    }
+    ++list.revision;
+    directory.apply(list, now);
+    CHECK(directory.candidates(Pool, now).suspected.size() == suspected);
+}
+
 // Guards against calls that fail one after the other at an upstream that is gone.
 TEST_CASE_METHOD(DirectoryFixture, "a failing or silent upstream is suspected, a restarted one is not", "[relay]")
 {
--- a/ibismast/relay/upstreamdirectory.cpp
+++ b/ibismast/relay/upstreamdirectory.cpp
@@ -1,5 +1,6 @@
 #include "ibismast/relay/upstreamdirectory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace ibismast
@@ -26,8 +27,7 @@
         }
     }
     const bool outage = m_lastOutage && now - *m_lastOutage < m_settings.returnTime;
-    const bool massLoss = missing.size() >= m_settings.massLossCount
-        && static_cast<double>(missing.size()) >= m_settings.massLossShare * static_cast<double>(m_members.size());
+    const bool massLoss = isMassLoss(missing.size());
     for (const InstanceId &id : missing) {
         Member &member = m_members.at(id);
         const bool mayReturn = (outage || massLoss) && !member.record.leaving;
@@ -45,11 +45,38 @@
     for (const UpstreamRecord &record : list.records) {
         applyRecord(record, now);
     }
+    findSilent(list.revision, now);
     m_revision = list.revision;
     m_known = true;
     expire(now);
 }
 
+bool UpstreamDirectory::isMassLoss(std::size_t count) const
+{
+    return count >= m_settings.massLossCount
+        && static_cast<double>(count) >= m_settings.massLossShare * static_cast<double>(m_members.size());
+}
+
+void UpstreamDirectory::findSilent(std::int64_t revision, TimePoint now)
+{
+    const auto isSilent = [this, now](const Member &member) {
+        return now - member.reported > m_settings.silence;
+    };
+    const auto count = static_cast<std::size_t>(std::ranges::count_if(m_members, [&isSilent](const auto &entry) {
+        return isSilent(entry.second);
+    }));
+    const bool reportsFail = isMassLoss(count);
+    for (auto &[id, member] : m_members) {
+        const bool silent = !reportsFail && isSilent(member);
+        if (silent != member.silent) {
+            m_listener->onEvent(
+                silent ? "upstream_silent" : "upstream_reports",
+                {{"upstream", id.value()}, {"revision", std::to_string(revision)}, {"silent", std::to_string(count)}});
+        }
+        member.silent = silent;
+    }
+}
+
 void UpstreamDirectory::applyRecord(const UpstreamRecord &record, TimePoint now)
 {
     auto [place, added] = m_members.try_emplace(record.id);
@@ -114,7 +141,7 @@
         return true;
     }
     // Silence says something only while the list moves.
-    return now - m_lastReport < m_settings.silence && now - member.reported > m_settings.silence;
+    return member.silent && now - m_lastReport < m_settings.silence;
 }
 
 UpstreamDirectory::Candidates UpstreamDirectory::candidates(const ServiceName &service, TimePoint now) const
--- a/ibismast/relay/upstreamdirectory.h
+++ b/ibismast/relay/upstreamdirectory.h
@@ -42,7 +42,8 @@
     /// Time after an outage of the list within which live upstreams return to it. One that is missing stays in use
     /// that long, and one that vanishes later has left.
     Duration returnTime = std::chrono::milliseconds(2200);
-    /// Share of the upstreams that must vanish at once to be taken for an outage that this process has not seen.
+    /// Share of the upstreams that must vanish or fall silent at once to be taken for an outage that this process has
+    /// not seen: of the list in the first case, of the reports on their way to it in the second.
     double massLossShare = 0.34;
     /// Smallest number of upstreams that counts as such a loss.
     std::size_t massLossCount = 3;
@@ -67,6 +68,8 @@
         std::optional<TimePoint> avoidedUntil;
         /// Time of the last new report.
         TimePoint reported;
+        /// True if the upstream had not reported for long at the last list.
+        bool silent = false;
     };
 
     UpstreamDirectory(const UpstreamDirectorySettings &settings, EventListener &listener);
@@ -109,6 +112,9 @@
 private:
     [[nodiscard]] bool suspected(const Member &member, TimePoint now) const;
     void applyRecord(const UpstreamRecord &record, TimePoint now);
+    void findSilent(std::int64_t revision, TimePoint now);
+    /// True if @p count upstreams are too many to have failed at once.
+    [[nodiscard]] bool isMassLoss(std::size_t count) const;
 
     UpstreamDirectorySettings m_settings;
     EventListener *m_listener;
