--- a/UnitTests/wire/relaycodectest.cpp
+++ b/UnitTests/wire/relaycodectest.cpp
@@ -36,6 +36,19 @@
     CHECK(decoded.load.refused == news.load.refused);
 }
 
+// Guards against an age that overflows where it is subtracted from a time.
+TEST_CASE("an age beyond an hour is left out", "[wire]")
+{
+    EntryNews news;
+    news.sender = {InstanceId("entry-1"), Incarnation(7), "10.0.0.1:1"};
+    const auto [age, kept] = GENERATE(
+        table<Duration, bool>({{0ms, true}, {1h, true}, {1h + 1ms, false}, {-1ms, false}, {Duration::max(), false}}));
+    news.knowledge = {"10.0.0.1:2", RelayConfigVersion(9), false, 5, age};
+    const Result<EntryNews> result = decodeEntryNews(encodeEntryNews(news));
+    REQUIRE(errorOf(result) == nullptr);
+    CHECK(std::get<EntryNews>(result).knowledge.listAge.has_value() == kept);
+}
+
 // Guards against records that change between entries; values need not be text.
 TEST_CASE("a copy of the records survives the wire", "[wire]")
 {
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -18,6 +18,9 @@
 /// Largest message: the records of a large fleet with a large configuration.
 constexpr int LargestMessage = 16 * 1024 * 1024;
 
+/// Ages above this one, an hour, are of no use and could overflow a duration.
+constexpr std::int64_t LargestListAgeMs = 3'600'000;
+
 template<typename Message> std::string encode(const Message &message)
 {
     const auto memory = std::make_shared<TMemoryBuffer>();
@@ -153,7 +156,7 @@
     news.heard = message.heard;
     news.knowledge.configVersion = RelayConfigVersion(message.configVersion);
     news.knowledge.awaitsConfig = message.__isset.awaitsConfig && message.awaitsConfig;
-    if (message.__isset.listAgeMs && message.listAgeMs >= 0) {
+    if (message.__isset.listAgeMs && message.listAgeMs >= 0 && message.listAgeMs <= LargestListAgeMs) {
         news.knowledge.listDigest = static_cast<std::uint64_t>(message.listDigest);
         news.knowledge.listAge = std::chrono::milliseconds(message.listAgeMs);
     }
