--- a/UnitTests/config/declarationstest.cpp
+++ b/UnitTests/config/declarationstest.cpp
@@ -94,7 +94,7 @@
         Case {"[]\n", "fleet.ini:1: section without a name"},
         Case {"hello", "fleet.ini:1: neither a section nor key = value"},
         Case {"[drain a]\n= 3", "fleet.ini:2: [drain a] value without a key"},
-        Case {"[tenant a]", "fleet.ini:1: [tenant a] unknown kind of section"},
+        Case {"[squad a]", "fleet.ini:1: [squad a] unknown kind of section"},
         Case {"[drain]", "fleet.ini:1: [drain] the section has no valid name"},
         Case {"[drain a b]", "fleet.ini:1: [drain a b] the section has no valid name"},
         Case {"[drain a]\nreason = \x01", "fleet.ini:2: [drain a] control character"},
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -242,6 +242,8 @@
     }
 
 private:
+    /// Returns whole milliseconds for a field of an event.
+    [[nodiscard]] static std::string inMs(Duration duration);
     [[nodiscard]] bool isStream() const;
     [[nodiscard]] bool mayRepeat() const;
     /// Time at which the attempt under way counts as stalled, as things stand.
