Divide large fleets into cells of one failure domain

Cause: every entry told every other one of each placement, prefill and end of a call, and sent a heartbeat with the addresses of the whole fleet to all of them twice a second. Entries that had applied a change of the list at the same time also read the store at the same time ever after.

Changes: - A failure domain with 20 engines or more, in a fleet of 16 entries or more, is a cell (CellView). Its entries tell only each other of their placements and use the engines of the cell. A call leaves the cell for a domain that reports clearly less load, if the cell would miss the call's objective; the entries of that domain are told then. A domain without trusted engines uses all others. - Entries of other domains get heartbeats in turn, 12 each 500 ms, with a summary of the domain's load. A heartbeat reports 8 addresses, others in each one. - An entry takes the list from another one of its domain that has just read it, instead of from the store, and the age at which it reads the upstreams' reports again has a jitter.

--- a/UnitTests/relay/clusterwatchtest.cpp
+++ b/UnitTests/relay/clusterwatchtest.cpp
@@ -70,7 +70,7 @@
     }
     static EntryRecordStatus peer(std::int64_t configVersion)
     {
-        return {"peer", RelayConfigVersion(configVersion), false, 0, std::nullopt};
+        return {"peer", RelayConfigVersion(configVersion), false, 0, std::nullopt, {}};
     }
     static Error failure()
     {
@@ -88,10 +88,11 @@
 class SharingFleet
 {
 public:
-    explicit SharingFleet(std::size_t size)
+    /// Creates @p size entries in @p domains failure domains.
+    explicit SharingFleet(std::size_t size, std::size_t domains = 1)
     {
         for (std::size_t index = 0; index < size; ++index) {
-            m_entries.push_back(std::make_unique<Entry>(*this, index));
+            m_entries.push_back(std::make_unique<Entry>(*this, index, "d" + std::to_string(index % domains)));
         }
     }
 
@@ -144,17 +145,18 @@
     };
     struct Entry
     {
-        Entry(const SharingFleet &fleet, std::size_t index)
+        Entry(const SharingFleet &fleet, std::size_t index, const std::string &domain)
             : name(std::to_string(100 + index))
             , nextAnnouncement(fleet.m_now + 20ms * static_cast<int>(index))
-            , core(settings(name), index + 1, listener)
+            , core(settings(name, domain), index + 1, listener)
             , watch(ClusterWatchSettings(), decoder, core, index + 1, listener)
         {
         }
-        static RelayCoreSettings settings(const std::string &name)
+        static RelayCoreSettings settings(const std::string &name, const std::string &domain)
         {
             RelayCoreSettings result;
             result.self = InstanceId(name);
+            result.domain = FailureDomain(domain);
             return result;
         }
 
@@ -182,6 +184,7 @@
                 nextAnnouncement = now + 500ms;
                 EntryRecordStatus knowledge = watch.knowledge(now);
                 knowledge.copyAddress = name;
+                knowledge.domain = core.domain();
                 for (auto &other : fleet.m_entries) {
                     if (other.get() != this) {
                         other->watch.noteEntry(InstanceId(name), knowledge, now);
@@ -269,6 +272,86 @@
     CHECK(fleet.storeCalls / 20.0 / static_cast<double>(entries) <= maxRate);
 }
 
+// Guards against calls to the store that grow with the entries of a domain: there, one read serves all of them.
+TEST_CASE("the calls to the store do not grow with the entries of a domain", "[relay]")
+{
+    const std::size_t domains = GENERATE(1, 3, 5);
+    const auto rate = [domains](std::size_t entries) {
+        SharingFleet fleet(entries, domains);
+        fleet.store(false, 1);
+        fleet.run(5s);
+        fleet.storeCalls = 0;
+        fleet.run(20s);
+        return fleet.storeCalls / 20.0;
+    };
+    CHECK(rate(100) <= rate(26) * 1.5);
+}
+
+// Guards against upstreams that count as silent because the list is only confirmed by a digest, which does not carry
+// their reports, and against reports that are passed on between entries and grow older each time.
+TEST_CASE_METHOD(WatchFixture, "reports are copied only from an entry that has just read them", "[relay]")
+{
+    struct Row
+    {
+        /// Age of the other entry's own read when it is announced; empty if it holds a copy itself.
+        std::optional<Duration> listAge;
+        std::string domain;
+        std::string expected;
+    };
+    const Row row = GENERATE(values<Row>({
+        {100ms, "", "fetch:p "},
+        {400ms, "", "fetch:p "},
+        {600ms, "", "list "},
+        {std::nullopt, "", "list "},
+        {100ms, "elsewhere", "list "},
+    }));
+    (void)due();
+    watch.upstreamsRead(StoredUpstreams {{{"a", "1:1", 5}}, 5}, now);
+    watch.configRead(StoredConfig {StoredRecord {"c", "7", 4}, 5}, now);
+    (void)due();
+    const std::uint64_t digest = watch.knowledge(now).listDigest;
+    const TimePoint read = now;
+    // Other domains confirm the list all the time.
+    const auto confirm = [&] {
+        for (const std::string name : {"1", "2", "3", "4", "5"}) {
+            watch.noteEntry(
+                InstanceId(name), {name, RelayConfigVersion(7), false, digest, 10ms, FailureDomain("far")}, now);
+        }
+    };
+    std::string seen;
+    while (seen.empty() && now - read < 3s) {
+        now += 10ms;
+        confirm();
+        if (now - read > 1s) {
+            watch.noteEntry(InstanceId("p"),
+                            {"p", RelayConfigVersion(7), false, digest, row.listAge, FailureDomain(row.domain)},
+                            now);
+        }
+        seen = due();
+    }
+    CHECK(now - read <= 2'110ms);
+    CHECK(seen == row.expected);
+
+    if (row.expected != "list ") {
+        SECTION("the copy arrives")
+        {
+            watch.copyReceived(RecordCopy {std::nullopt, {{{"a", "1:1", 6}}, 6}, 20ms}, now);
+            CHECK(watch.listRevision() == 6);
+            CHECK(watch.knowledge(now).listAge == std::nullopt);
+            now += 300ms;
+            confirm();
+            CHECK(due().find("list") == std::string::npos);
+        }
+        SECTION("the copy does not arrive")
+        {
+            watch.copyReceived(failure(), now);
+            now += 500ms;
+            confirm();
+            CHECK(due().find("list") != std::string::npos);
+        }
+    }
+}
+
 // Guards against shared reads that delay changes beyond the required 2 s, also while some entries cannot reach the
 // store. The first four entries long-poll for new configurations.
 TEST_CASE("all entries that share reads notice a change within 2 s", "[relay]")
@@ -300,7 +383,7 @@
     const std::uint64_t digest = watch.knowledge(now).listDigest;
     now += 500ms;
     for (const std::string name : {"p", "q", "r", "s", "t"}) {
-        watch.noteEntry(InstanceId(name), {name, RelayConfigVersion(), false, digest, 10ms}, now);
+        watch.noteEntry(InstanceId(name), {name, RelayConfigVersion(), false, digest, 10ms, {}}, now);
     }
     CHECK(watch.knowledge(now).listAge == std::optional<Duration>(500ms));
     now += 1s;
--- a/UnitTests/relay/relaycoretest.cpp
+++ b/UnitTests/relay/relaycoretest.cpp
@@ -302,3 +302,130 @@
     REQUIRE(start != nullptr);
     CHECK(start->plan.upstream.id == InstanceId(engine));
 }
+
+namespace
+{
+
+/// Entry of a fleet of three domains with 24 engines each.
+class CellFixture : public CoreFixture
+{
+protected:
+    CellFixture()
+    {
+        configure();
+        for (const std::string domain : {"east", "north", "west"}) {
+            for (int index = 0; index < 24; ++index) {
+                UpstreamRecord engine;
+                engine.id = InstanceId(domain + std::to_string(100 + index));
+                engine.service = ServiceName("pool");
+                engine.domain = FailureDomain(domain);
+                m_list.records.push_back(engine);
+            }
+            for (int index = 0; index < 8; ++index) {
+                const std::string name = "entry-" + domain + std::to_string(index);
+                (void)entry.members().messageReceived({InstanceId(name), Incarnation(1), name, FailureDomain(domain)},
+                                                      now);
+            }
+        }
+        m_list.revision = 1;
+        entry.directory().apply(m_list, now);
+        entry.applyConfig(m_config, now);
+        RelayActions ignored;
+        entry.tick(now, ignored);
+    }
+    /// Submits a call and returns the domain of the engine that it is sent to; empty if it is refused.
+    std::string place(Tokens prompt)
+    {
+        IncomingCall call;
+        call.requestId = "r";
+        call.host = "h";
+        call.path = "/g/x";
+        call.key = "key";
+        call.size = {prompt, Tokens(100)};
+        const std::size_t before = entry.ownPlacements(now).size();
+        RelayActions ignored;
+        (void)entry.submit(call, now, ignored);
+        const std::vector<Placement> placed = entry.ownPlacements(now);
+        if (placed.size() == before) {
+            return {};
+        }
+        std::string domain;
+        for (const Placement &placement : placed) {
+            const std::string name = placement.decodingEngine.value();
+            domain = name.substr(0, name.size() - 3);
+        }
+        return domain;
+    }
+    static RelayCoreSettings settings()
+    {
+        RelayCoreSettings result;
+        result.self = InstanceId("self");
+        result.domain = FailureDomain("east");
+        return result;
+    }
+
+    RelayCore entry {settings(), 1, listener};
+    UpstreamList m_list;
+};
+
+} // namespace
+
+// Load: a large fleet whose domains are equally loaded. Guards against placements that are told to the whole fleet, and
+// against calls that cross domains although the own one has room: together they took 60 % of what the fleet earned.
+TEST_CASE_METHOD(CellFixture, "a call stays in its cell while that has room", "[relay][load]")
+{
+    const std::int64_t prompt = GENERATE(1'000, 5'000, 45'000, 220'000);
+    REQUIRE(entry.inCell());
+    for (int call = 0; call < 10; ++call) {
+        CHECK(place(Tokens(prompt)) == "east");
+    }
+    CHECK(entry.takeLoadUpdate().placed.size() == 10);
+    CHECK(entry.takeRemoteUpdates().empty());
+}
+
+// Load: the callers of other domains move to the own one. Guards against calls that queue in a full cell while another
+// one is idle, and against entries of that one that do not learn of them.
+TEST_CASE_METHOD(CellFixture, "a call leaves a full cell for a less loaded one", "[relay][load]")
+{
+    const bool reported = GENERATE(false, true);
+    REQUIRE(entry.inCell());
+    for (int call = 0; call < 48; ++call) {
+        REQUIRE(place(Tokens(1'000)) == "east");
+    }
+    RelayActions ignored;
+    now += 100ms;
+    entry.tick(now, ignored);
+    if (reported) {
+        entry.noteDomainLoad(FailureDomain("north"), {0.1, 0ms}, now);
+        entry.noteDomainLoad(FailureDomain("west"), {1.0, 0ms}, now);
+    }
+    (void)entry.takeLoadUpdate();
+    CHECK(place(Tokens(1'000)) == (reported ? "north" : "east"));
+    CHECK(entry.takeLoadUpdate().placed.size() == 1);
+    const std::map<FailureDomain, LoadUpdate> remote = entry.takeRemoteUpdates();
+    REQUIRE(remote.size() == (reported ? 1 : 0));
+    if (reported) {
+        CHECK(remote.begin()->first == FailureDomain("north"));
+        CHECK(remote.begin()->second.placed.size() == 1);
+    }
+}
+
+// Guards against calls that are refused because all engines of the own domain are gone.
+TEST_CASE_METHOD(CellFixture, "a cell that loses its engines uses the others", "[relay]")
+{
+    const std::size_t left = GENERATE(0, 3);
+    UpstreamList list = m_list;
+    list.revision = 2;
+    std::size_t kept = 0;
+    std::erase_if(list.records, [&](const UpstreamRecord &record) {
+        return record.domain == FailureDomain("east") && kept++ >= left;
+    });
+    entry.directory().apply(list, now);
+    // A loss of a third of the list at once may be an outage of the list.
+    now += 5s;
+    entry.directory().expire(now);
+    RelayActions ignored;
+    entry.tick(now, ignored);
+    CHECK_FALSE(entry.inCell());
+    CHECK_FALSE(place(Tokens(5'000)).empty());
+}
--- a/UnitTests/wire/relaycodectest.cpp
+++ b/UnitTests/wire/relaycodectest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 using namespace ibismast;
 using namespace std::chrono_literals;
 
@@ -9,10 +11,14 @@
 TEST_CASE("news between entries survive the wire", "[wire]")
 {
     EntryNews news;
-    news.sender = {InstanceId("entry-1"), Incarnation(7), "10.0.0.1:1"};
+    const FailureDomain domain(GENERATE(as<std::string>(), "", "east"));
+    news.sender = {InstanceId("entry-1"), Incarnation(7), "10.0.0.1:1", domain};
+    if (!domain.empty()) {
+        news.domainLoad = DomainLoad {0.75, 340ms};
+    }
     const std::optional<Duration> listAge = GENERATE(std::optional<Duration>(), std::optional<Duration>(250ms));
     news.knowledge = {
-        "10.0.0.1:2", RelayConfigVersion(9), listAge.has_value(), listAge ? 0xfedcba9876543210U : 0, listAge};
+        "10.0.0.1:2", RelayConfigVersion(9), listAge.has_value(), listAge ? 0xfedcba9876543210U : 0, listAge, {}};
     news.heard = {"10.0.0.2:1"};
     news.listRevision = 44;
     Placement placement;
@@ -29,6 +35,7 @@
     CHECK(decoded.sender == news.sender);
     CHECK(decoded.knowledge == news.knowledge);
     CHECK(decoded.heard == news.heard);
+    CHECK(decoded.domainLoad == news.domainLoad);
     CHECK(decoded.listRevision == news.listRevision);
     CHECK(decoded.load.placed == news.load.placed);
     CHECK(decoded.load.prefillsDone == news.load.prefillsDone);
@@ -40,15 +47,35 @@
 TEST_CASE("an age beyond an hour is left out", "[wire]")
 {
     EntryNews news;
-    news.sender = {InstanceId("entry-1"), Incarnation(7), "10.0.0.1:1"};
+    news.sender = {InstanceId("entry-1"), Incarnation(7), "10.0.0.1:1", {}};
     const auto [age, kept] = GENERATE(
         table<Duration, bool>({{0ms, true}, {1h, true}, {1h + 1ms, false}, {-1ms, false}, {Duration::max(), false}}));
-    news.knowledge = {"10.0.0.1:2", RelayConfigVersion(9), false, 5, age};
+    news.knowledge = {"10.0.0.1:2", RelayConfigVersion(9), false, 5, age, {}};
     const Result<EntryNews> result = decodeEntryNews(encodeEntryNews(news));
     REQUIRE(errorOf(result) == nullptr);
     CHECK(std::get<EntryNews>(result).knowledge.listAge.has_value() == kept);
 }
 
+// Guards against a load report that overflows or that no comparison holds for.
+TEST_CASE("a load report out of range is left out", "[wire]")
+{
+    const auto [slotUse, backlog, kept] = GENERATE(table<double, Duration, bool>({
+        {0.0, 0ms, true},
+        {12.5, 1h, true},
+        {-0.1, 0ms, false},
+        {std::numeric_limits<double>::quiet_NaN(), 0ms, false},
+        {std::numeric_limits<double>::infinity(), 0ms, false},
+        {0.5, -1ms, false},
+        {0.5, 2h, false},
+    }));
+    EntryNews news;
+    news.sender = {InstanceId("entry-1"), Incarnation(7), "10.0.0.1:1", FailureDomain("east")};
+    news.domainLoad = DomainLoad {slotUse, backlog};
+    const Result<EntryNews> result = decodeEntryNews(encodeEntryNews(news));
+    REQUIRE(errorOf(result) == nullptr);
+    CHECK(std::get<EntryNews>(result).domainLoad.has_value() == kept);
+}
+
 // Guards against records that change between entries; values need not be text.
 TEST_CASE("a copy of the records survives the wire", "[wire]")
 {
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -122,9 +122,11 @@
     for (const WatchRequest &request : requests) {
         carryOut(request);
     }
-    if (m_watch.takeAnnouncementDue() || now >= m_nextGreeting) {
-        m_nextGreeting = now + GreetingInterval;
-        greet();
+    const bool announce = m_watch.takeAnnouncementDue();
+    const bool regular = now >= m_nextGreeting || (announce && !m_core.inCell());
+    if (announce || regular) {
+        m_nextGreeting = regular ? now + GreetingInterval : m_nextGreeting;
+        greet(regular);
     }
     if (now >= m_nextHousekeeping) {
         m_nextHousekeeping = now + HousekeepingInterval;
--- a/adapters/relay/relayprocess.h
+++ b/adapters/relay/relayprocess.h
@@ -67,7 +67,9 @@
     void sendNews();
     /// Tells an entry that has just appeared what this one has under way.
     void sendOwnWork(const std::string &address, TimePoint now);
-    void greet();
+    /// Sends a heartbeat to the entries of the own cell. If @p regular is true, which it is every `GreetingInterval`,
+    /// it also goes to some entries of other domains and to those that are not known yet.
+    void greet(bool regular);
     /// Returns a message with everything that each one carries.
     [[nodiscard]] EntryNews emptyNews() const;
     void carryOut(const WatchRequest &request);
--- a/adapters/relay/relayprocessnews.cpp
+++ b/adapters/relay/relayprocessnews.cpp
@@ -2,6 +2,8 @@
 
 #include "adapters/plumbing/processclock.h"
 
+#include <algorithm>
+
 namespace ibismast
 {
 
@@ -28,14 +30,26 @@
                              {"address", news.sender.address},
                              {"restarted", membership == MemberView::MembershipChange::Restarted ? "true" : "false"}});
         m_core.dropEntry(news.sender.id, now);
-        sendOwnWork(news.sender.address, now);
+        const bool local = news.sender.domain.empty() || news.sender.domain == m_settings.core.domain;
+        if (local || !m_core.inCell()) {
+            sendOwnWork(news.sender.address, now);
+        }
+        // The new entry learns of this one at once, and of some others.
+        EntryNews answer = emptyNews();
+        answer.heard = m_core.members().nextReportedAddresses();
+        m_peers.send(answer, {news.sender.address});
+    }
+    if (news.domainLoad) {
+        m_core.noteDomainLoad(news.sender.domain, *news.domainLoad, now);
     }
     for (const std::string &address : news.heard) {
         if (parseUdpEndpoint(address) != m_settings.peers) {
             m_core.members().addressReported(address, now);
         }
     }
-    m_watch.noteEntry(news.sender.id, news.knowledge, now);
+    EntryRecordStatus status = news.knowledge;
+    status.domain = news.sender.domain;
+    m_watch.noteEntry(news.sender.id, status, now);
     m_core.applyLoadUpdate(news.sender.id, news.load, now);
     if (m_core.config() == nullptr || news.knowledge.configVersion > m_core.config()->version) {
         tick();
@@ -50,7 +64,12 @@
     }
     EntryNews news = emptyNews();
     news.load = std::move(load);
-    m_peers.send(news, m_core.members().addresses());
+    const MemberView &members = m_core.members();
+    m_peers.send(news, m_core.inCell() ? members.localAddresses() : members.addresses());
+    for (auto &[domain, update] : m_core.takeRemoteUpdates()) {
+        news.load = std::move(update);
+        m_peers.send(news, members.addressesIn(domain));
+    }
 }
 
 EntryNews RelayProcess::emptyNews() const
@@ -58,7 +77,8 @@
     EntryNews news;
     news.sender = {m_settings.core.self,
                    m_incarnation,
-                   m_settings.peers.address().to_string() + ":" + std::to_string(m_settings.peers.port())};
+                   m_settings.peers.address().to_string() + ":" + std::to_string(m_settings.peers.port()),
+                   m_settings.core.domain};
     news.knowledge = m_watch.knowledge(processNow());
     news.knowledge.copyAddress =
         m_settings.control.address().to_string() + ":" + std::to_string(m_settings.control.port());
@@ -78,15 +98,20 @@
     }
 }
 
-void RelayProcess::greet()
+void RelayProcess::greet(bool regular)
 {
+    MemberView &members = m_core.members();
     EntryNews news = emptyNews();
-    news.heard = m_core.members().addresses();
-    std::vector<std::string> addresses = news.heard;
-    for (std::string &address : m_core.members().unconfirmedAddresses()) {
-        addresses.push_back(std::move(address));
+    news.heard = members.nextReportedAddresses();
+    std::vector<std::string> addresses = m_core.inCell() ? members.localAddresses() : members.addresses();
+    if (regular) {
+        std::ranges::move(members.unconfirmedAddresses(), std::back_inserter(addresses));
     }
     m_peers.send(news, addresses);
+    if (regular && m_core.inCell()) {
+        news.domainLoad = m_core.ownLoad();
+        m_peers.send(news, members.nextRemoteAddresses());
+    }
 }
 
 } // namespace ibismast
--- a/ibismast/relay/clusterwatch.cpp
+++ b/ibismast/relay/clusterwatch.cpp
@@ -50,8 +50,16 @@
 void ClusterWatch::tick(TimePoint now, std::vector<WatchRequest> &requests)
 {
     if (!m_listPending && now >= m_nextList) {
-        m_listPending = true;
-        requests.emplace_back(ReadUpstreams {m_settings.readTimeout});
+        const std::optional<std::string> source = m_copyRequestPending ? std::nullopt : reportSource(now);
+        if (source) {
+            // If the copy does not arrive, the store is read after all.
+            m_nextList = now + m_settings.readTimeout;
+            m_copyRequestPending = true;
+            requests.emplace_back(FetchRecordCopy {*source, m_settings.readTimeout});
+        } else {
+            m_listPending = true;
+            requests.emplace_back(ReadUpstreams {m_settings.readTimeout});
+        }
     }
     if (!m_configPending && now >= m_nextConfig && (m_configReadNeeded || !othersAwaitConfig(now))) {
         m_configPending = true;
@@ -101,6 +109,29 @@
     return chosen->second.knowledge.copyAddress;
 }
 
+std::optional<std::string> ClusterWatch::reportSource(TimePoint now)
+{
+    if (!sharesReads() || !m_storeAvailable || !m_upstreams) {
+        return std::nullopt;
+    }
+    std::vector<const KnownEntry *> sources;
+    for (const auto &[id, entry] : m_entries) {
+        const EntryRecordStatus &status = entry.knowledge;
+        const bool local = status.domain.empty() || status.domain == m_core->domain();
+        if (!local || !status.listAge) {
+            continue;
+        }
+        const TimePoint read = entry.lastHeard - *status.listAge;
+        if (now - read <= m_settings.copyableListAge && read > m_recordsTime) {
+            sources.push_back(&entry);
+        }
+    }
+    if (sources.empty()) {
+        return std::nullopt;
+    }
+    return sources[m_random.below(sources.size())]->knowledge.copyAddress;
+}
+
 RelayConfigVersion ClusterWatch::configVersion() const
 {
     const RelayConfig *config = m_core->config();
@@ -222,9 +253,12 @@
         applyConfig(*copy.config, "entry", now);
     }
     const TimePoint read = now - copy.age;
-    if (copy.upstreams.revision > 0 && (!m_upstreams || read > m_listTime)) {
+    if (copy.upstreams.revision > 0 && (!m_upstreams || read > m_recordsTime)) {
         m_ownListTime = TimePoint::min();
         applyUpstreams(copy.upstreams, "entry", read, now);
+        if (sharesReads() && m_storeAvailable && !m_listPending) {
+            m_nextList = nextSharedRead();
+        }
     }
 }
 
@@ -273,8 +307,13 @@
         list.records.push_back(std::move(std::get<UpstreamRecord>(upstream)));
     }
     m_upstreams = upstreams;
-    m_listTime = read;
+    m_recordsTime = read;
+    // Without jitter, entries that have read a change at the same time would all read at the same time from then on.
+    m_recordsDue =
+        read + m_settings.ownListInterval - fromSeconds(m_random.uniform() * toSeconds(m_settings.ownListJitter));
     const std::uint64_t digest = digestOf(list);
+    // A list that another entry has confirmed after the read of these records stays confirmed.
+    m_listTime = digest == m_listDigest ? std::max(m_listTime, read) : read;
     m_announcementDue = m_announcementDue || digest != m_listDigest;
     m_listDigest = digest;
     m_core->directory().apply(list, now);
@@ -284,11 +323,15 @@
 {
     m_listTime = std::max(m_listTime, read);
     if (m_storeAvailable) {
-        const Duration pause = sharedReadPause();
-        m_nextList = std::min(m_listTime + pause, m_ownListTime + m_settings.ownListInterval);
+        m_nextList = nextSharedRead();
     }
 }
 
+TimePoint ClusterWatch::nextSharedRead()
+{
+    return std::min(m_listTime + sharedReadPause(), m_recordsDue);
+}
+
 void ClusterWatch::noteEntry(const InstanceId &id, const EntryRecordStatus &knowledge, TimePoint now)
 {
     m_entries[id] = KnownEntry {knowledge, now};
--- a/ibismast/relay/clusterwatch.h
+++ b/ibismast/relay/clusterwatch.h
@@ -61,8 +61,15 @@
     /// below the time after which a leaving upstream gets no new work.
     Duration sharedListInterval = std::chrono::milliseconds(600);
     Duration sharedListJitter = std::chrono::milliseconds(300);
-    /// Maximum interval between own reads when reads are shared: the upstreams' reports are seen only by reading.
+    /// Maximum age of the upstreams' reports when reads are shared: a digest that confirms the list does not carry
+    /// them.
     Duration ownListInterval = std::chrono::milliseconds(2100);
+    /// Maximum random time by which this interval is shortened.
+    Duration ownListJitter = std::chrono::milliseconds(900);
+    /// The list is taken from another entry of the own failure domain if that one has read it itself within this time;
+    /// otherwise it is read from the store. With the interval between shared reads and a failed request for a copy, it
+    /// must stay below the time after which a leaving upstream gets no new work.
+    Duration copyableListAge = std::chrono::milliseconds(500);
     /// Number of entries that long-poll the store for a new configuration on behalf of the whole fleet; the entries
     /// with the smallest ids do. A new configuration is noticed late only if all of them fail at once.
     std::size_t configWaiters = 4;
@@ -121,10 +128,15 @@
     [[nodiscard]] Duration nextRetryPause();
     /// Returns the address of the entry whose copy should be fetched now, or nothing if no copy is needed.
     [[nodiscard]] std::optional<std::string> nextCopySource(TimePoint now);
+    /// Returns the address of an entry whose copy has newer reports than this entry and makes a read of the store
+    /// unnecessary; empty if there is none.
+    [[nodiscard]] std::optional<std::string> reportSource(TimePoint now);
     /// True if the fleet is large enough to share reads of the store.
     [[nodiscard]] bool sharesReads() const;
     /// Returns the interval, with jitter, between a read by any entry and the next one of this entry.
     [[nodiscard]] Duration sharedReadPause();
+    /// Returns the time of this entry's next read when reads are shared.
+    [[nodiscard]] TimePoint nextSharedRead();
     /// True if enough entries with smaller ids long-poll the store for a new configuration.
     [[nodiscard]] bool othersAwaitConfig(TimePoint now) const;
     /// Records that another entry has read, at @p read, the same list as this entry has.
@@ -145,6 +157,10 @@
     /// Time at which this entry read its list from the store; the minimum if the list is another entry's copy. Only own
     /// reads are announced: a read time that is passed on appears more recent after each network delay.
     TimePoint m_ownListTime = TimePoint::min();
+    /// Time at which the records of the list were read from the store, by this entry or by the one it has copied.
+    TimePoint m_recordsTime = TimePoint::min();
+    /// Time at which the records are read again if reads are shared.
+    TimePoint m_recordsDue = TimePoint::min();
     std::uint64_t m_listDigest = 0;
     /// Keys and revisions of unreadable records that have been logged.
     std::set<std::pair<std::string, std::int64_t>> m_reportedRecords;
--- a/ibismast/relay/platformrecords.h
+++ b/ibismast/relay/platformrecords.h
@@ -54,6 +54,8 @@
     std::uint64_t listDigest = 0;
     /// Time since the list was read; empty if the entry has no list.
     std::optional<Duration> listAge;
+    /// Failure domain of the entry; empty if it is not known.
+    FailureDomain domain;
 
     bool operator==(const EntryRecordStatus &) const = default;
 };
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -31,10 +31,11 @@
     , m_listener(&listener)
     , m_random(seed)
     , m_directory(m_settings.directory, listener)
-    , m_members(m_settings.members)
+    , m_members(m_settings.members, m_settings.domain)
     , m_loads(m_settings.load)
     , m_planner(m_settings.planner, m_loads)
     , m_tieBreakOffset(std::hash<std::string>()(m_settings.self.value()))
+    , m_cells(m_settings.cells, m_settings.domain)
 {
 }
 
@@ -289,7 +290,8 @@
         return now >= entry.second;
     });
     m_directory.expire(now);
-    for (const InstanceId &entry : m_members.expire(now)) {
+    updateCell(now);
+    for (const InstanceId &entry : m_members.expire(now, m_inCell)) {
         m_listener->onEvent("entry_lost", {{"entry", entry.value()}});
         dropEntry(entry, now);
     }
@@ -332,6 +334,51 @@
     return std::exchange(m_pendingUpdate, LoadUpdate());
 }
 
+std::map<FailureDomain, LoadUpdate> RelayCore::takeRemoteUpdates()
+{
+    return std::exchange(m_remoteUpdates, {});
+}
+
+void RelayCore::noteDomainLoad(const FailureDomain &domain, const DomainLoad &load, TimePoint now)
+{
+    m_cells.noteLoad(domain, load, now);
+}
+
+void RelayCore::updateCell(TimePoint now)
+{
+    if (!m_routes) {
+        return;
+    }
+    std::size_t engines = 0;
+    std::size_t streams = 0;
+    std::size_t slots = 0;
+    Duration backlog {};
+    for (const auto &[id, member] : m_directory.members()) {
+        const RelayService *target = service(member.record.service);
+        if (target == nullptr || !target->engine || member.record.leaving
+            || member.record.domain != m_settings.domain) {
+            continue;
+        }
+        const EngineWorkload &load = m_loads.load(id);
+        ++engines;
+        streams += load.streams();
+        slots += static_cast<std::size_t>(target->engine->slots);
+        backlog += load.backlog(now);
+    }
+    m_ownLoad = {};
+    if (engines > 0 && slots > 0) {
+        m_ownLoad = {static_cast<double>(streams) / static_cast<double>(slots), backlog / static_cast<int>(engines)};
+    }
+    const bool cell = m_cells.isCell(m_members.otherCount() + 1, engines);
+    if (cell != m_inCell) {
+        m_inCell = cell;
+        m_listener->onEvent(cell ? "cell_formed" : "cell_dissolved",
+                            {{"domain", m_settings.domain.value()},
+                             {"entries", std::to_string(m_members.otherCount() + 1)},
+                             {"engines", std::to_string(engines)}});
+    }
+}
+
 void RelayCore::dropEntry(const InstanceId &entry, TimePoint now)
 {
     m_loads.endAllOf(entry, now);
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -2,6 +2,7 @@
 
 #include "ibismast/core/seededrandom.h"
 #include "ibismast/relay/callflow.h"
+#include "ibismast/relay/cellview.h"
 #include "ibismast/relay/memberview.h"
 #include "ibismast/relay/routetable.h"
 #include "ibismast/retry/retrybudget.h"
@@ -50,6 +51,7 @@
     EngineLoadSettings load;
     UpstreamDirectorySettings directory;
     MemberViewSettings members;
+    CellViewSettings cells;
     /// Limits on the retries of all entries together in ten seconds: a ratio to the requests of that time, and a number
     /// allowed in addition.
     double retryRatio = 0.2;
@@ -112,6 +114,10 @@
     {
         return m_settings.self;
     }
+    [[nodiscard]] const FailureDomain &domain() const
+    {
+        return m_settings.domain;
+    }
     [[nodiscard]] MemberView &members()
     {
         return m_members;
@@ -154,8 +160,24 @@
 
     /// Applies the load changes that another entry has announced.
     void applyLoadUpdate(const InstanceId &entry, const LoadUpdate &update, TimePoint now);
-    /// Returns the load changes since the last call of this function.
+    /// Returns the load changes since the last call of this function. They go to the entries of the own cell, or to all
+    /// entries if the fleet is not divided into cells.
     [[nodiscard]] LoadUpdate takeLoadUpdate();
+    /// Returns the load changes that concern engines of other domains, by domain. Empty unless the fleet is divided
+    /// into cells.
+    [[nodiscard]] std::map<FailureDomain, LoadUpdate> takeRemoteUpdates();
+    /// True if this entry's failure domain is a cell. See `CellView`.
+    [[nodiscard]] bool inCell() const
+    {
+        return m_inCell;
+    }
+    /// Load of the engines in the own failure domain at the last tick.
+    [[nodiscard]] const DomainLoad &ownLoad() const
+    {
+        return m_ownLoad;
+    }
+    /// Records the load that an entry of @p domain has reported for its engines.
+    void noteDomainLoad(const FailureDomain &domain, const DomainLoad &load, TimePoint now);
     /// Returns the placements of this entry's current attempts, for an entry that has just joined.
     [[nodiscard]] std::vector<Placement> ownPlacements(TimePoint now) const;
     /// Drops the placements of another entry, which has failed or restarted.
@@ -194,12 +216,28 @@
     admit(const std::string &host, const std::string &path, const std::string &key) const;
     /// Returns the configured service @p name, or null.
     [[nodiscard]] const RelayService *service(const ServiceName &name) const;
+    /// Whether a plan may use more than the estimated capacity of the engines, since the estimates lag behind the end
+    /// of calls, and engines can queue a few calls.
+    enum class Capacity {
+        Estimated,
+        Overcommitted,
+    };
     /// Chooses engines for a generation by predicted load.
     [[nodiscard]] std::optional<AttemptPlan>
     planGeneration(const RelayCall &call,
                    const EngineProfile &profile,
                    const std::vector<const UpstreamDirectory::Member *> &engines,
+                   Capacity capacity,
                    TimePoint now);
+    /// Chooses engines of the own cell, or those of a less loaded domain if the cell would miss the call's objective.
+    [[nodiscard]] std::optional<AttemptPlan> planInCells(const RelayCall &call,
+                                                         const EngineProfile &profile,
+                                                         const std::vector<const UpstreamDirectory::Member *> &engines,
+                                                         TimePoint now);
+    /// Measures the load of the own failure domain and decides whether it is a cell.
+    void updateCell(TimePoint now);
+    /// Returns the other domains whose engines @p plan uses.
+    [[nodiscard]] std::set<FailureDomain> remoteDomains(const AttemptPlan &plan) const;
     /// Chooses the upstream with the fewest open calls of this entry.
     [[nodiscard]] std::optional<AttemptPlan>
     planPlainCall(const std::vector<const UpstreamDirectory::Member *> &upstreams);
@@ -220,8 +258,15 @@
     std::set<std::pair<TimePoint, CallNumber>> m_due;
     std::optional<TimePoint> m_stopEnd;
     std::uint64_t m_lastCall = 0;
-    /// Number under which the current attempt of each call is announced to the other entries.
-    std::map<CallNumber, CallNumber> m_placements;
+    /// Announcement of the current attempt of a call.
+    struct AnnouncedPlacement
+    {
+        /// Number under which the attempt is announced.
+        CallNumber number;
+        /// Other domains that it is announced to.
+        std::set<FailureDomain> domains;
+    };
+    std::map<CallNumber, AnnouncedPlacement> m_placements;
     std::uint64_t m_lastPlacement = 0;
     /// Offset that breaks ties between equally good engines, which differs between entries. See `GenerationQuery`.
     std::size_t m_tieBreakOffset;
@@ -234,6 +279,10 @@
     std::map<std::uint64_t, TimePoint> m_refused;
     /// Load changes that have not been announced to the other entries yet.
     LoadUpdate m_pendingUpdate;
+    std::map<FailureDomain, LoadUpdate> m_remoteUpdates;
+    CellView m_cells;
+    bool m_inCell = false;
+    DomainLoad m_ownLoad;
 };
 
 } // namespace ibismast
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -36,7 +36,7 @@
             continue;
         }
         std::optional<AttemptPlan> plan =
-            generation ? planGeneration(call, *target->engine, untried, now) : planPlainCall(untried);
+            generation ? planInCells(call, *target->engine, untried, now) : planPlainCall(untried);
         if (plan) {
             return plan;
         }
@@ -73,20 +73,53 @@
     return suspect;
 }
 
+std::optional<AttemptPlan> RelayCore::planInCells(const RelayCall &call,
+                                                  const EngineProfile &profile,
+                                                  const std::vector<const UpstreamDirectory::Member *> &engines,
+                                                  TimePoint now)
+{
+    std::vector<const UpstreamDirectory::Member *> local;
+    if (m_inCell) {
+        std::ranges::copy_if(engines, std::back_inserter(local), [this](const auto *engine) {
+            return engine->record.domain == m_settings.domain;
+        });
+    }
+    if (local.empty()) {
+        std::optional<AttemptPlan> plan = planGeneration(call, profile, engines, Capacity::Estimated, now);
+        return plan ? plan : planGeneration(call, profile, engines, Capacity::Overcommitted, now);
+    }
+    std::optional<AttemptPlan> plan = planGeneration(call, profile, local, Capacity::Estimated, now);
+    if (plan && plan->timeToFirstEvent <= call.route.objective) {
+        return plan;
+    }
+    if (const std::optional<FailureDomain> domain = m_cells.lessLoadedDomain(m_ownLoad, now)) {
+        std::vector<const UpstreamDirectory::Member *> remote;
+        std::ranges::copy_if(engines, std::back_inserter(remote), [&domain](const auto *engine) {
+            return engine->record.domain == *domain;
+        });
+        std::optional<AttemptPlan> remotePlan =
+            remote.empty() ? std::nullopt : planGeneration(call, profile, remote, Capacity::Estimated, now);
+        if (remotePlan && (!plan || remotePlan->timeToFirstEvent < plan->timeToFirstEvent)) {
+            return remotePlan;
+        }
+    }
+    return plan ? plan : planGeneration(call, profile, local, Capacity::Overcommitted, now);
+}
+
 std::optional<AttemptPlan> RelayCore::planGeneration(const RelayCall &call,
                                                      const EngineProfile &profile,
                                                      const std::vector<const UpstreamDirectory::Member *> &engines,
+                                                     Capacity capacity,
                                                      TimePoint now)
 {
     const GenerationQuery query {
         call.size, call.route.objective, call.route.pauseTarget, m_tieBreakOffset % engines.size()};
-    std::optional<EnginePlan> plan = m_planner.plan(query, profile, engines, now);
-    if (!plan) {
-        // No capacity is left according to the estimates. They lag behind the end of calls, and engines can queue a few
-        // calls, so plan again with overcommitted slots and memory.
+    EngineOvercommit overcommit;
+    if (capacity == Capacity::Overcommitted) {
         const int queue = call.returning ? m_settings.maxReturningQueue : m_settings.maxEngineQueue;
-        plan = m_planner.plan(query, profile, engines, now, {queue, m_settings.memoryOvercommit, call.returning});
+        overcommit = {queue, m_settings.memoryOvercommit, call.returning};
     }
+    const std::optional<EnginePlan> plan = m_planner.plan(query, profile, engines, now, overcommit);
     if (!plan) {
         return std::nullopt;
     }
@@ -147,17 +180,38 @@
         placement.prefills.push_back({helper.upstream.id, plan.prefillTime, helper.reserved});
         placement.memory -= helper.reserved;
     }
-    m_placements[call.number] = placement.id.call;
+    AnnouncedPlacement announced {placement.id.call, remoteDomains(plan)};
+    for (const FailureDomain &domain : announced.domains) {
+        m_remoteUpdates[domain].placed.push_back(placement);
+    }
+    m_placements[call.number] = std::move(announced);
     m_loads.place(placement, now);
     m_pendingUpdate.placed.push_back(std::move(placement));
 }
 
+std::set<FailureDomain> RelayCore::remoteDomains(const AttemptPlan &plan) const
+{
+    std::set<FailureDomain> domains;
+    if (m_inCell) {
+        domains.insert(plan.upstream.domain);
+        for (const AttemptHelper &helper : plan.helpers) {
+            domains.insert(helper.upstream.domain);
+        }
+        domains.erase(m_settings.domain);
+    }
+    return domains;
+}
+
 void RelayCore::firstEventReceived(const RelayCall &call, TimePoint now)
 {
     const auto placement = m_placements.find(call.number);
     if (placement != m_placements.end()) {
-        m_loads.notePrefillDone({m_settings.self, placement->second}, now);
-        m_pendingUpdate.prefillsDone.push_back(placement->second);
+        const auto &[number, domains] = placement->second;
+        m_loads.notePrefillDone({m_settings.self, number}, now);
+        m_pendingUpdate.prefillsDone.push_back(number);
+        for (const FailureDomain &domain : domains) {
+            m_remoteUpdates[domain].prefillsDone.push_back(number);
+        }
     }
 }
 
@@ -165,8 +219,12 @@
 {
     const auto placement = m_placements.find(call.number);
     if (placement != m_placements.end()) {
-        m_loads.end({m_settings.self, placement->second}, now);
-        m_pendingUpdate.ended.push_back(placement->second);
+        const auto &[number, domains] = placement->second;
+        m_loads.end({m_settings.self, number}, now);
+        m_pendingUpdate.ended.push_back(number);
+        for (const FailureDomain &domain : domains) {
+            m_remoteUpdates[domain].ended.push_back(number);
+        }
         m_placements.erase(placement);
         return;
     }
--- a/ibismast/relay/upstreamdirectory.h
+++ b/ibismast/relay/upstreamdirectory.h
@@ -96,6 +96,11 @@
     {
         return m_revision;
     }
+    /// Returns all known upstreams, also those that are leaving or missing from the list.
+    [[nodiscard]] const std::map<InstanceId, Member> &members() const
+    {
+        return m_members;
+    }
     /// Returns the upstream @p id, or null.
     [[nodiscard]] const Member *find(const InstanceId &id) const;
     /// Returns the id of the upstream that listens at @p address, or nothing if none does.
--- a/wire/relay.thrift
+++ b/wire/relay.thrift
@@ -28,7 +28,7 @@
     2: required i64 incarnation,
     /// Address at which the sender receives such datagrams.
     3: required string address,
-    /// Addresses of other entries that the sender hears; only in greetings.
+    /// Addresses of some of the other entries that the sender hears; only in greetings.
     4: optional list<string> heard,
     /// Version of the configuration that the sender has in force; 0 if it has none.
     5: required i64 configVersion,
@@ -47,6 +47,12 @@
     13: optional i64 listAgeMs,
     /// True while the sender waits at the store for a new configuration.
     14: optional bool awaitsConfig,
+    /// Failure domain of the sender.
+    15: optional string domain,
+    /// Load of the engines in the sender's failure domain: share of the slots that are in use, and mean time that an
+    /// engine needs for the prefill placed on it.
+    16: optional double domainSlotUse,
+    17: optional i64 domainBacklogUs,
 }
 
 /// Record of the platform's store as it was read.
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -21,6 +21,10 @@
 /// Ages above this one, an hour, are of no use and could overflow a duration.
 constexpr std::int64_t LargestListAgeMs = 3'600'000;
 
+/// Limits of a load report; larger values, or a share that is no number, cannot be true.
+constexpr double LargestSlotUse = 1e6;
+constexpr std::int64_t LargestBacklogUs = 3'600'000'000;
+
 template<typename Message> std::string encode(const Message &message)
 {
     const auto memory = std::make_shared<TMemoryBuffer>();
@@ -103,6 +107,13 @@
     message.address = news.sender.address;
     const EntryRecordStatus &knowledge = news.knowledge;
     message.configVersion = knowledge.configVersion.value();
+    if (!news.sender.domain.empty()) {
+        message.__set_domain(news.sender.domain.value());
+    }
+    if (news.domainLoad) {
+        message.__set_domainSlotUse(news.domainLoad->slotUse);
+        message.__set_domainBacklogUs(news.domainLoad->backlog.count());
+    }
     message.listRevision = news.listRevision;
     message.__set_copyAddress(knowledge.copyAddress);
     if (knowledge.listAge) {
@@ -150,8 +161,15 @@
     }
     const auto &message = std::get<wire::relay::RelayNews>(decoded);
     EntryNews news;
-    news.sender = {
-        InstanceId(message.entry), Incarnation(static_cast<std::uint64_t>(message.incarnation)), message.address};
+    news.sender = {InstanceId(message.entry),
+                   Incarnation(static_cast<std::uint64_t>(message.incarnation)),
+                   message.address,
+                   FailureDomain(message.__isset.domain ? message.domain : std::string())};
+    const bool loadInRange = message.domainSlotUse >= 0.0 && message.domainSlotUse <= LargestSlotUse
+        && message.domainBacklogUs >= 0 && message.domainBacklogUs <= LargestBacklogUs;
+    if (message.__isset.domainSlotUse && message.__isset.domainBacklogUs && loadInRange) {
+        news.domainLoad = DomainLoad {message.domainSlotUse, Duration(message.domainBacklogUs)};
+    }
     news.knowledge.copyAddress = message.copyAddress;
     news.heard = message.heard;
     news.knowledge.configVersion = RelayConfigVersion(message.configVersion);
--- a/wire/relaycodec.h
+++ b/wire/relaycodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ibismast/relay/cellview.h"
 #include "ibismast/relay/memberview.h"
 #include "ibismast/relay/platformrecords.h"
 #include "ibismast/relay/relaycore.h"
@@ -12,8 +13,10 @@
 {
     EntryMember sender;
     EntryRecordStatus knowledge;
-    /// Other entries that the sender hears.
+    /// Some of the other entries that the sender hears.
     std::vector<std::string> heard;
+    /// Load of the engines in the sender's failure domain; set in heartbeats to entries of other domains.
+    std::optional<DomainLoad> domainLoad;
     std::int64_t listRevision = 0;
     LoadUpdate load;
 };
