Bound bytes that never end, count only whole events as progress

Looked for the failures that operators of similar systems have reported, in the relay. Found and fixed, each with a test that failed before: - The extensions of a chunk and the trailers of a response had no limit, so an upstream in trouble could fill the memory (4 of 11 rows of "bytes without end are given up at a limit" failed). A line that is longer than a head may be ends the response now. - Interim responses and responses to other calls were skipped without end (3 rows). After 8 of them, or 256 KB, the attempt ends as broken. - Comments, blank lines and parts of an event counted as progress, so a stalled upstream that sent a byte now and then was kept until the deadline.

Unit tests [relay], [wire] and [platform] pass.

--- a/UnitTests/adapters/relay/upstreamconnectiontest.cpp
+++ b/UnitTests/adapters/relay/upstreamconnectiontest.cpp
@@ -155,3 +155,102 @@
     }));
     CHECK(outcome == "unsent");
 }
+
+namespace
+{
+
+/// Bytes that an upstream in trouble sends: a start, and a piece that it repeats without end.
+struct EndlessRow
+{
+    std::string name;
+    std::string start;
+    std::string piece;
+};
+
+const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+// Guards against an upstream in trouble whose bytes never end: memory and time must stay bounded, and no answer may
+// come of them.
+TEST_CASE_METHOD(ConnectionFixture, "bytes without end are given up at a limit", "[relay]")
+{
+    const EndlessRow row = GENERATE(values<EndlessRow>({
+        {"no line end", "", std::string(4096, 'x')},
+        {"status line without end", "HTTP/1.1 200 ", std::string(4096, 'x')},
+        {"header without end", "HTTP/1.1 200 OK\r\nX: ", std::string(4096, 'x')},
+        {"headers without end", "HTTP/1.1 200 OK\r\n", "X-Header: value\r\n"},
+        {"chunk size without end", ChunkedHead, std::string(4096, '0')},
+        {"chunk extension without end", ChunkedHead + "2;", std::string(4096, 'x')},
+        {"trailers without end", ChunkedHead + "0\r\n", "X-Trailer: value\r\n"},
+        {"trailer without end", ChunkedHead + "0\r\nX: ", std::string(4096, 'x')},
+        {"interim responses without end", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"responses to other calls without end", "", Foreign},
+        {"a response to another call without end",
+         "HTTP/1.1 200 OK\r\nId: other\r\nConnection: close\r\n\r\n",
+         std::string(4096, 'x')},
+    }));
+    CAPTURE(row.name);
+    send();
+    // Sound upstreams stay far below this; the process's memory is a hundred times as large.
+    constexpr std::size_t Limit = std::size_t {1} << 20;
+    std::size_t written = row.start.size();
+    std::string bytes = row.start;
+    while (bytes.size() < 4096) {
+        bytes += row.piece;
+    }
+    boost::system::error_code error;
+    while (outcome.empty() && !error && written < Limit) {
+        written += boost::asio::write(upstream.socket, boost::asio::buffer(bytes), error);
+        bytes = row.piece;
+        while (bytes.size() < 4096) {
+            bytes += row.piece;
+        }
+        loop.restart();
+        loop.run_for(std::chrono::milliseconds(1));
+    }
+    await();
+    CHECK(outcome == "broken");
+    CHECK(body.size() <= 2);
+    CHECK_FALSE(connection->isIdle());
+}
+
+// Guards against a chunk whose size overflows, which would make the bytes after it part of the body or of an answer.
+TEST_CASE_METHOD(ConnectionFixture, "a chunk size out of range ends the answer", "[relay]")
+{
+    const std::string size =
+        GENERATE(as<std::string>(), "10000000000000000", "ffffffffffffffff", "-1", "+2", "fffffffffffffffff2");
+    send();
+    upstream.write(ChunkedHead + size + "\r\nok\r\n0\r\n\r\n");
+    if (size == "ffffffffffffffff") {
+        upstream.socket.shutdown(tcp::socket::shutdown_send);
+    }
+    await();
+    CHECK(outcome == "broken");
+    CHECK_FALSE(connection->isIdle());
+}
+
+// Guards against a second copy of an answer that the next call on the connection gets as its own, however the copy is
+// split and whenever it arrives.
+TEST_CASE_METHOD(ConnectionFixture, "a late second copy of an answer reaches no other call", "[relay]")
+{
+    const std::string earlier = GENERATE(as<std::string>(),
+                                         "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nno",
+                                         "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                         "2\r\nno\r\n0\r\n\r\n",
+                                         "HTTP/1.1 503 Busy\r\nId: other\r\nContent-Length: 0\r\n\r\n");
+    const std::size_t cut = GENERATE(as<std::size_t>(), 0, 5, 20, 45, 1000);
+    send();
+    upstream.write(earlier.substr(0, cut));
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(5));
+    upstream.write(earlier.size() > cut ? earlier.substr(cut) : std::string());
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(5));
+    CHECK(outcome.empty());
+    CHECK(body.empty());
+    upstream.write(Mine);
+    await();
+    CHECK(outcome == "complete");
+    CHECK(body == "ok");
+}
--- a/UnitTests/relay/clusterwatchtest.cpp
+++ b/UnitTests/relay/clusterwatchtest.cpp
@@ -445,6 +445,19 @@
     }
 }
 
+// Guards against fetching configurations that are not newer, which costs every entry a large copy after a change.
+TEST_CASE_METHOD(WatchFixture, "a configuration is fetched only from an entry with a newer one", "[relay]")
+{
+    const auto [theirs, expected] =
+        GENERATE(table<std::int64_t, std::string>({{0, ""}, {6, ""}, {7, ""}, {8, "fetch:peer "}}));
+    (void)due();
+    watch.upstreamsRead(StoredUpstreams {{{"a", "1:1", 5}}, 5}, now);
+    watch.configRead(StoredConfig {StoredRecord {"c", "7", 4}, 5}, now);
+    (void)due();
+    watch.noteEntry(InstanceId("p"), peer(theirs), now);
+    CHECK(due() == expected);
+}
+
 // Guards against one unreadable record that makes the others unusable.
 TEST_CASE_METHOD(WatchFixture, "an unreadable record of an upstream is skipped", "[relay]")
 {
--- a/adapters/plumbing/httpmessage.cpp
+++ b/adapters/plumbing/httpmessage.cpp
@@ -161,6 +161,12 @@
         return used - kept;
     }
     std::string rest(input.substr(used));
+    if (rest.size() > m_private->limits.maxHeadBytes) {
+        // The library limits the head, but neither the extensions of a chunk nor the trailers.
+        return Error {ResultCode::MalformedRequest,
+                      "a line exceeds the limit of " + std::to_string(m_private->limits.maxHeadBytes) + " bytes",
+                      std::nullopt};
+    }
     m_private->pending = std::move(rest);
     return bytes.size();
 }
--- a/adapters/relay/upstreamconnection.cpp
+++ b/adapters/relay/upstreamconnection.cpp
@@ -54,6 +54,8 @@
     m_parser = std::make_unique<HttpMessageParser>(HttpMessageKind::Response, m_settings.limits);
     m_headReported = false;
     m_skipping = false;
+    m_skippedResponses = 0;
+    m_skippedBytes = 0;
     m_reusable = false;
     if (m_state == State::New) {
         connect();
@@ -140,6 +142,10 @@
         }
         bytes.remove_prefix(std::get<std::size_t>(used));
         report();
+        if (m_skipping && skippedTooMuch()) {
+            fail(AttemptFailure::Broken, "the upstream sends responses to other calls without end");
+            return;
+        }
         if (m_state != State::Open || !m_parser->done()) {
             continue;
         }
@@ -170,17 +176,25 @@
         const HttpHead head = m_parser->head();
         m_headReported = true;
         m_skipping = head.status < FirstFinalStatus || !handler->onHead(head);
+        m_skippedResponses += m_skipping ? 1 : 0;
         m_reusable = head.keepAlive;
         const auto idle = keepAliveTimeout(head.header("Keep-Alive"));
         m_idleUntil = processNow() + (idle ? Duration(*idle) : m_settings.defaultIdle + m_settings.idleMargin)
             - m_settings.idleMargin;
     }
     std::string body = m_parser->takeBody();
-    if (!m_skipping && !body.empty() && m_handler) {
+    if (m_skipping) {
+        m_skippedBytes += body.size();
+    } else if (!body.empty() && m_handler) {
         handler->onBody(body);
     }
 }
 
+bool UpstreamConnection::skippedTooMuch() const
+{
+    return m_skippedResponses > m_settings.maxSkippedResponses || m_skippedBytes > m_settings.maxSkippedBytes;
+}
+
 void UpstreamConnection::answerComplete()
 {
     // An answer that came before the whole request was read leaves the connection in an unknown state.
--- a/adapters/relay/upstreamconnection.h
+++ b/adapters/relay/upstreamconnection.h
@@ -34,6 +34,9 @@
     Duration defaultIdle = std::chrono::seconds(3);
     /// An idle connection is given up this long before the upstream would close it.
     Duration idleMargin = std::chrono::milliseconds(1000);
+    /// Limits on the responses that are skipped before the one that is due: interim ones, and those to other calls.
+    int maxSkippedResponses = 8;
+    std::size_t maxSkippedBytes = std::size_t {256} * 1024;
     HttpMessageLimits limits {64 * 1024, std::uint64_t {64} * 1024 * 1024};
 };
 
@@ -75,6 +78,8 @@
     void parse(std::string_view bytes);
     /// Reports the head and body that the parser holds.
     void report();
+    /// True if more was skipped before the response than a sound upstream sends.
+    [[nodiscard]] bool skippedTooMuch() const;
     void answerComplete();
     void connectionEnded(const boost::system::error_code &error);
     void fail(AttemptFailure failure, const std::string &reason);
@@ -92,6 +97,8 @@
     std::unique_ptr<HttpMessageParser> m_parser;
     bool m_headReported = false;
     bool m_skipping = false;
+    int m_skippedResponses = 0;
+    std::size_t m_skippedBytes = 0;
     bool m_reusable = false;
     TimePoint m_idleUntil;
 };
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace ibismast
 {
@@ -151,18 +152,32 @@
     if (m_ended || !m_plan || attempt != m_attempt) {
         return;
     }
-    m_lastProgress = now;
-    m_environment->upstreamProgressed(m_plan->upstream.id, now);
-    if (!isStream() || !isSuccess(m_responseHead.status)) {
+    if (isStream() && isSuccess(m_responseHead.status)) {
+        eventsReceived(attempt, bytes, now, actions);
+    } else {
+        m_lastProgress = now;
+        m_environment->upstreamProgressed(m_plan->upstream.id, now);
         m_responseBody.append(bytes);
         if (m_responseBody.size() > m_settings.maxResponseBytes) {
             actions.emplace_back(AbortAttempt {attempt});
             attemptFailed(attempt, AttemptFailure::Broken, "response body exceeds the size limit", now, actions);
+            return;
         }
-        return;
     }
+    if (!m_ended && m_plan && attempt == m_attempt && !accountBuffers()) {
+        actions.emplace_back(AbortAttempt {attempt});
+        attemptFailed(attempt, AttemptFailure::Broken, "the response buffers are full", now, actions);
+    }
+}
+
+void CallFlow::eventsReceived(int attempt, std::string_view bytes, TimePoint now, CallActions &actions)
+{
     std::string events = m_scanner.append(bytes);
-    if (m_scanner.overflowed()) {
+    if (!m_scanner.hasProgressed()) {
+        m_comments += events;
+        events.clear();
+    }
+    if (m_scanner.overflowed() || m_comments.size() > m_settings.maxEventBytes) {
         actions.emplace_back(AbortAttempt {attempt});
         attemptFailed(attempt, AttemptFailure::Broken, "stream event exceeds the size limit", now, actions);
         return;
@@ -170,6 +185,9 @@
     if (events.empty()) {
         return;
     }
+    // Comments, blank lines and parts of an event are no progress: a stalled upstream may send them without end.
+    m_lastProgress = now;
+    m_environment->upstreamProgressed(m_plan->upstream.id, now);
     if (!m_attemptHasEvents) {
         m_attemptHasEvents = true;
         m_nextIdleCheck.reset();
@@ -185,7 +203,26 @@
     }
     m_lastEvent = now;
     ++m_eventBatchesSent;
-    actions.emplace_back(SendBody {std::move(events)});
+    actions.emplace_back(SendBody {std::exchange(m_comments, {}) + events});
+}
+
+bool CallFlow::accountBuffers()
+{
+    const auto bytes = static_cast<std::int64_t>(m_responseBody.size() + m_comments.size() + m_scanner.pendingBytes());
+    if (!m_environment->changeBuffered(bytes - m_bufferedBytes)) {
+        return false;
+    }
+    m_bufferedBytes = bytes;
+    return true;
+}
+
+void CallFlow::clearBuffers()
+{
+    m_responseBody.clear();
+    m_comments.clear();
+    // The next upstream resumes after the last complete event, so the incomplete one is discarded.
+    (void)m_scanner.takeIncomplete();
+    (void)accountBuffers();
 }
 
 void CallFlow::responseCompleted(int attempt, TimePoint now, CallActions &actions)
@@ -204,7 +241,7 @@
             m_headSent = true;
             actions.emplace_back(SendHead {attempt});
         }
-        std::string rest = m_scanner.takeIncomplete();
+        std::string rest = std::exchange(m_comments, {}) + m_scanner.takeIncomplete();
         if (!rest.empty()) {
             actions.emplace_back(SendBody {std::move(rest)});
         }
@@ -306,6 +343,7 @@
     const std::string upstream = m_plan ? m_plan->upstream.id.value() : std::string("none");
     closeAttempt(now, actions);
     m_waitingUntil.reset();
+    clearBuffers();
     m_ended = true;
     m_listener->onEvent("call_ended",
                         {{"request", m_call.requestId},
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -208,9 +208,12 @@
     virtual void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) = 0;
     /// The call is refused with a status that declares it as not executed, so its caller may send it again.
     virtual void callRefused(const RelayCall &call, TimePoint now) = 0;
-    /// Body bytes of a call were received from @p upstream.
+    /// The bytes buffered for all calls change by @p change. Returns false, and counts nothing, if they would exceed
+    /// the limit of the process.
+    [[nodiscard]] virtual bool changeBuffered(std::int64_t change) = 0;
+    /// A part of a response was received from @p upstream: a whole event of a stream, or bytes of another body.
     virtual void upstreamProgressed(const InstanceId &upstream, TimePoint now) = 0;
-    /// Returns when body bytes of any call were last received from @p upstream; `TimePoint::min()` if never.
+    /// Returns when `upstreamProgressed` was last called for @p upstream; `TimePoint::min()` if never.
     [[nodiscard]] virtual TimePoint lastProgress(const InstanceId &upstream) const = 0;
     /// A call to @p upstream was answered without a server error.
     virtual void upstreamSucceeded(const InstanceId &upstream) = 0;
@@ -345,6 +348,12 @@
     /// Fails a stalled call over to another upstream if that one is predicted to be faster and the retry budget allows
     /// it.
     void failOverIfFaster(TimePoint now, CallActions &actions);
+    /// Handles body bytes of a stream.
+    void eventsReceived(int attempt, std::string_view bytes, TimePoint now, CallActions &actions);
+    /// Reports the bytes that this call buffers to the environment. Returns false if they exceed the process's limit.
+    [[nodiscard]] bool accountBuffers();
+    /// Discards what was buffered of the response of an attempt.
+    void clearBuffers();
     /// Ends the current attempt, if any, and releases the memory reserved for it.
     void closeAttempt(TimePoint now, CallActions &actions);
     void sendAttempt(TimePoint now, CallActions &actions);
@@ -400,6 +409,10 @@
     ResponseHead m_responseHead;
     /// Buffered body of a response that is not streamed.
     std::string m_responseBody;
+    /// Comments of a stream, which are sent to the caller with the event that follows them.
+    std::string m_comments;
+    /// Bytes in the buffers of this call as last reported to the environment.
+    std::int64_t m_bufferedBytes = 0;
     /// True once the head of a stream has been sent to the caller.
     bool m_headSent = false;
     /// Number of sends to the caller, each of one or more complete events.
@@ -410,7 +423,8 @@
     Duration m_longestPause {};
     /// Time before which a stalled call is not checked again.
     TimePoint m_nextStallCheck = TimePoint::min();
-    /// Time at which the current attempt was started or sent, or last received something.
+    /// Time at which the current attempt was started or sent, or last received a head, a whole event, or bytes of a
+    /// body that is no stream.
     TimePoint m_lastProgress;
     bool m_ended = false;
 };
--- a/ibismast/relay/callflowattempts.cpp
+++ b/ibismast/relay/callflowattempts.cpp
@@ -147,9 +147,7 @@
     ++m_attempt;
     m_headReceived = false;
     m_attemptHasEvents = false;
-    m_responseBody.clear();
-    // The next upstream resumes after the last complete event, so the incomplete one is discarded.
-    (void)m_scanner.takeIncomplete();
+    clearBuffers();
     m_lastProgress = now;
     m_tried.insert(m_plan->upstream.id);
     int reservationCount = 0;
--- a/ibismast/relay/eventscanner.cpp
+++ b/ibismast/relay/eventscanner.cpp
@@ -9,6 +9,7 @@
 
 std::string EventScanner::append(std::string_view bytes)
 {
+    m_progressed = false;
     m_pending.append(bytes);
     std::size_t wholeEnd = 0;
     for (std::size_t end = m_pending.find('\n', m_lineStart); end != std::string::npos;
@@ -16,7 +17,7 @@
         const std::string_view line(m_pending.data() + m_lineStart, end - m_lineStart);
         m_lineStart = end + 1;
         if (line.empty() || line == "\r") {
-            readEventId(std::string_view(m_pending).substr(wholeEnd, m_lineStart - wholeEnd));
+            readFields(std::string_view(m_pending).substr(wholeEnd, m_lineStart - wholeEnd));
             wholeEnd = m_lineStart;
         }
     }
@@ -33,13 +34,14 @@
     return std::exchange(m_pending, std::string());
 }
 
-void EventScanner::readEventId(std::string_view event)
+void EventScanner::readFields(std::string_view event)
 {
     constexpr std::string_view Field = "id:";
     for (std::size_t start = 0; start < event.size();) {
         const std::size_t end = event.find('\n', start);
         std::string_view line = event.substr(start, end - start);
         start = end + 1;
+        m_progressed = m_progressed || !(line.empty() || line == "\r" || line.starts_with(':'));
         if (!line.starts_with(Field)) {
             continue;
         }
--- a/ibismast/relay/eventscanner.h
+++ b/ibismast/relay/eventscanner.h
@@ -17,6 +17,17 @@
     [[nodiscard]] std::string append(std::string_view bytes);
     /// Returns the bytes after the last complete event and clears the buffer.
     [[nodiscard]] std::string takeIncomplete();
+    /// Bytes that are buffered for an incomplete event.
+    [[nodiscard]] std::size_t pendingBytes() const
+    {
+        return m_pending.size();
+    }
+    /// True if the events that the last call of `append` returned include one with a field, that is, more than comments
+    /// and blank lines.
+    [[nodiscard]] bool hasProgressed() const
+    {
+        return m_progressed;
+    }
     /// Returns the last id of a complete event; empty if none of them had an id.
     [[nodiscard]] const std::string &lastId() const
     {
@@ -29,8 +40,8 @@
     }
 
 private:
-    /// Stores the id of @p event, a complete one, if it has one.
-    void readEventId(std::string_view event);
+    /// Stores the id of @p event, a complete one, if it has one, and notes whether it has any field.
+    void readFields(std::string_view event);
 
     std::size_t m_maxEventBytes;
     /// Bytes after the last complete event.
@@ -38,6 +49,7 @@
     /// Offset in `m_pending` of the first line that has not been scanned.
     std::size_t m_lineStart = 0;
     std::string m_lastId;
+    bool m_progressed = false;
     bool m_overflowed = false;
 };
 
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -71,6 +71,8 @@
     Duration typicalStreamTime = std::chrono::milliseconds(4600);
     /// Time for which the fingerprint of a refused call is kept; callers retry within a third of their timeout.
     Duration refusalRetention = std::chrono::seconds(6);
+    /// Maximum number of bytes of incomplete responses and events that are buffered for all calls together.
+    std::int64_t maxBufferedBytes = std::int64_t {32} << 20;
     /// Maximum number of fingerprints that are kept.
     std::size_t maxRefusals = 4096;
 };
@@ -193,6 +195,7 @@
     void firstEventReceived(const RelayCall &call, TimePoint now) override;
     void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
     void callRefused(const RelayCall &call, TimePoint now) override;
+    [[nodiscard]] bool changeBuffered(std::int64_t change) override;
     void upstreamProgressed(const InstanceId &upstream, TimePoint now) override;
     [[nodiscard]] TimePoint lastProgress(const InstanceId &upstream) const override;
     void upstreamSucceeded(const InstanceId &upstream) override;
@@ -279,6 +282,8 @@
     std::map<std::uint64_t, TimePoint> m_refused;
     /// Load changes that have not been announced to the other entries yet.
     LoadUpdate m_pendingUpdate;
+    /// Bytes of incomplete responses and events of all calls.
+    std::int64_t m_bufferedBytes = 0;
     std::map<FailureDomain, LoadUpdate> m_remoteUpdates;
     CellView m_cells;
     bool m_inCell = false;
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -249,6 +249,15 @@
     }
 }
 
+bool RelayCore::changeBuffered(std::int64_t change)
+{
+    if (change > 0 && m_bufferedBytes + change > m_settings.maxBufferedBytes) {
+        return false;
+    }
+    m_bufferedBytes += change;
+    return true;
+}
+
 void RelayCore::upstreamProgressed(const InstanceId &upstream, TimePoint now)
 {
     m_progress[upstream] = now;
