Log what a broken attempt had received, and the shared parts of its prompt

Neither hypothesis of the timeline could be told from the log: a broken attempt left only its reason. attempt_broken names the upstream, the status if one had arrived, whether an event had arrived, and the shared parts of the prompt, which the platform's header is decoded into.

--- a/UnitTests/platform/platformtest.cpp
+++ b/UnitTests/platform/platformtest.cpp
@@ -119,6 +119,27 @@
     }
 }
 
+// Guards against prompts whose shared parts are not recognised, and against a request's own part that counts as shared.
+TEST_CASE("the shared parts of a prompt are decoded without the last part", "[platform]")
+{
+    using Parts = std::vector<PromptPartId>;
+    const auto [prefix, parts] = GENERATE(table<std::string, Parts>({
+        {"5c1e07a2:800,91bd3f06:410,e4402b7d:250", {PromptPartId(0x5c1e07a2), PromptPartId(0x91bd3f06)}},
+        {"a:1,b:2", {PromptPartId(0xa)}},
+        {"a:1", {}},
+        {"a,b", {PromptPartId(0xa)}},
+        {"ffffffffffffffff:1,b:2", {PromptPartId(0xffffffffffffffff)}},
+        {"no number:1,b:2", {}},
+        {",", {}},
+    }));
+    HttpHead head;
+    head.target = "/a/b";
+    head.headers = {{"Ibismast-Attempt-Id", "r1"}, {"Ibismast-Prompt-Prefix", prefix}};
+    const Result<IncomingCall> result = PlatformProtocol().decodeCall(head);
+    REQUIRE(errorOf(result) == nullptr);
+    CHECK(std::get<IncomingCall>(result).promptParts == parts);
+}
+
 // Guards against answers that reach the wrong caller or lack the upstream's signature.
 TEST_CASE("an answer is judged by its id, signature and encoding", "[platform]")
 {
--- a/ibismast/core/ids.cpp
+++ b/ibismast/core/ids.cpp
@@ -42,6 +42,11 @@
 
 } // namespace
 
+std::string toString(PromptPartId id)
+{
+    return toHex(id.value());
+}
+
 std::string toString(const RequestId &id)
 {
     return toHex(id.entry.value()) + '-' + toHex(id.sequence);
--- a/ibismast/core/ids.h
+++ b/ibismast/core/ids.h
@@ -18,6 +18,9 @@
 /// Name of a plain service.
 using ServiceName = StrongString<struct ServiceNameTag>;
 
+/// Part of a prompt that other prompts may share, such as a system prompt; the same in every prompt that holds it.
+using PromptPartId = StrongInteger<struct PromptPartIdTag, std::uint64_t>;
+
 /// Identifies one run of a process; a restart of the same instance gets a larger number.
 using Incarnation = StrongInteger<struct IncarnationTag, std::uint64_t>;
 /// Position in the configuration log; grows by one with each accepted change.
@@ -53,6 +56,8 @@
     auto operator<=>(const OperationId &) const = default;
 };
 
+/// Returns @p id in hexadecimal digits.
+[[nodiscard]] std::string toString(PromptPartId id);
 /// Returns @p id as `<incarnation>-<sequence>` in hexadecimal digits.
 [[nodiscard]] std::string toString(const RequestId &id);
 /// Returns @p id as `<incarnation>-<sequence>-<attempt>` in hexadecimal digits.
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -17,6 +17,16 @@
     return status >= 200 && status < 300;
 }
 
+/// Returns the ids of @p parts for a field of a log event.
+std::string partsText(const std::vector<PromptPartId> &parts)
+{
+    std::string text;
+    for (const PromptPartId part : parts) {
+        text += (text.empty() ? "" : ",") + toString(part);
+    }
+    return text.empty() ? "none" : text;
+}
+
 /// True for the statuses that callers take to mean that their call was not executed.
 bool signalsNotRun(int status)
 {
@@ -94,6 +104,14 @@
         retryOrEnd(reason, ResultCode::NoUpstream, now, actions);
         return;
     }
+    m_listener->onEvent("attempt_broken",
+                        {{"request", m_call.requestId},
+                         {"attempt", std::to_string(attempt)},
+                         {"upstream", upstream.value()},
+                         {"reason", std::string(reason)},
+                         {"head", m_headReceived ? std::to_string(m_responseHead.status) : std::string("none")},
+                         {"began", m_attemptHasEvents ? "true" : "false"},
+                         {"parts", partsText(m_call.promptParts)}});
     ++m_ranAttempts;
     m_mayHaveRun = true;
     retryOrEnd(reason, ResultCode::UpstreamFailed, now, actions);
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -25,6 +25,8 @@
     GenerationSize size;
     /// See `IncomingCall::fingerprint`.
     std::uint64_t fingerprint = 0;
+    /// See `IncomingCall::promptParts`.
+    std::vector<PromptPartId> promptParts;
     /// True if the caller sends the call again after an entry has refused it.
     bool returning = false;
     /// Id of the last event that the caller received from an earlier call (`Last-Event-Id`); empty for the whole
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -100,6 +100,7 @@
     call.size = incoming.size;
     call.lastEventId = incoming.lastEventId;
     call.fingerprint = incoming.fingerprint;
+    call.promptParts = incoming.promptParts;
     call.returning = m_refused.contains(incoming.fingerprint);
     call.configVersion = m_routes->config().version;
     call.host = incoming.host;
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -31,6 +31,9 @@
     /// Hash of the parts of the request that stay the same when the caller sends it again after a refusal, which
     /// changes its id; 0 if unknown.
     std::uint64_t fingerprint = 0;
+    /// Parts of the prompt that other prompts may share; without the last part, which belongs to the request or its
+    /// session.
+    std::vector<PromptPartId> promptParts;
 };
 
 /// Action for one open call.
