Quarantine prompt parts that crash upstreams, in the whole fleet

Callers saw their streams break off while requests of one kind crashed one engine after the other: 78 engines ended in 22 s.

Cause: a failure whose cause travels with the request was attributed to the upstream alone, so retries and failovers carried it on; each entry saw a part of the crashes only. Evidence: of 1,019 broken attempts (log of attempt_broken) the 93 with one prompt part account for 76 of 77 crashes, 83 of them with the head of a response and no event; 2 of the 926 others look like that.

PromptQuarantine counts such broken starts of all entries for each shared prompt part. Three crashes, of two calls and at two upstreams, without an answer in between quarantine the part; parts that cannot be told apart are quarantined together. Entries tell all others at once, across cells, and repeat it in each heartbeat. Requests with the parts are refused at once (2017, 503, not run), and again where an attempt waits. An answer to a prompt releases its parts.

Works because the evidence is tied to what the prompts share: sound prompts with the other parts are answered and clear these.

--- a/UnitTests/relay/callflowfixture.h
+++ b/UnitTests/relay/callflowfixture.h
@@ -40,6 +40,14 @@
     {
         return revoked;
     }
+    std::optional<Error> checkPrompt(const RelayCall & /*call*/, TimePoint /*now*/) const override
+    {
+        return quarantine;
+    }
+    void startBroken(const RelayCall & /*call*/, const InstanceId &upstream, TimePoint /*now*/) override
+    {
+        brokenStarts.push_back(upstream.value());
+    }
     bool takeRetry(const ServiceName & /*service*/, TimePoint /*now*/) override
     {
         return retriesLeft-- > 0;
@@ -92,6 +100,10 @@
     bool faultIsFatal = true;
     /// Error with which the current configuration refuses the call.
     std::optional<Error> revoked;
+    /// Error with which the call's prompt is kept from further upstreams.
+    std::optional<Error> quarantine;
+    /// Upstreams at which the call broke off at the start of its answer.
+    std::vector<std::string> brokenStarts;
     Tokens reserved;
     Duration delay {};
     int retriesLeft = 100;
--- a/UnitTests/wire/relaycodectest.cpp
+++ b/UnitTests/wire/relaycodectest.cpp
@@ -29,9 +29,16 @@
     placement.expected = 2s;
     placement.prefills = {{InstanceId("e1"), 30ms, Tokens()}, {InstanceId("e2"), 30ms, Tokens(500)}};
     news.load = {{placement}, {CallNumber(2)}, {CallNumber(1)}, {0xfedcba9876543210U}};
+    news.quarantine.brokenStarts = {
+        {0xfedcba9876543210U, 3, {PromptPartId(1), PromptPartId(0xfedcba9876543210U)}, 20ms}};
+    news.quarantine.quarantined = {{{PromptPartId(5), PromptPartId(6)}, 9min}};
+    news.quarantine.sound = {{PromptPartId(6), 0ms}};
     const Result<EntryNews> result = decodeEntryNews(encodeEntryNews(news));
     REQUIRE(errorOf(result) == nullptr);
     const auto &decoded = std::get<EntryNews>(result);
+    CHECK(decoded.quarantine.brokenStarts == news.quarantine.brokenStarts);
+    CHECK(decoded.quarantine.quarantined == news.quarantine.quarantined);
+    CHECK(decoded.quarantine.sound == news.quarantine.sound);
     CHECK(decoded.sender == news.sender);
     CHECK(decoded.knowledge == news.knowledge);
     CHECK(decoded.heard == news.heard);
@@ -56,6 +63,22 @@
     CHECK(std::get<EntryNews>(result).knowledge.listAge.has_value() == kept);
 }
 
+// Guards against the age of a prompt part's report that overflows where it is subtracted from a time.
+TEST_CASE("reports on prompt parts with an age out of range are left out", "[wire]")
+{
+    EntryNews news;
+    news.sender = {InstanceId("entry-1"), Incarnation(7), "10.0.0.1:1", {}};
+    const auto [age, kept] = GENERATE(
+        table<Duration, bool>({{0ms, true}, {1h, true}, {1h + 1ms, false}, {-1ms, false}, {Duration::max(), false}}));
+    news.quarantine = {{{1, 2, {}, age}}, {{{PromptPartId(3)}, age}}, {{PromptPartId(4), age}}};
+    const Result<EntryNews> result = decodeEntryNews(encodeEntryNews(news));
+    REQUIRE(errorOf(result) == nullptr);
+    const QuarantineUpdate &decoded = std::get<EntryNews>(result).quarantine;
+    CHECK(decoded.brokenStarts.size() == (kept ? 1 : 0));
+    CHECK(decoded.quarantined.size() == (kept ? 1 : 0));
+    CHECK(decoded.sound.size() == (kept ? 1 : 0));
+}
+
 // Guards against a load report that overflows or that no comparison holds for.
 TEST_CASE("a load report out of range is left out", "[wire]")
 {
--- a/adapters/relay/relayprocessnews.cpp
+++ b/adapters/relay/relayprocessnews.cpp
@@ -37,6 +37,7 @@
         // The new entry learns of this one at once, and of some others.
         EntryNews answer = emptyNews();
         answer.heard = m_core.members().nextReportedAddresses();
+        answer.quarantine = m_core.quarantineSummary(now);
         m_peers.send(answer, {news.sender.address});
     }
     if (news.domainLoad) {
@@ -51,6 +52,7 @@
     status.domain = news.sender.domain;
     m_watch.noteEntry(news.sender.id, status, now);
     m_core.applyLoadUpdate(news.sender.id, news.load, now);
+    m_core.applyQuarantineUpdate(news.quarantine, now);
     if (m_core.config() == nullptr || news.knowledge.configVersion > m_core.config()->version) {
         tick();
     }
@@ -58,6 +60,11 @@
 
 void RelayProcess::sendNews()
 {
+    if (QuarantineUpdate quarantine = m_core.takeQuarantineUpdate(); !quarantine.empty()) {
+        EntryNews news = emptyNews();
+        news.quarantine = std::move(quarantine);
+        m_peers.send(news, m_core.members().addresses());
+    }
     LoadUpdate load = m_core.takeLoadUpdate();
     if (load.empty()) {
         return;
@@ -103,6 +110,7 @@
     MemberView &members = m_core.members();
     EntryNews news = emptyNews();
     news.heard = members.nextReportedAddresses();
+    news.quarantine = m_core.quarantineSummary(processNow());
     std::vector<std::string> addresses = m_core.inCell() ? members.localAddresses() : members.addresses();
     if (regular) {
         std::ranges::move(members.unconfirmedAddresses(), std::back_inserter(addresses));
--- a/ibismast/core/resultcode.h
+++ b/ibismast/core/resultcode.h
@@ -43,6 +43,7 @@
     Unauthorized = 2014,
     OperationInProgress = 2015,
     WrongIncarnation = 2016,
+    PromptQuarantined = 2017,
 
     // 3000: failed after execution may have started
     DeadlineExceeded = 3001,
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -112,6 +112,9 @@
                          {"head", m_headReceived ? std::to_string(m_responseHead.status) : std::string("none")},
                          {"began", m_attemptHasEvents ? "true" : "false"},
                          {"parts", partsText(m_call.promptParts)}});
+    if (m_headReceived && isSuccess(m_responseHead.status) && !m_headSent) {
+        m_environment->startBroken(m_call, upstream, now);
+    }
     ++m_ranAttempts;
     m_mayHaveRun = true;
     retryOrEnd(reason, ResultCode::UpstreamFailed, now, actions);
@@ -265,6 +268,9 @@
         }
         actions.emplace_back(EndBody {});
     } else {
+        if (isSuccess(m_responseHead.status)) {
+            m_environment->firstEventReceived(m_call, now);
+        }
         actions.emplace_back(SendFullResponse {attempt, std::move(m_responseBody)});
     }
     finish("answered", std::to_string(m_responseHead.status), now, actions);
@@ -337,22 +343,27 @@
 }
 
 void CallFlow::refuse(ResultCode code, std::string reason, TimePoint now, CallActions &actions)
+{
+    refuse(Error {code, std::move(reason), m_settings.retryAfter}, now, actions);
+}
+
+void CallFlow::refuse(Error error, TimePoint now, CallActions &actions)
 {
     if (m_headSent) {
         actions.emplace_back(CloseCallerConnection {});
-        finish("cut", reason, now, actions);
+        finish("cut", error.message, now, actions);
         return;
     }
-    if (m_mayHaveRun && resultCodeInfo(code).notRun) {
-        code = ResultCode::UpstreamFailed;
+    if (m_mayHaveRun && resultCodeInfo(error.code).notRun) {
+        error.code = ResultCode::UpstreamFailed;
     }
-    const bool notRun = resultCodeInfo(code).notRun;
+    const bool notRun = resultCodeInfo(error.code).notRun;
     if (notRun) {
         m_environment->callRefused(m_call, now);
     }
-    finish("refused", reason, now, actions);
+    finish("refused", error.message, now, actions);
     actions.emplace_back(
-        Refuse {code, std::move(reason), notRun ? std::optional(m_settings.retryAfter) : std::nullopt});
+        Refuse {error.code, std::move(error.message), notRun ? error.retryAfter : std::optional<Duration>()});
 }
 
 void CallFlow::finish(std::string_view outcome, std::string_view reason, TimePoint now, CallActions &actions)
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -200,11 +200,15 @@
     /// Applies the configuration in force to @p call, which no upstream has received yet: updates its route and
     /// service. Returns an error if that configuration does not admit the call.
     [[nodiscard]] virtual std::optional<Error> readmit(RelayCall &call) = 0;
+    /// Returns an error if @p call, of which no event has arrived yet, must not be sent to another upstream.
+    [[nodiscard]] virtual std::optional<Error> checkPrompt(const RelayCall &call, TimePoint now) const = 0;
+    /// An attempt at @p upstream broke off after the head of a successful response and before any event of the call.
+    virtual void startBroken(const RelayCall &call, const InstanceId &upstream, TimePoint now) = 0;
     /// Takes one retry from the retry budget of @p service; returns false if the budget is exhausted.
     [[nodiscard]] virtual bool takeRetry(const ServiceName &service, TimePoint now) = 0;
     /// The attempt has been assigned to its upstream; it may still wait for a delay or a memory reservation.
     virtual void attemptStarted(const RelayCall &call, const AttemptPlan &plan, TimePoint now) = 0;
-    /// The first event of the current attempt has arrived.
+    /// The first event of the current attempt, or a successful response that is no stream, has arrived.
     virtual void firstEventReceived(const RelayCall &call, TimePoint now) = 0;
     /// The attempt has ended, successfully or not.
     virtual void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) = 0;
@@ -367,6 +371,9 @@
     void retryOrEnd(std::string_view reason, ResultCode code, TimePoint now, CallActions &actions);
     /// Ends the call with an error response, or by closing the connection if a stream has already been started.
     void refuse(ResultCode code, std::string reason, TimePoint now, CallActions &actions);
+    void refuse(Error error, TimePoint now, CallActions &actions);
+    /// Refuses the call if its prompt must not reach another upstream. Returns true if it did.
+    [[nodiscard]] bool refuseForPrompt(TimePoint now, CallActions &actions);
     /// Ends the call and logs it.
     void finish(std::string_view outcome, std::string_view reason, TimePoint now, CallActions &actions);
 
--- a/ibismast/relay/callflowattempts.cpp
+++ b/ibismast/relay/callflowattempts.cpp
@@ -7,8 +7,25 @@
 
 // Attempts of a call: choice of the upstream, delayed sending, memory reservations, stall detection and retries.
 
+bool CallFlow::refuseForPrompt(TimePoint now, CallActions &actions)
+{
+    // An event proves that the prompt is sound.
+    if (m_headSent) {
+        return false;
+    }
+    std::optional<Error> error = m_environment->checkPrompt(m_call, now);
+    if (!error) {
+        return false;
+    }
+    refuse(std::move(*error), now, actions);
+    return true;
+}
+
 void CallFlow::startNextAttempt(TimePoint now, CallActions &actions)
 {
+    if (refuseForPrompt(now, actions)) {
+        return;
+    }
     std::optional<AttemptPlan> plan = m_environment->planAttempt(m_call, m_tried, now);
     if (!plan) {
         constexpr std::string_view Reason = "no upstream has room";
@@ -59,10 +76,13 @@
 {
     if (!m_mayHaveRun && !m_headSent) {
         if (std::optional<Error> error = m_environment->readmit(m_call)) {
-            refuse(error->code, std::move(error->message), now, actions);
+            refuse(std::move(*error), now, actions);
             return true;
         }
     }
+    if (refuseForPrompt(now, actions)) {
+        return true;
+    }
     const std::optional<PlanFault> fault = m_environment->planFault(m_call, *m_plan, now);
     if (!fault || (!fault->unusable && m_replans >= m_settings.maxReplans)) {
         return false;
@@ -121,8 +141,8 @@
 {
     std::optional<AttemptPlan> plan = m_environment->planAttempt(m_call, m_tried, now);
     const Duration silentTime = now - m_lastProgress;
-    const bool better =
-        plan && toSeconds(plan->timeToFirstEvent) <= toSeconds(silentTime) * m_settings.failoverTimeRatio;
+    const bool better = plan && (m_headSent || !m_environment->checkPrompt(m_call, now))
+        && toSeconds(plan->timeToFirstEvent) <= toSeconds(silentTime) * m_settings.failoverTimeRatio;
     if (!better || !m_environment->takeRetry(m_call.service, now)) {
         m_nextStallCheck = now + m_settings.stallRecheckInterval;
         return;
--- /dev/null
+++ b/ibismast/relay/promptquarantine.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "ibismast/core/eventlistener.h"
+#include "ibismast/core/ids.h"
+#include "ibismast/core/units.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace ibismast
+{
+
+/// Attempt that broke off after its upstream had begun to answer and before the first event.
+struct BrokenStart
+{
+    /// Hashes of the upstream's id and of the prompt, see `IncomingCall::fingerprint`.
+    std::uint64_t upstream = 0;
+    std::uint64_t call = 0;
+    /// Shared parts of the prompt in their order.
+    std::vector<PromptPartId> parts;
+    /// Time since the attempt broke off.
+    Duration age {};
+
+    bool operator==(const BrokenStart &) const = default;
+};
+
+/// Prompt parts that are in quarantine together: prompts that hold all of them are kept from the upstreams.
+struct QuarantinedParts
+{
+    /// In ascending order.
+    std::vector<PromptPartId> parts;
+    /// Time since an attempt with these parts last broke off at the start of its answer.
+    Duration age {};
+
+    bool operator==(const QuarantinedParts &) const = default;
+};
+
+/// Prompt part that is held to be sound.
+struct SoundPart
+{
+    PromptPartId part;
+    /// Time since an upstream last answered a prompt that holds the part.
+    Duration age {};
+
+    bool operator==(const SoundPart &) const = default;
+};
+
+/// What an entry tells the other entries about prompt parts.
+struct QuarantineUpdate
+{
+    std::vector<BrokenStart> brokenStarts;
+    std::vector<QuarantinedParts> quarantined;
+    std::vector<SoundPart> sound;
+
+    [[nodiscard]] bool empty() const
+    {
+        return brokenStarts.empty() && quarantined.empty() && sound.empty();
+    }
+};
+
+/// Settings of a `PromptQuarantine`.
+struct PromptQuarantineSettings
+{
+    /// Number of crashes, of calls and of upstreams that the evidence against a part must at least come from.
+    std::size_t minCrashes = 3;
+    std::size_t minCalls = 2;
+    std::size_t minUpstreams = 2;
+    /// Broken starts within this time count as one crash: a lost network path breaks many connections at once.
+    Duration crashSpacing = std::chrono::milliseconds(100);
+    /// Time for which a part stays in quarantine after its last broken start, and for which broken starts are kept.
+    Duration quarantineTime = std::chrono::minutes(10);
+    /// Time after its quarantine within which one more broken start is enough to quarantine a part again.
+    Duration relapseTime = std::chrono::hours(24);
+    /// Time for which other entries are told of a broken start and of an answer, in case a message is lost.
+    Duration reportTime = std::chrono::seconds(5);
+    /// Maximum number of broken starts, of quarantines and of sound parts that are kept.
+    std::size_t maxBrokenStarts = 256;
+    std::size_t maxQuarantined = 256;
+    std::size_t maxSound = 8192;
+    /// Maximum number of items of one kind in a report to another entry, and of parts in a broken start.
+    std::size_t maxReported = 32;
+    std::size_t maxParts = 16;
+};
+
+/// Finds prompt parts that crash upstreams, from the broken starts of all entries, and keeps prompts with such a part
+/// from the upstreams.
+///
+/// A part is quarantined if several crashes have it in common and no upstream has answered a prompt that holds it
+/// since. Parts that cannot be told apart, since all these prompts hold all of them, are quarantined together. An
+/// answer to a prompt with one of them then shows that the others are the cause.
+class PromptQuarantine
+{
+public:
+    PromptQuarantine(const PromptQuarantineSettings &settings, EventListener &listener);
+
+    /// Records that an attempt with @p parts broke off at the start of its answer. @p call is the hash of its prompt.
+    void noteBrokenStart(const InstanceId &upstream,
+                         std::uint64_t call,
+                         const std::vector<PromptPartId> &parts,
+                         TimePoint now);
+    /// Records that an upstream has begun to answer a prompt with @p parts and sent an event.
+    void noteSound(const std::vector<PromptPartId> &parts, TimePoint now);
+
+    /// Quarantine that applies to a prompt, and its remaining time.
+    struct Hit
+    {
+        std::vector<PromptPartId> parts;
+        Duration left {};
+    };
+    /// Returns the quarantine that applies to a prompt with @p parts; empty if there is none.
+    [[nodiscard]] std::optional<Hit> find(const std::vector<PromptPartId> &parts, TimePoint now) const;
+
+    /// Applies what another entry has reported.
+    void apply(const QuarantineUpdate &update, TimePoint now);
+    /// Returns what the other entries must learn at once, and clears it.
+    [[nodiscard]] QuarantineUpdate takeUpdate();
+    /// Returns what each heartbeat repeats.
+    [[nodiscard]] QuarantineUpdate summary(TimePoint now) const;
+    /// Drops what is too old to matter.
+    void expire(TimePoint now);
+    /// Number of quarantines in force.
+    [[nodiscard]] std::size_t size(TimePoint now) const;
+
+private:
+    struct Evidence
+    {
+        std::uint64_t upstream = 0;
+        std::uint64_t call = 0;
+        std::vector<PromptPartId> parts;
+        TimePoint at;
+    };
+    struct Suspicion;
+    /// Parts of a quarantine, in ascending order.
+    using PartSet = std::vector<PromptPartId>;
+
+    /// Adds @p evidence unless it is known. Returns true if it is new.
+    bool addEvidence(Evidence evidence);
+    /// Quarantines the parts that the evidence is sufficient for.
+    void evaluate(TimePoint now);
+    /// Returns for each item of the evidence the quarantine that explains it, or null.
+    [[nodiscard]] std::vector<const PartSet *> explanations() const;
+    /// Returns what speaks against @p part: the evidence that no quarantine of other parts explains.
+    [[nodiscard]] Suspicion suspicionOf(PromptPartId part, const std::vector<const PartSet *> &explainedBy) const;
+    [[nodiscard]] bool isSufficient(const Suspicion &suspicion) const;
+    /// True if @p evidence speaks against @p part: the prompt holds it, and no answer has shown since that it is sound.
+    [[nodiscard]] bool isSuspect(PromptPartId part, const Evidence &evidence) const;
+    /// True if an upstream has answered a prompt with @p part after @p at.
+    [[nodiscard]] bool answeredSince(PromptPartId part, TimePoint at) const;
+    [[nodiscard]] bool isInForce(TimePoint lastBroken, TimePoint now) const;
+    void markSound(PromptPartId part, TimePoint at, TimePoint now);
+    /// Records that attempts with @p parts last broke off at @p lastBroken, and logs a quarantine that begins by that.
+    void quarantine(const PartSet &parts, TimePoint lastBroken, std::vector<LogField> details, TimePoint now);
+
+    PromptQuarantineSettings m_settings;
+    EventListener *m_listener;
+    /// Broken starts in the order of their times.
+    std::deque<Evidence> m_evidence;
+    /// Time of the last answer to a prompt with the part.
+    std::map<PromptPartId, TimePoint> m_sound;
+    /// Parts that are or were in quarantine, and the time of their last broken start.
+    std::map<PartSet, TimePoint> m_quarantines;
+    QuarantineUpdate m_pending;
+};
+
+} // namespace ibismast
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -35,6 +35,7 @@
     , m_loads(m_settings.load)
     , m_planner(m_settings.planner, m_loads)
     , m_tieBreakOffset(std::hash<std::string>()(m_settings.self.value()))
+    , m_quarantine(m_settings.quarantine, listener)
     , m_cells(m_settings.cells, m_settings.domain)
 {
 }
@@ -91,6 +92,9 @@
                       "the instance is shutting down and cannot complete the call in time",
                       StopRetryAfter};
     }
+    if (std::optional<Error> error = checkParts(incoming.promptParts, now)) {
+        return std::move(*error);
+    }
     call.number = CallNumber(++m_lastCall);
     call.requestId = incoming.requestId;
     call.route = *route;
@@ -290,6 +294,7 @@
     std::erase_if(m_refused, [now](const auto &entry) {
         return now >= entry.second;
     });
+    m_quarantine.expire(now);
     m_directory.expire(now);
     updateCell(now);
     for (const InstanceId &entry : m_members.expire(now, m_inCell)) {
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -4,6 +4,7 @@
 #include "ibismast/relay/callflow.h"
 #include "ibismast/relay/cellview.h"
 #include "ibismast/relay/memberview.h"
+#include "ibismast/relay/promptquarantine.h"
 #include "ibismast/relay/routetable.h"
 #include "ibismast/retry/retrybudget.h"
 
@@ -55,6 +56,7 @@
     UpstreamDirectorySettings directory;
     MemberViewSettings members;
     CellViewSettings cells;
+    PromptQuarantineSettings quarantine;
     /// Limits on the retries of all entries together in ten seconds: a ratio to the requests of that time, and a number
     /// allowed in addition.
     double retryRatio = 0.2;
@@ -171,6 +173,14 @@
     /// Returns the load changes that concern engines of other domains, by domain. Empty unless the fleet is divided
     /// into cells.
     [[nodiscard]] std::map<FailureDomain, LoadUpdate> takeRemoteUpdates();
+    /// Applies what another entry has reported of prompt parts.
+    void applyQuarantineUpdate(const QuarantineUpdate &update, TimePoint now);
+    /// Returns what all other entries must learn of prompt parts at once; later calls do not return it again.
+    [[nodiscard]] QuarantineUpdate takeQuarantineUpdate();
+    /// Returns what each heartbeat repeats of it.
+    [[nodiscard]] QuarantineUpdate quarantineSummary(TimePoint now) const;
+    /// Number of prompt parts in quarantine.
+    [[nodiscard]] std::size_t quarantinedParts(TimePoint now) const;
     /// True if this entry's failure domain is a cell. See `CellView`.
     [[nodiscard]] bool inCell() const
     {
@@ -193,6 +203,8 @@
     [[nodiscard]] std::optional<PlanFault>
     planFault(const RelayCall &call, const AttemptPlan &plan, TimePoint now) const override;
     [[nodiscard]] std::optional<Error> readmit(RelayCall &call) override;
+    [[nodiscard]] std::optional<Error> checkPrompt(const RelayCall &call, TimePoint now) const override;
+    void startBroken(const RelayCall &call, const InstanceId &upstream, TimePoint now) override;
     [[nodiscard]] bool takeRetry(const ServiceName &service, TimePoint now) override;
     void attemptStarted(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
     void firstEventReceived(const RelayCall &call, TimePoint now) override;
@@ -220,6 +232,8 @@
     /// admit the request. The customer is empty if the route needs no API key.
     [[nodiscard]] Result<std::pair<const RelayRoute *, CustomerId>>
     admit(const std::string &host, const std::string &path, const std::string &key) const;
+    /// Returns an error if one of @p parts is in quarantine.
+    [[nodiscard]] std::optional<Error> checkParts(const std::vector<PromptPartId> &parts, TimePoint now) const;
     /// Returns the configured service @p name, or null.
     [[nodiscard]] const RelayService *service(const ServiceName &name) const;
     /// Whether a plan may use more than the estimated capacity of the engines, since the estimates lag behind the end
@@ -288,6 +302,7 @@
     /// Bytes of incomplete responses and events of all calls.
     std::int64_t m_bufferedBytes = 0;
     std::map<FailureDomain, LoadUpdate> m_remoteUpdates;
+    PromptQuarantine m_quarantine;
     CellView m_cells;
     bool m_inCell = false;
     DomainLoad m_ownLoad;
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -202,8 +202,52 @@
     return domains;
 }
 
+std::optional<Error> RelayCore::checkParts(const std::vector<PromptPartId> &parts, TimePoint now) const
+{
+    const std::optional<PromptQuarantine::Hit> hit = m_quarantine.find(parts, now);
+    if (!hit) {
+        return std::nullopt;
+    }
+    std::string names;
+    for (const PromptPartId part : hit->parts) {
+        names += (names.empty() ? "" : ",") + toString(part);
+    }
+    return Error {ResultCode::PromptQuarantined, "the prompt parts " + names + " have crashed upstreams", hit->left};
+}
+
+std::optional<Error> RelayCore::checkPrompt(const RelayCall &call, TimePoint now) const
+{
+    return checkParts(call.promptParts, now);
+}
+
+void RelayCore::startBroken(const RelayCall &call, const InstanceId &upstream, TimePoint now)
+{
+    m_quarantine.noteBrokenStart(upstream, call.fingerprint, call.promptParts, now);
+}
+
+void RelayCore::applyQuarantineUpdate(const QuarantineUpdate &update, TimePoint now)
+{
+    m_quarantine.apply(update, now);
+}
+
+QuarantineUpdate RelayCore::takeQuarantineUpdate()
+{
+    return m_quarantine.takeUpdate();
+}
+
+QuarantineUpdate RelayCore::quarantineSummary(TimePoint now) const
+{
+    return m_quarantine.summary(now);
+}
+
+std::size_t RelayCore::quarantinedParts(TimePoint now) const
+{
+    return m_quarantine.size(now);
+}
+
 void RelayCore::firstEventReceived(const RelayCall &call, TimePoint now)
 {
+    m_quarantine.noteSound(call.promptParts, now);
     const auto placement = m_placements.find(call.number);
     if (placement != m_placements.end()) {
         const auto &[number, domains] = placement->second;
--- a/wire/relay.thrift
+++ b/wire/relay.thrift
@@ -21,6 +21,27 @@
     6: required list<RelayReadShare> reads,
 }
 
+/// Attempt that broke off at the start of its answer.
+struct RelayBrokenStart {
+    /// Hashes of the upstream's id and of the prompt.
+    1: required i64 upstream,
+    2: required i64 call,
+    3: required list<i64> parts,
+    4: required i64 ageMs,
+}
+
+/// Prompt parts that are kept from the upstreams together, with the time since their last broken start.
+struct RelayQuarantine {
+    1: required list<i64> parts,
+    2: required i64 ageMs,
+}
+
+/// Prompt part that is held to be sound, with the time since the last answer to a prompt that holds it.
+struct RelaySoundPart {
+    1: required i64 part,
+    2: required i64 ageMs,
+}
+
 /// One datagram from an entry to another.
 struct RelayNews {
     1: required string entry,
@@ -53,6 +74,9 @@
     /// engine needs for the prefill placed on it.
     16: optional double domainSlotUse,
     17: optional i64 domainBacklogUs,
+    18: optional list<RelayBrokenStart> brokenStarts,
+    19: optional list<RelayQuarantine> quarantines,
+    20: optional list<RelaySoundPart> soundParts,
 }
 
 /// Record of the platform's store as it was read.
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -5,6 +5,8 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
+
 namespace ibismast
 {
 
@@ -19,7 +21,7 @@
 constexpr int LargestMessage = 16 * 1024 * 1024;
 
 /// Ages above this one, an hour, are of no use and could overflow a duration.
-constexpr std::int64_t LargestListAgeMs = 3'600'000;
+constexpr std::int64_t LargestAgeMs = 3'600'000;
 
 /// Limits of a load report; larger values, or a share that is no number, cannot be true.
 constexpr double LargestSlotUse = 1e6;
@@ -83,6 +85,97 @@
     return result;
 }
 
+std::int64_t toMs(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+/// Returns an age that was received; empty if it is out of range.
+std::optional<Duration> decodeAge(std::int64_t milliseconds)
+{
+    if (milliseconds < 0 || milliseconds > LargestAgeMs) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(milliseconds);
+}
+
+std::vector<std::int64_t> toThrift(const std::vector<PromptPartId> &parts)
+{
+    std::vector<std::int64_t> result;
+    for (const PromptPartId part : parts) {
+        result.push_back(static_cast<std::int64_t>(part.value()));
+    }
+    return result;
+}
+
+std::vector<PromptPartId> fromThrift(const std::vector<std::int64_t> &parts)
+{
+    std::vector<PromptPartId> result;
+    for (const std::int64_t part : parts) {
+        result.emplace_back(static_cast<std::uint64_t>(part));
+    }
+    return result;
+}
+
+void encodeQuarantine(const QuarantineUpdate &update, wire::relay::RelayNews &message)
+{
+    if (!update.brokenStarts.empty()) {
+        message.__isset.brokenStarts = true;
+        for (const BrokenStart &broken : update.brokenStarts) {
+            wire::relay::RelayBrokenStart &start = message.brokenStarts.emplace_back();
+            start.upstream = static_cast<std::int64_t>(broken.upstream);
+            start.call = static_cast<std::int64_t>(broken.call);
+            start.parts = toThrift(broken.parts);
+            start.ageMs = toMs(broken.age);
+        }
+    }
+    if (!update.quarantined.empty()) {
+        message.__isset.quarantines = true;
+        for (const QuarantinedParts &quarantined : update.quarantined) {
+            wire::relay::RelayQuarantine &quarantine = message.quarantines.emplace_back();
+            quarantine.parts = toThrift(quarantined.parts);
+            quarantine.ageMs = toMs(quarantined.age);
+        }
+    }
+    if (!update.sound.empty()) {
+        message.__isset.soundParts = true;
+        for (const SoundPart &sound : update.sound) {
+            wire::relay::RelaySoundPart &part = message.soundParts.emplace_back();
+            part.part = static_cast<std::int64_t>(sound.part.value());
+            part.ageMs = toMs(sound.age);
+        }
+    }
+}
+
+QuarantineUpdate decodeQuarantine(const wire::relay::RelayNews &message)
+{
+    QuarantineUpdate update;
+    for (const wire::relay::RelayBrokenStart &start : message.brokenStarts) {
+        const std::optional<Duration> age = decodeAge(start.ageMs);
+        if (!age) {
+            continue;
+        }
+        update.brokenStarts.push_back({static_cast<std::uint64_t>(start.upstream),
+                                       static_cast<std::uint64_t>(start.call),
+                                       fromThrift(start.parts),
+                                       *age});
+    }
+    for (const wire::relay::RelayQuarantine &quarantine : message.quarantines) {
+        const std::optional<Duration> age = decodeAge(quarantine.ageMs);
+        if (age && !quarantine.parts.empty()) {
+            std::vector<PromptPartId> parts = fromThrift(quarantine.parts);
+            std::ranges::sort(parts);
+            update.quarantined.push_back({std::move(parts), *age});
+        }
+    }
+    for (const wire::relay::RelaySoundPart &part : message.soundParts) {
+        if (const std::optional<Duration> age = decodeAge(part.ageMs)) {
+            update.sound.push_back({PromptPartId(static_cast<std::uint64_t>(part.part)), *age});
+        }
+    }
+    return update;
+}
+
 wire::relay::RelayRecord toThrift(const StoredRecord &record)
 {
     wire::relay::RelayRecord result;
@@ -150,6 +243,7 @@
             message.refused.push_back(static_cast<std::int64_t>(fingerprint));
         }
     }
+    encodeQuarantine(news.quarantine, message);
     return encode(message);
 }
 
@@ -174,7 +268,7 @@
     news.heard = message.heard;
     news.knowledge.configVersion = RelayConfigVersion(message.configVersion);
     news.knowledge.awaitsConfig = message.__isset.awaitsConfig && message.awaitsConfig;
-    if (message.__isset.listAgeMs && message.listAgeMs >= 0 && message.listAgeMs <= LargestListAgeMs) {
+    if (message.__isset.listAgeMs && message.listAgeMs >= 0 && message.listAgeMs <= LargestAgeMs) {
         news.knowledge.listDigest = static_cast<std::uint64_t>(message.listDigest);
         news.knowledge.listAge = std::chrono::milliseconds(message.listAgeMs);
     }
@@ -191,6 +285,7 @@
     for (const std::int64_t call : message.ended) {
         news.load.ended.emplace_back(static_cast<std::uint64_t>(call));
     }
+    news.quarantine = decodeQuarantine(message);
     return news;
 }
 
--- a/wire/relaycodec.h
+++ b/wire/relaycodec.h
@@ -19,6 +19,7 @@
     std::optional<DomainLoad> domainLoad;
     std::int64_t listRevision = 0;
     LoadUpdate load;
+    QuarantineUpdate quarantine;
 };
 
 /// Encodes @p news in Thrift's compact protocol.
