Treat a stream that ends inside an event as broken off

A response with neither a length nor chunks ends with its connection. If its upstream crashed meanwhile and the connection ended in order, the incomplete event was passed on and the stream ended as complete; a stream without any event did too, so the crash was neither resumed nor counted against the prompt.

The scanner tells whether an event is incomplete; comments are none. Such a response, and one to a whole stream without any event, is a broken attempt: it is resumed behind the last event, or the caller's connection is closed.

--- a/UnitTests/relay/callflowresponsestest.cpp
+++ b/UnitTests/relay/callflowresponsestest.cpp
@@ -62,6 +62,37 @@
     }
 }
 
+// Guards against a stream that looks complete although its upstream broke it off (issue 26): a response with neither a
+// length nor chunks ends with its connection, in the middle of an event or before the first one.
+TEST_CASE_METHOD(FlowFixture, "a stream that ends inside an event is broken off", "[relay]")
+{
+    struct Row
+    {
+        std::string body;
+        /// What is done at the end of the response if the stream may be resumed, and if it may not.
+        std::string resumable;
+        std::string notResumable;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"id:1\ndata:x\n\n", "end", "end"},
+        {"id:1\ndata:x\n\n: bye\n\n", "end", "end"},
+        {"id:1\ndata:x\n\n: by", "body 0, end", "body 0, end"},
+        {"id:1\ndata:x\n\nid:2", "start b behind 1", "cut"},
+        {"id:1\ndata:x\n\nid:2\ndata:y\n", "start b behind 1", "cut"},
+        {"id:1\ndata:x\n\nid:2\r\ndata:y\r\n", "start b behind 1", "cut"},
+        {"id:1\ndata:x\n", "start b", "refuse 502"},
+        {"", "start b", "refuse 502"},
+    }));
+    INFO(row.body);
+    const bool resumable = GENERATE(true, false);
+    begin(resumable ? CallKind::ResumableStream : CallKind::Stream, 2);
+    head(1, 200);
+    flow().bodyReceived(1, row.body, now, actions);
+    (void)done();
+    flow().responseCompleted(1, now, actions);
+    CHECK(done() == (resumable ? row.resumable : row.notResumable));
+}
+
 // Guards against comments that get lost: the caller gets the upstream's whole body.
 TEST_CASE_METHOD(FlowFixture, "comments are sent with the event that follows them", "[relay]")
 {
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -251,6 +251,16 @@
     if (m_ended || !m_plan || attempt != m_attempt) {
         return;
     }
+    if (isStream() && isSuccess(m_responseHead.status)) {
+        // A response without a length ends with its connection, also when its upstream crashes.
+        const bool empty = !m_headSent && m_comments.empty() && m_call.lastEventId.empty();
+        if (m_scanner.insideEvent() || empty) {
+            const std::string_view reason =
+                empty ? "the stream ended without an event" : "the stream ended inside an event";
+            attemptFailed(attempt, AttemptFailure::Broken, reason, now, actions);
+            return;
+        }
+    }
     ++m_ranAttempts;
     if (m_responseHead.status < FirstServerError) {
         m_environment->upstreamSucceeded(m_plan->upstream.id);
--- a/ibismast/relay/eventscanner.cpp
+++ b/ibismast/relay/eventscanner.cpp
@@ -1,5 +1,6 @@
 #include "ibismast/relay/eventscanner.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ibismast
@@ -34,6 +35,18 @@
     return std::exchange(m_pending, std::string());
 }
 
+bool EventScanner::insideEvent() const
+{
+    for (std::size_t start = 0; start < m_pending.size();) {
+        const std::size_t end = std::min(m_pending.find('\n', start), m_pending.size());
+        if (m_pending[start] != ':') {
+            return true;
+        }
+        start = end + 1;
+    }
+    return false;
+}
+
 void EventScanner::readFields(std::string_view event)
 {
     constexpr std::string_view Field = "id:";
--- a/ibismast/relay/eventscanner.h
+++ b/ibismast/relay/eventscanner.h
@@ -22,6 +22,8 @@
     {
         return m_pending.size();
     }
+    /// True if an event has begun and is not complete. A comment is no event.
+    [[nodiscard]] bool insideEvent() const;
     /// True if the events that the last call of `append` returned include one with a field, that is, more than comments
     /// and blank lines.
     [[nodiscard]] bool hasProgressed() const
