Log the rate limits that upstreams name

Server-Limit was not decoded, so nothing told when an upstream named, changed or ended a limit. The platform decodes it into the head of a response, and upstream_limited logs each change. A 421 says nothing, since another upstream sent it.

--- a/UnitTests/platform/platformtest.cpp
+++ b/UnitTests/platform/platformtest.cpp
@@ -140,6 +140,25 @@
     CHECK(std::get<IncomingCall>(result).promptParts == parts);
 }
 
+// Guards against a rate limit of an upstream that is overlooked, and against one that is read from a malformed header.
+TEST_CASE("an upstream's rate limit is a decimal number", "[platform]")
+{
+    const auto [text, limit] = GENERATE(table<std::string, std::optional<RequestRate>>({
+        {"2.8", RequestRate {2.8}},
+        {"1", RequestRate {1.0}},
+        {"0", RequestRate {0.0}},
+        {"", std::nullopt},
+        {"-1", std::nullopt},
+        {"nan", std::nullopt},
+        {"inf", std::nullopt},
+        {"2.8 a second", std::nullopt},
+    }));
+    HttpHead head;
+    head.status = 200;
+    head.headers = {{"Ibismast-Attempt-Id", "r1"}, {"Ibismast-Response-Seal", "s"}, {"Server-Limit", text}};
+    CHECK(PlatformProtocol().decodeAnswer(head, "r1").head.rateLimit == limit);
+}
+
 // Guards against answers that reach the wrong caller or lack the upstream's signature.
 TEST_CASE("an answer is judged by its id, signature and encoding", "[platform]")
 {
--- a/UnitTests/relay/callflowfixture.h
+++ b/UnitTests/relay/callflowfixture.h
@@ -73,6 +73,11 @@
         buffered += change;
         return true;
     }
+    void
+    rateLimitNamed(const UpstreamRecord & /*upstream*/, std::optional<RequestRate> limit, TimePoint /*now*/) override
+    {
+        rateLimit = limit;
+    }
     void upstreamProgressed(const InstanceId & /*upstream*/, TimePoint now) override
     {
         progress = now;
@@ -100,6 +105,8 @@
     bool faultIsFatal = true;
     /// Error with which the current configuration refuses the call.
     std::optional<Error> revoked;
+    /// Limit that the last response has named.
+    std::optional<RequestRate> rateLimit;
     /// Error with which the call's prompt is kept from further upstreams.
     std::optional<Error> quarantine;
     /// Upstreams at which the call broke off at the start of its answer.
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr int FirstServerError = 500;
+/// Status of an upstream that is not the one that the call was sent to.
+constexpr int MisdirectedStatus = 421;
 
 bool isSuccess(int status)
 {
@@ -30,7 +32,7 @@
 /// True for the statuses that callers take to mean that their call was not executed.
 bool signalsNotRun(int status)
 {
-    return status == 408 || status == 421 || status == 429 || status == 503;
+    return status == 408 || status == MisdirectedStatus || status == 429 || status == 503;
 }
 
 } // namespace
@@ -128,6 +130,9 @@
     m_lastProgress = now;
     m_responseHead = head;
     m_headReceived = true;
+    if (head.status != MisdirectedStatus) {
+        m_environment->rateLimitNamed(m_plan->upstream, head.rateLimit, now);
+    }
     if (!head.failedUpstream.empty()) {
         if (const std::optional<InstanceId> reportedUpstream =
                 m_environment->upstreamFailedAt(head.failedUpstream, now)) {
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -157,6 +157,8 @@
     bool valid = true;
     /// Address of another upstream that caused the failure according to this response; empty if none is named.
     UpstreamAddress failedUpstream;
+    /// Rate of requests that the upstream takes from all entries together at present; empty if it names none.
+    std::optional<RequestRate> rateLimit {};
 };
 
 /// Reason why an attempt ended without a complete response.
@@ -217,6 +219,8 @@
     /// The bytes buffered for all calls change by @p change. Returns false, and counts nothing, if they would exceed
     /// the limit of the process.
     [[nodiscard]] virtual bool changeBuffered(std::int64_t change) = 0;
+    /// A response of @p upstream names @p limit as the rate of requests that it takes, or no limit if that is empty.
+    virtual void rateLimitNamed(const UpstreamRecord &upstream, std::optional<RequestRate> limit, TimePoint now) = 0;
     /// A part of a response was received from @p upstream: a whole event of a stream, or bytes of another body.
     virtual void upstreamProgressed(const InstanceId &upstream, TimePoint now) = 0;
     /// Returns when `upstreamProgressed` was last called for @p upstream; `TimePoint::min()` if never.
--- a/ibismast/relay/relayconfig.h
+++ b/ibismast/relay/relayconfig.h
@@ -15,6 +15,14 @@
 /// Version of the relay configuration; a larger one is newer.
 using RelayConfigVersion = StrongInteger<struct RelayConfigVersionTag>;
 
+/// Number of requests in a second.
+struct RequestRate
+{
+    double perSecond = 0.0;
+
+    auto operator<=>(const RequestRate &) const = default;
+};
+
 /// How often the calls of a route may be executed, and whether their response is an event stream.
 enum class CallKind : std::uint8_t {
     /// May be executed any number of times.
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -291,6 +291,9 @@
     std::erase_if(m_progress, [this](const auto &entry) {
         return m_directory.find(entry.first) == nullptr;
     });
+    std::erase_if(m_rateLimits, [this](const auto &entry) {
+        return m_directory.find(entry.first) == nullptr;
+    });
     std::erase_if(m_refused, [now](const auto &entry) {
         return now >= entry.second;
     });
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -211,6 +211,7 @@
     void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
     void callRefused(const RelayCall &call, TimePoint now) override;
     [[nodiscard]] bool changeBuffered(std::int64_t change) override;
+    void rateLimitNamed(const UpstreamRecord &upstream, std::optional<RequestRate> limit, TimePoint now) override;
     void upstreamProgressed(const InstanceId &upstream, TimePoint now) override;
     [[nodiscard]] TimePoint lastProgress(const InstanceId &upstream) const override;
     void upstreamSucceeded(const InstanceId &upstream) override;
@@ -303,6 +304,8 @@
     std::int64_t m_bufferedBytes = 0;
     std::map<FailureDomain, LoadUpdate> m_remoteUpdates;
     PromptQuarantine m_quarantine;
+    /// Rate limits that upstreams have named and not ended.
+    std::map<InstanceId, RequestRate> m_rateLimits;
     CellView m_cells;
     bool m_inCell = false;
     DomainLoad m_ownLoad;
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -11,6 +11,12 @@
 /// Retries per ten seconds that an entry may always make, however many entries share the allowance.
 constexpr double MinRetries = 1.0;
 
+/// Returns @p rate in requests a second for a field of a log event.
+std::string rateText(std::optional<RequestRate> rate)
+{
+    return rate ? std::to_string(rate->perSecond) : std::string("none");
+}
+
 } // namespace
 
 // Implementation of `CallEnvironment`: choice of upstreams, retry budget, load tracking and refusals.
@@ -302,6 +308,24 @@
     return true;
 }
 
+void RelayCore::rateLimitNamed(const UpstreamRecord &upstream, std::optional<RequestRate> limit, TimePoint /*now*/)
+{
+    const auto known = m_rateLimits.find(upstream.id);
+    const std::optional<RequestRate> previous =
+        known == m_rateLimits.end() ? std::nullopt : std::optional(known->second);
+    if (limit == previous) {
+        return;
+    }
+    m_listener->onEvent(
+        "upstream_limited",
+        {{"upstream", upstream.id.value()}, {"per_second", rateText(limit)}, {"previous", rateText(previous)}});
+    if (limit) {
+        m_rateLimits[upstream.id] = *limit;
+    } else {
+        m_rateLimits.erase(upstream.id);
+    }
+}
+
 void RelayCore::upstreamProgressed(const InstanceId &upstream, TimePoint now)
 {
     m_progress[upstream] = now;
