Keep all entries together within the rate limits that upstreams name

Upstreams in need got two to three times the requests that they had named as their limit; callers saw late answers.

Cause: the limit was overlooked, and each entry alone could not have kept a bound on the sum. Evidence: the log of upstream_limited shows limits from 6.05 s on that some entries learn 2.6 s later or not at all.

UpstreamRateLimits holds a token bucket for each limited upstream in every entry, fed with the own attempts and the totals that other entries report. Changes of a limit go to all entries at once, across cells, heartbeats repeat them, and an entry that has just started gets them so. A call that finds all upstreams at their limits is refused at once.

The other new tests need the new class. The bucket allows the limit and one second of it as a burst, which leaves half of the limit and five requests in four seconds for requests that cross the reports.

--- a/UnitTests/relay/upstreamratelimitstest.cpp
+++ b/UnitTests/relay/upstreamratelimitstest.cpp
@@ -147,7 +147,7 @@
 // Load: more calls than some or all engines take. Guards against entries that send an engine more requests than the
 // limit that it names (issue 26, LIMIT), each of them alone or all of them together, and against calls that are refused
 // although other engines take them.
-TEST_CASE("an upstream gets no more requests than the limit that it names", "[relay][load][!shouldfail]")
+TEST_CASE("an upstream gets no more requests than the limit that it names", "[relay][load]")
 {
     const std::size_t entries = GENERATE(std::size_t {1}, std::size_t {3}, std::size_t {24});
     const std::string path = GENERATE(std::string("/g/"), std::string("/p/"));
@@ -166,3 +166,163 @@
         CHECK(static_cast<double>(fleet.sentSince(start)) >= 0.8 * 20.0 * limit * 4.0);
     }
 }
+
+namespace
+{
+
+constexpr UpstreamRunKey Engine {7};
+
+/// Limits as two entries know them.
+class RateLimitFixture
+{
+protected:
+    /// Sends as many requests from @p entry as it allows, and returns their number.
+    int sendAllowed(UpstreamRateLimits &entry)
+    {
+        int sent = 0;
+        while (sent < 1'000 && entry.allows(Engine, now)) {
+            (void)entry.noteSent(Engine, now);
+            ++sent;
+        }
+        return sent;
+    }
+    /// The report on the engine that @p from sends arrives at @p to.
+    void report(const UpstreamRateLimits &from, UpstreamRateLimits &to)
+    {
+        const std::optional<RateLimitReport> sent = from.report(Engine, now);
+        REQUIRE(sent);
+        to.apply(InstanceId(&from == &first ? "first" : "second"), {*sent}, now);
+    }
+
+    TimePoint now {1'000s};
+    UpstreamRateLimits first {UpstreamRateLimitsSettings()};
+    UpstreamRateLimits second {UpstreamRateLimitsSettings()};
+};
+
+} // namespace
+
+// Guards against entries that each use a whole limit, also if some of their messages are lost or arrive twice.
+TEST_CASE_METHOD(RateLimitFixture, "entries use a limit together", "[relay]")
+{
+    const int arriving = GENERATE(1, 2, 5);
+    const int copies = GENERATE(1, 2);
+    CHECK(first.noteResponse(Engine, RequestRate {10.0}, now));
+    report(first, second);
+    now += 1s;
+    CHECK(second.allows(Engine, now));
+    for (int call = 1; call <= 10; ++call) {
+        CHECK(first.noteSent(Engine, now));
+        // Only some of the reports arrive, the last one among them.
+        for (int copy = 0; call % arriving == 0 && copy < copies; ++copy) {
+            report(first, second);
+        }
+    }
+    CHECK_FALSE(first.allows(Engine, now));
+    CHECK_FALSE(second.allows(Engine, now));
+    now += 1s;
+    CHECK(sendAllowed(second) == 10);
+}
+
+// Guards against an entry that has just started and sends as if there were no limit, against a limit that outlasts its
+// end at some entries, and against an old report that replaces newer knowledge.
+TEST_CASE_METHOD(RateLimitFixture, "a limit and its end reach entries that the upstream has not told", "[relay]")
+{
+    CHECK(first.noteResponse(Engine, RequestRate {2.0}, now));
+    const std::vector<RateLimitReport> early = first.nextReports(8, now);
+    now += 1s;
+    second.apply(InstanceId("first"), first.nextReports(8, now), now);
+    REQUIRE(second.limitOf(Engine) == RequestRate {2.0});
+    CHECK(sendAllowed(second) == 1);
+
+    now += 1s;
+    CHECK(first.noteResponse(Engine, std::nullopt, now));
+    second.apply(InstanceId("first"), first.nextReports(8, now), now);
+    CHECK_FALSE(second.limitOf(Engine));
+    CHECK(sendAllowed(second) == 1'000);
+
+    std::vector<RateLimitReport> late = early;
+    late.front().age += 2s;
+    second.apply(InstanceId("third"), late, now);
+    CHECK_FALSE(second.limitOf(Engine));
+}
+
+// Guards against an upstream that gets no request any more and so cannot tell that its limit has ended, and against a
+// wrong report that stops all requests.
+TEST_CASE_METHOD(RateLimitFixture, "a limited upstream always gets some requests", "[relay]")
+{
+    const double limit = GENERATE(0.0, 0.1, 3.0);
+    const std::uint64_t claimed = GENERATE(std::uint64_t {0}, std::uint64_t {1'000'000});
+    CHECK(first.noteResponse(Engine, RequestRate {limit}, now));
+    first.apply(InstanceId("second"), {{Engine, RequestRate {limit}, 0ms, claimed}}, now);
+    int sent = 0;
+    for (int second = 0; second < 60; ++second) {
+        now += 1s;
+        CHECK_FALSE(first.noteResponse(Engine, RequestRate {limit}, now));
+        sent += sendAllowed(first);
+    }
+    CHECK(sent >= 8);
+    CHECK(static_cast<double>(sent) <= std::max(limit, 0.2) * 60.0 + 1.0);
+}
+
+// Guards against memory that grows with the runs of upstreams, and against reports that leave some upstreams out.
+TEST_CASE_METHOD(RateLimitFixture, "reports on limits take turns, and old limits are dropped", "[relay]")
+{
+    for (std::uint64_t key = 1; key <= 10; ++key) {
+        CHECK(first.noteResponse(UpstreamRunKey(key), RequestRate {1.0}, now));
+    }
+    std::set<UpstreamRunKey> reported;
+    for (int heartbeat = 0; heartbeat < 3; ++heartbeat) {
+        const std::vector<RateLimitReport> reports = first.nextReports(4, now);
+        CHECK(reports.size() == 4);
+        for (const RateLimitReport &report : reports) {
+            reported.insert(report.upstream);
+        }
+    }
+    CHECK(reported.size() == 10);
+    now += 3min;
+    first.expire(now);
+    CHECK(first.nextReports(4, now).empty());
+    CHECK(first.allows(UpstreamRunKey(1), now));
+}
+
+// Guards against a limit that stays within the cell of the entry that has learned it, and against messages to the whole
+// fleet for each request to an engine that only the cell uses.
+TEST_CASE("entries of other cells learn of limits and of shared upstreams", "[relay]")
+{
+    const bool inCell = GENERATE(false, true);
+    const auto [service, domain, usageIsFleetWide] = GENERATE(table<std::string, std::string, bool>({
+        {"pool", "east", false},
+        {"pool", "west", true},
+        {"plain", "east", true},
+    }));
+    EventListener listener;
+    RelayCoreSettings settings;
+    settings.self = InstanceId("entry");
+    settings.domain = FailureDomain("east");
+    settings.cells.minEntries = inCell ? 1 : 100;
+    settings.cells.minEngines = 0;
+    RelayCore core(settings, 1, listener);
+    RelayConfig config;
+    config.version = RelayConfigVersion(1);
+    config.services.emplace(ServiceName("pool"), RelayService {ServiceName("pool"), 64, EngineProfile()});
+    config.services.emplace(ServiceName("plain"), RelayService {ServiceName("plain"), 64, std::nullopt});
+    TimePoint now {1'000s};
+    core.applyConfig(config, now);
+    RelayActions actions;
+    core.tick(now, actions);
+    REQUIRE(core.inCell() == inCell);
+
+    RelayCall call;
+    call.service = ServiceName(service);
+    call.size = {Tokens(service == "pool" ? 1'000 : 0), Tokens(100)};
+    AttemptPlan plan;
+    plan.upstream.id = InstanceId("e1");
+    plan.upstream.service = call.service;
+    plan.upstream.domain = FailureDomain(domain);
+    core.rateLimitNamed(plan.upstream, RequestRate {2.0}, now);
+    CHECK(core.takeFleetRateReports().size() == (inCell ? 1 : 0));
+    CHECK(core.takeLoadUpdate().rateLimits.size() == 1);
+    core.attemptStarted(call, plan, now);
+    CHECK(core.takeFleetRateReports().size() == (inCell && usageIsFleetWide ? 1 : 0));
+    CHECK(core.takeLoadUpdate().rateLimits.size() == 1);
+}
--- a/adapters/relay/relayprocessnews.cpp
+++ b/adapters/relay/relayprocessnews.cpp
@@ -13,6 +13,10 @@
 /// Placements in one datagram, which stays below the usual packet size unless long prompts are among them.
 constexpr std::size_t PlacementsPerDatagram = 8;
 
+/// Reports on rate limits in a heartbeat within the own domain, and in one to another domain.
+constexpr std::size_t LocalRateReports = 16;
+constexpr std::size_t RemoteRateReports = 8;
+
 } // namespace
 
 // What RelayProcess tells other entries and learns from them.
@@ -65,6 +69,11 @@
         news.quarantine = std::move(quarantine);
         m_peers.send(news, m_core.members().addresses());
     }
+    if (std::vector<RateLimitReport> reports = m_core.takeFleetRateReports(); !reports.empty()) {
+        EntryNews news = emptyNews();
+        news.load.rateLimits = std::move(reports);
+        m_peers.send(news, m_core.members().addresses());
+    }
     LoadUpdate load = m_core.takeLoadUpdate();
     if (load.empty()) {
         return;
@@ -110,7 +119,9 @@
     MemberView &members = m_core.members();
     EntryNews news = emptyNews();
     news.heard = members.nextReportedAddresses();
-    news.quarantine = m_core.quarantineSummary(processNow());
+    const TimePoint now = processNow();
+    news.quarantine = m_core.quarantineSummary(now);
+    news.load.rateLimits = m_core.nextRateReports(LocalRateReports, now);
     std::vector<std::string> addresses = m_core.inCell() ? members.localAddresses() : members.addresses();
     if (regular) {
         std::ranges::move(members.unconfirmedAddresses(), std::back_inserter(addresses));
@@ -118,6 +129,7 @@
     m_peers.send(news, addresses);
     if (regular && m_core.inCell()) {
         news.domainLoad = m_core.ownLoad();
+        news.load.rateLimits = m_core.nextRateReports(RemoteRateReports, now);
         m_peers.send(news, members.nextRemoteAddresses());
     }
 }
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -36,6 +36,7 @@
     , m_planner(m_settings.planner, m_loads)
     , m_tieBreakOffset(std::hash<std::string>()(m_settings.self.value()))
     , m_quarantine(m_settings.quarantine, listener)
+    , m_rateLimits(m_settings.rateLimits)
     , m_cells(m_settings.cells, m_settings.domain)
 {
 }
@@ -291,9 +292,7 @@
     std::erase_if(m_progress, [this](const auto &entry) {
         return m_directory.find(entry.first) == nullptr;
     });
-    std::erase_if(m_rateLimits, [this](const auto &entry) {
-        return m_directory.find(entry.first) == nullptr;
-    });
+    m_rateLimits.expire(now);
     std::erase_if(m_refused, [now](const auto &entry) {
         return now >= entry.second;
     });
@@ -331,6 +330,7 @@
     for (const CallNumber &call : update.ended) {
         m_loads.end({entry, call}, now);
     }
+    applyRateReports(entry, update.rateLimits, now);
 }
 
 std::vector<Placement> RelayCore::ownPlacements(TimePoint now) const
@@ -391,6 +391,7 @@
 void RelayCore::dropEntry(const InstanceId &entry, TimePoint now)
 {
     m_loads.endAllOf(entry, now);
+    m_rateLimits.dropEntry(entry);
 }
 
 } // namespace ibismast
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -6,6 +6,7 @@
 #include "ibismast/relay/memberview.h"
 #include "ibismast/relay/promptquarantine.h"
 #include "ibismast/relay/routetable.h"
+#include "ibismast/relay/upstreamratelimits.h"
 #include "ibismast/retry/retrybudget.h"
 
 #include <functional>
@@ -57,6 +58,7 @@
     MemberViewSettings members;
     CellViewSettings cells;
     PromptQuarantineSettings quarantine;
+    UpstreamRateLimitsSettings rateLimits;
     /// Limits on the retries of all entries together in ten seconds: a ratio to the requests of that time, and a number
     /// allowed in addition.
     double retryRatio = 0.2;
@@ -92,10 +94,12 @@
     std::vector<CallNumber> ended;
     /// Fingerprints of refused calls, which callers may send again through another entry.
     std::vector<std::uint64_t> refused;
+    /// Rate limits of upstreams, and what the entry has sent to these.
+    std::vector<RateLimitReport> rateLimits {};
 
     [[nodiscard]] bool empty() const
     {
-        return placed.empty() && prefillsDone.empty() && ended.empty() && refused.empty();
+        return placed.empty() && prefillsDone.empty() && ended.empty() && refused.empty() && rateLimits.empty();
     }
 };
 
@@ -173,6 +177,11 @@
     /// Returns the load changes that concern engines of other domains, by domain. Empty unless the fleet is divided
     /// into cells.
     [[nodiscard]] std::map<FailureDomain, LoadUpdate> takeRemoteUpdates();
+    /// Returns reports on rate limits that the entries of other cells must learn too; later calls do not return them
+    /// again. Empty unless the fleet is divided into cells.
+    [[nodiscard]] std::vector<RateLimitReport> takeFleetRateReports();
+    /// Returns reports on up to @p count rate limits for a heartbeat, on other ones with each call.
+    [[nodiscard]] std::vector<RateLimitReport> nextRateReports(std::size_t count, TimePoint now);
     /// Applies what another entry has reported of prompt parts.
     void applyQuarantineUpdate(const QuarantineUpdate &update, TimePoint now);
     /// Returns what all other entries must learn of prompt parts at once; later calls do not return it again.
@@ -233,6 +242,10 @@
     /// admit the request. The customer is empty if the route needs no API key.
     [[nodiscard]] Result<std::pair<const RelayRoute *, CustomerId>>
     admit(const std::string &host, const std::string &path, const std::string &key) const;
+    /// Tells the other entries of a change of an upstream's rate limit, or of a request to a limited upstream. The
+    /// entries of other cells learn of it if @p fleetWide is true.
+    void announceRate(UpstreamRunKey upstream, bool fleetWide, TimePoint now);
+    void applyRateReports(const InstanceId &entry, const std::vector<RateLimitReport> &reports, TimePoint now);
     /// Returns an error if one of @p parts is in quarantine.
     [[nodiscard]] std::optional<Error> checkParts(const std::vector<PromptPartId> &parts, TimePoint now) const;
     /// Returns the configured service @p name, or null.
@@ -304,8 +317,8 @@
     std::int64_t m_bufferedBytes = 0;
     std::map<FailureDomain, LoadUpdate> m_remoteUpdates;
     PromptQuarantine m_quarantine;
-    /// Rate limits that upstreams have named and not ended.
-    std::map<InstanceId, RequestRate> m_rateLimits;
+    UpstreamRateLimits m_rateLimits;
+    std::vector<RateLimitReport> m_fleetRateReports;
     CellView m_cells;
     bool m_inCell = false;
     DomainLoad m_ownLoad;
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -1,6 +1,10 @@
 #include "ibismast/relay/relaycore.h"
 
+#include "ibismast/core/stablehash.h"
+
 #include <algorithm>
+#include <array>
+#include <charconv>
 
 namespace ibismast
 {
@@ -11,6 +15,19 @@
 /// Retries per ten seconds that an entry may always make, however many entries share the allowance.
 constexpr double MinRetries = 1.0;
 
+UpstreamRunKey runKeyOf(const UpstreamRecord &upstream)
+{
+    return UpstreamRunKey(combineHashes(stableHash(upstream.id.value()), upstream.incarnation.value()));
+}
+
+std::string toHexText(UpstreamRunKey key)
+{
+    std::array<char, 16> text {};
+    constexpr int Base = 16;
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), key.value(), Base).ptr;
+    return {text.data(), end};
+}
+
 /// Returns @p rate in requests a second for a field of a log event.
 std::string rateText(std::optional<RequestRate> rate)
 {
@@ -33,11 +50,19 @@
     const RelayService *target = service(call.service);
     const bool generation = target != nullptr && target->engine && call.size.prompt.value() > 0;
     const UpstreamDirectory::Candidates candidates = m_directory.candidates(call.service, now);
+    std::size_t limited = 0;
     for (const auto *upstreams : {&candidates.trusted, &candidates.suspected}) {
         std::vector<const UpstreamDirectory::Member *> untried;
-        std::ranges::copy_if(*upstreams, std::back_inserter(untried), [&tried](const auto *member) {
-            return !tried.contains(member->record.id);
-        });
+        for (const UpstreamDirectory::Member *member : *upstreams) {
+            if (tried.contains(member->record.id)) {
+                continue;
+            }
+            if (m_rateLimits.allows(runKeyOf(member->record), now)) {
+                untried.push_back(member);
+            } else {
+                ++limited;
+            }
+        }
         if (untried.empty()) {
             continue;
         }
@@ -47,6 +72,13 @@
             return plan;
         }
     }
+    if (limited > 0) {
+        m_listener->onEvent("no_plan",
+                            {{"request", call.requestId},
+                             {"service", call.service.value()},
+                             {"trusted", std::to_string(candidates.trusted.size())},
+                             {"rate_limited", std::to_string(limited)}});
+    }
     return std::nullopt;
 }
 
@@ -100,8 +132,9 @@
     }
     if (const std::optional<FailureDomain> domain = m_cells.lessLoadedDomain(m_ownLoad, now)) {
         std::vector<const UpstreamDirectory::Member *> remote;
-        std::ranges::copy_if(engines, std::back_inserter(remote), [&domain](const auto *engine) {
-            return engine->record.domain == *domain;
+        // What is sent to the limited engines of another cell is known only there.
+        std::ranges::copy_if(engines, std::back_inserter(remote), [&](const auto *engine) {
+            return engine->record.domain == *domain && !m_rateLimits.limitOf(runKeyOf(engine->record));
         });
         std::optional<AttemptPlan> remotePlan =
             remote.empty() ? std::nullopt : planGeneration(call, profile, remote, Capacity::Estimated, now);
@@ -168,7 +201,12 @@
 {
     m_directory.noteDispatch(plan.upstream.id, now);
     const RelayService *target = service(call.service);
-    if (target == nullptr || !target->engine || call.size.prompt.value() == 0) {
+    const bool plain = target == nullptr || !target->engine || call.size.prompt.value() == 0;
+    const UpstreamRunKey key = runKeyOf(plan.upstream);
+    if (m_rateLimits.noteSent(key, now)) {
+        announceRate(key, plain || plan.upstream.domain != m_settings.domain, now);
+    }
+    if (plain) {
         ++m_plainCalls[plan.upstream.id];
         return;
     }
@@ -308,24 +346,66 @@
     return true;
 }
 
-void RelayCore::rateLimitNamed(const UpstreamRecord &upstream, std::optional<RequestRate> limit, TimePoint /*now*/)
+void RelayCore::rateLimitNamed(const UpstreamRecord &upstream, std::optional<RequestRate> limit, TimePoint now)
+{
+    const UpstreamRunKey key = runKeyOf(upstream);
+    const std::optional<RequestRate> previous = m_rateLimits.limitOf(key);
+    if (m_rateLimits.noteResponse(key, limit, now)) {
+        m_listener->onEvent("upstream_limited",
+                            {{"upstream", upstream.id.value()},
+                             {"run", toHexText(key)},
+                             {"per_second", rateText(limit)},
+                             {"previous", rateText(previous)},
+                             {"source", "response"}});
+        announceRate(key, true, now);
+    }
+}
+
+void RelayCore::announceRate(UpstreamRunKey upstream, bool fleetWide, TimePoint now)
 {
-    const auto known = m_rateLimits.find(upstream.id);
-    const std::optional<RequestRate> previous =
-        known == m_rateLimits.end() ? std::nullopt : std::optional(known->second);
-    if (limit == previous) {
+    const std::optional<RateLimitReport> report = m_rateLimits.report(upstream, now);
+    if (!report) {
         return;
     }
-    m_listener->onEvent(
-        "upstream_limited",
-        {{"upstream", upstream.id.value()}, {"per_second", rateText(limit)}, {"previous", rateText(previous)}});
-    if (limit) {
-        m_rateLimits[upstream.id] = *limit;
-    } else {
-        m_rateLimits.erase(upstream.id);
+    const auto add = [&report](std::vector<RateLimitReport> &reports) {
+        // A report holds a total, so the newest one replaces the others.
+        std::erase_if(reports, [&report](const RateLimitReport &other) {
+            return other.upstream == report->upstream;
+        });
+        reports.push_back(*report);
+    };
+    add(m_pendingUpdate.rateLimits);
+    if (fleetWide && m_inCell) {
+        add(m_fleetRateReports);
+    }
+}
+
+void RelayCore::applyRateReports(const InstanceId &entry, const std::vector<RateLimitReport> &reports, TimePoint now)
+{
+    for (const RateLimitReport &report : reports) {
+        const std::optional<RequestRate> previous = m_rateLimits.limitOf(report.upstream);
+        m_rateLimits.apply(entry, {report}, now);
+        const std::optional<RequestRate> limit = m_rateLimits.limitOf(report.upstream);
+        if (limit.has_value() != previous.has_value()) {
+            m_listener->onEvent("upstream_limited",
+                                {{"run", toHexText(report.upstream)},
+                                 {"per_second", rateText(limit)},
+                                 {"previous", rateText(previous)},
+                                 {"source", entry.value()}});
+        }
     }
 }
 
+std::vector<RateLimitReport> RelayCore::takeFleetRateReports()
+{
+    return std::exchange(m_fleetRateReports, {});
+}
+
+std::vector<RateLimitReport> RelayCore::nextRateReports(std::size_t count, TimePoint now)
+{
+    return m_rateLimits.nextReports(count, now);
+}
+
 void RelayCore::upstreamProgressed(const InstanceId &upstream, TimePoint now)
 {
     m_progress[upstream] = now;
--- a/wire/relay.thrift
+++ b/wire/relay.thrift
@@ -42,6 +42,18 @@
     2: required i64 ageMs,
 }
 
+/// Rate limit of an upstream, and what the sender has sent to it.
+struct RelayRateLimit {
+    /// Hash of the upstream's id and incarnation.
+    1: required i64 upstream,
+    /// Requests a second that it takes from all entries together; absent if it has ended its limit.
+    2: optional double perSecond,
+    /// Time since a response of the upstream last said so.
+    3: required i64 ageMs,
+    /// Requests that the sender has sent since it has known the limit.
+    4: required i64 sent,
+}
+
 /// One datagram from an entry to another.
 struct RelayNews {
     1: required string entry,
@@ -77,6 +89,7 @@
     18: optional list<RelayBrokenStart> brokenStarts,
     19: optional list<RelayQuarantine> quarantines,
     20: optional list<RelaySoundPart> soundParts,
+    21: optional list<RelayRateLimit> rateLimits,
 }
 
 /// Record of the platform's store as it was read.
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -25,6 +25,7 @@
 
 /// Limits of a load report; larger values, or a share that is no number, cannot be true.
 constexpr double LargestSlotUse = 1e6;
+constexpr double LargestRate = 1e9;
 constexpr std::int64_t LargestBacklogUs = 3'600'000'000;
 
 template<typename Message> std::string encode(const Message &message)
@@ -176,6 +177,40 @@
     return update;
 }
 
+void encodeRateLimits(const std::vector<RateLimitReport> &reports, wire::relay::RelayNews &message)
+{
+    if (reports.empty()) {
+        return;
+    }
+    message.__isset.rateLimits = true;
+    for (const RateLimitReport &report : reports) {
+        wire::relay::RelayRateLimit &limit = message.rateLimits.emplace_back();
+        limit.upstream = static_cast<std::int64_t>(report.upstream.value());
+        if (report.limit) {
+            limit.__set_perSecond(report.limit->perSecond);
+        }
+        limit.ageMs = toMs(report.age);
+        limit.sent = static_cast<std::int64_t>(report.sent);
+    }
+}
+
+std::vector<RateLimitReport> decodeRateLimits(const wire::relay::RelayNews &message)
+{
+    std::vector<RateLimitReport> reports;
+    for (const wire::relay::RelayRateLimit &limit : message.rateLimits) {
+        const std::optional<Duration> age = decodeAge(limit.ageMs);
+        const bool rateInRange = limit.perSecond >= 0.0 && limit.perSecond <= LargestRate;
+        if (!age || limit.sent < 0 || (limit.__isset.perSecond && !rateInRange)) {
+            continue;
+        }
+        reports.push_back({UpstreamRunKey(static_cast<std::uint64_t>(limit.upstream)),
+                           limit.__isset.perSecond ? std::optional(RequestRate {limit.perSecond}) : std::nullopt,
+                           *age,
+                           static_cast<std::uint64_t>(limit.sent)});
+    }
+    return reports;
+}
+
 wire::relay::RelayRecord toThrift(const StoredRecord &record)
 {
     wire::relay::RelayRecord result;
@@ -244,6 +279,7 @@
         }
     }
     encodeQuarantine(news.quarantine, message);
+    encodeRateLimits(news.load.rateLimits, message);
     return encode(message);
 }
 
@@ -286,6 +322,7 @@
         news.load.ended.emplace_back(static_cast<std::uint64_t>(call));
     }
     news.quarantine = decodeQuarantine(message);
+    news.load.rateLimits = decodeRateLimits(message);
     return news;
 }
 
