Keep reports between entries in a file of their own

One function writes prompt parts for logs instead of three. Two vectors reserve their size, and std::unique replaces the ranges form, which the linter's compiler does not accept.

--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -1,5 +1,7 @@
 #include "ibismast/relay/callflow.h"
 
+#include "ibismast/relay/promptquarantine.h"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -19,16 +21,6 @@
     return status >= 200 && status < 300;
 }
 
-/// Returns the ids of @p parts for a field of a log event.
-std::string partsText(const std::vector<PromptPartId> &parts)
-{
-    std::string text;
-    for (const PromptPartId part : parts) {
-        text += (text.empty() ? "" : ",") + toString(part);
-    }
-    return text.empty() ? "none" : text;
-}
-
 /// True for the statuses that callers take to mean that their call was not executed.
 bool signalsNotRun(int status)
 {
@@ -113,7 +105,7 @@
                          {"reason", std::string(reason)},
                          {"head", m_headReceived ? std::to_string(m_responseHead.status) : std::string("none")},
                          {"began", m_attemptHasEvents ? "true" : "false"},
-                         {"parts", partsText(m_call.promptParts)}});
+                         {"parts", toText(m_call.promptParts)}});
     if (m_headReceived && isSuccess(m_responseHead.status) && !m_headSent) {
         m_environment->startBroken(m_call, upstream, now);
     }
--- a/ibismast/relay/promptquarantine.cpp
+++ b/ibismast/relay/promptquarantine.cpp
@@ -19,17 +19,17 @@
     });
 }
 
-std::string partsText(const std::vector<PromptPartId> &parts)
+} // namespace
+
+std::string toText(const std::vector<PromptPartId> &parts)
 {
     std::string text;
     for (const PromptPartId part : parts) {
         text += (text.empty() ? "" : ",") + toString(part);
     }
-    return text;
+    return text.empty() ? "none" : text;
 }
 
-} // namespace
-
 /// What speaks against a part.
 struct PromptQuarantine::Suspicion
 {
@@ -95,7 +95,7 @@
             return false;
         }
         if (isInForce(lastBroken, now)) {
-            m_listener->onEvent("prompt_part_released", {{"part", toString(part)}, {"parts", partsText(parts)}});
+            m_listener->onEvent("prompt_part_released", {{"part", toString(part)}, {"parts", toText(parts)}});
         }
         // The other parts remain as the cause.
         PartSet rest = parts;
@@ -200,7 +200,7 @@
     result.calls = calls.size();
     result.upstreams = upstreams.size();
     std::ranges::sort(result.common);
-    result.common.erase(std::ranges::unique(result.common).begin(), result.common.end());
+    result.common.erase(std::unique(result.common.begin(), result.common.end()), result.common.end());
     return result;
 }
 
@@ -260,7 +260,7 @@
         return;
     }
     m_pending.quarantined.push_back({parts, now - place->second});
-    details.insert(details.begin(), {"parts", partsText(parts)});
+    details.insert(details.begin(), {"parts", toText(parts)});
     m_listener->onEvent("prompt_part_quarantined", details);
 }
 
@@ -281,7 +281,7 @@
         }
         const auto [place, added] = m_quarantines.try_emplace(parts, lastBroken);
         if (added || !isInForce(place->second, now)) {
-            m_listener->onEvent("prompt_part_quarantined", {{"parts", partsText(parts)}, {"source", "entry"}});
+            m_listener->onEvent("prompt_part_quarantined", {{"parts", toText(parts)}, {"source", "entry"}});
         }
         place->second = std::max(place->second, lastBroken);
     }
--- a/ibismast/relay/promptquarantine.h
+++ b/ibismast/relay/promptquarantine.h
@@ -8,11 +8,15 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace ibismast
 {
 
+/// Returns the ids of @p parts for logs and messages, separated by commas; `none` if there is none.
+[[nodiscard]] std::string toText(const std::vector<PromptPartId> &parts);
+
 /// Attempt that broke off after its upstream had begun to answer and before the first event.
 struct BrokenStart
 {
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -242,6 +242,7 @@
     /// admit the request. The customer is empty if the route needs no API key.
     [[nodiscard]] Result<std::pair<const RelayRoute *, CustomerId>>
     admit(const std::string &host, const std::string &path, const std::string &key) const;
+    [[nodiscard]] static UpstreamRunKey runKey(const UpstreamRecord &upstream);
     /// Tells the other entries of a change of an upstream's rate limit, or of a request to a limited upstream. The
     /// entries of other cells learn of it if @p fleetWide is true.
     void announceRate(UpstreamRunKey upstream, bool fleetWide, TimePoint now);
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -1,10 +1,6 @@
 #include "ibismast/relay/relaycore.h"
 
-#include "ibismast/core/stablehash.h"
-
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 namespace ibismast
 {
@@ -15,25 +11,6 @@
 /// Retries per ten seconds that an entry may always make, however many entries share the allowance.
 constexpr double MinRetries = 1.0;
 
-UpstreamRunKey runKeyOf(const UpstreamRecord &upstream)
-{
-    return UpstreamRunKey(combineHashes(stableHash(upstream.id.value()), upstream.incarnation.value()));
-}
-
-std::string toHexText(UpstreamRunKey key)
-{
-    std::array<char, 16> text {};
-    constexpr int Base = 16;
-    const auto end = std::to_chars(text.data(), text.data() + text.size(), key.value(), Base).ptr;
-    return {text.data(), end};
-}
-
-/// Returns @p rate in requests a second for a field of a log event.
-std::string rateText(std::optional<RequestRate> rate)
-{
-    return rate ? std::to_string(rate->perSecond) : std::string("none");
-}
-
 } // namespace
 
 // Implementation of `CallEnvironment`: choice of upstreams, retry budget, load tracking and refusals.
@@ -57,7 +34,7 @@
             if (tried.contains(member->record.id)) {
                 continue;
             }
-            if (m_rateLimits.allows(runKeyOf(member->record), now)) {
+            if (m_rateLimits.allows(runKey(member->record), now)) {
                 untried.push_back(member);
             } else {
                 ++limited;
@@ -134,7 +111,7 @@
         std::vector<const UpstreamDirectory::Member *> remote;
         // What is sent to the limited engines of another cell is known only there.
         std::ranges::copy_if(engines, std::back_inserter(remote), [&](const auto *engine) {
-            return engine->record.domain == *domain && !m_rateLimits.limitOf(runKeyOf(engine->record));
+            return engine->record.domain == *domain && !m_rateLimits.limitOf(runKey(engine->record));
         });
         std::optional<AttemptPlan> remotePlan =
             remote.empty() ? std::nullopt : planGeneration(call, profile, remote, Capacity::Estimated, now);
@@ -202,7 +179,7 @@
     m_directory.noteDispatch(plan.upstream.id, now);
     const RelayService *target = service(call.service);
     const bool plain = target == nullptr || !target->engine || call.size.prompt.value() == 0;
-    const UpstreamRunKey key = runKeyOf(plan.upstream);
+    const UpstreamRunKey key = runKey(plan.upstream);
     if (m_rateLimits.noteSent(key, now)) {
         announceRate(key, plain || plan.upstream.domain != m_settings.domain, now);
     }
@@ -246,49 +223,6 @@
     return domains;
 }
 
-std::optional<Error> RelayCore::checkParts(const std::vector<PromptPartId> &parts, TimePoint now) const
-{
-    const std::optional<PromptQuarantine::Hit> hit = m_quarantine.find(parts, now);
-    if (!hit) {
-        return std::nullopt;
-    }
-    std::string names;
-    for (const PromptPartId part : hit->parts) {
-        names += (names.empty() ? "" : ",") + toString(part);
-    }
-    return Error {ResultCode::PromptQuarantined, "the prompt parts " + names + " have crashed upstreams", hit->left};
-}
-
-std::optional<Error> RelayCore::checkPrompt(const RelayCall &call, TimePoint now) const
-{
-    return checkParts(call.promptParts, now);
-}
-
-void RelayCore::startBroken(const RelayCall &call, const InstanceId &upstream, TimePoint now)
-{
-    m_quarantine.noteBrokenStart(upstream, call.fingerprint, call.promptParts, now);
-}
-
-void RelayCore::applyQuarantineUpdate(const QuarantineUpdate &update, TimePoint now)
-{
-    m_quarantine.apply(update, now);
-}
-
-QuarantineUpdate RelayCore::takeQuarantineUpdate()
-{
-    return m_quarantine.takeUpdate();
-}
-
-QuarantineUpdate RelayCore::quarantineSummary(TimePoint now) const
-{
-    return m_quarantine.summary(now);
-}
-
-std::size_t RelayCore::quarantinedParts(TimePoint now) const
-{
-    return m_quarantine.size(now);
-}
-
 void RelayCore::firstEventReceived(const RelayCall &call, TimePoint now)
 {
     m_quarantine.noteSound(call.promptParts, now);
@@ -346,66 +280,6 @@
     return true;
 }
 
-void RelayCore::rateLimitNamed(const UpstreamRecord &upstream, std::optional<RequestRate> limit, TimePoint now)
-{
-    const UpstreamRunKey key = runKeyOf(upstream);
-    const std::optional<RequestRate> previous = m_rateLimits.limitOf(key);
-    if (m_rateLimits.noteResponse(key, limit, now)) {
-        m_listener->onEvent("upstream_limited",
-                            {{"upstream", upstream.id.value()},
-                             {"run", toHexText(key)},
-                             {"per_second", rateText(limit)},
-                             {"previous", rateText(previous)},
-                             {"source", "response"}});
-        announceRate(key, true, now);
-    }
-}
-
-void RelayCore::announceRate(UpstreamRunKey upstream, bool fleetWide, TimePoint now)
-{
-    const std::optional<RateLimitReport> report = m_rateLimits.report(upstream, now);
-    if (!report) {
-        return;
-    }
-    const auto add = [&report](std::vector<RateLimitReport> &reports) {
-        // A report holds a total, so the newest one replaces the others.
-        std::erase_if(reports, [&report](const RateLimitReport &other) {
-            return other.upstream == report->upstream;
-        });
-        reports.push_back(*report);
-    };
-    add(m_pendingUpdate.rateLimits);
-    if (fleetWide && m_inCell) {
-        add(m_fleetRateReports);
-    }
-}
-
-void RelayCore::applyRateReports(const InstanceId &entry, const std::vector<RateLimitReport> &reports, TimePoint now)
-{
-    for (const RateLimitReport &report : reports) {
-        const std::optional<RequestRate> previous = m_rateLimits.limitOf(report.upstream);
-        m_rateLimits.apply(entry, {report}, now);
-        const std::optional<RequestRate> limit = m_rateLimits.limitOf(report.upstream);
-        if (limit.has_value() != previous.has_value()) {
-            m_listener->onEvent("upstream_limited",
-                                {{"run", toHexText(report.upstream)},
-                                 {"per_second", rateText(limit)},
-                                 {"previous", rateText(previous)},
-                                 {"source", entry.value()}});
-        }
-    }
-}
-
-std::vector<RateLimitReport> RelayCore::takeFleetRateReports()
-{
-    return std::exchange(m_fleetRateReports, {});
-}
-
-std::vector<RateLimitReport> RelayCore::nextRateReports(std::size_t count, TimePoint now)
-{
-    return m_rateLimits.nextReports(count, now);
-}
-
 void RelayCore::upstreamProgressed(const InstanceId &upstream, TimePoint now)
 {
     m_progress[upstream] = now;
--- /dev/null
+++ b/ibismast/relay/relaycorereports.cpp
@@ -0,0 +1,137 @@
+#include "ibismast/relay/relaycore.h"
+
+#include "ibismast/core/stablehash.h"
+
+#include <array>
+#include <charconv>
+
+namespace ibismast
+{
+
+namespace
+{
+
+std::string toHexText(UpstreamRunKey key)
+{
+    std::array<char, 16> text {};
+    constexpr int Base = 16;
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), key.value(), Base).ptr;
+    return {text.data(), end};
+}
+
+/// Returns @p rate in requests a second for a field of a log event.
+std::string rateText(std::optional<RequestRate> rate)
+{
+    return rate ? std::to_string(rate->perSecond) : std::string("none");
+}
+
+} // namespace
+
+// What entries tell each other about prompts that crash upstreams and about upstreams' rate limits.
+
+std::optional<Error> RelayCore::checkParts(const std::vector<PromptPartId> &parts, TimePoint now) const
+{
+    const std::optional<PromptQuarantine::Hit> hit = m_quarantine.find(parts, now);
+    if (!hit) {
+        return std::nullopt;
+    }
+    return Error {
+        ResultCode::PromptQuarantined, "the prompt parts " + toText(hit->parts) + " have crashed upstreams", hit->left};
+}
+
+std::optional<Error> RelayCore::checkPrompt(const RelayCall &call, TimePoint now) const
+{
+    return checkParts(call.promptParts, now);
+}
+
+void RelayCore::startBroken(const RelayCall &call, const InstanceId &upstream, TimePoint now)
+{
+    m_quarantine.noteBrokenStart(upstream, call.fingerprint, call.promptParts, now);
+}
+
+void RelayCore::applyQuarantineUpdate(const QuarantineUpdate &update, TimePoint now)
+{
+    m_quarantine.apply(update, now);
+}
+
+QuarantineUpdate RelayCore::takeQuarantineUpdate()
+{
+    return m_quarantine.takeUpdate();
+}
+
+QuarantineUpdate RelayCore::quarantineSummary(TimePoint now) const
+{
+    return m_quarantine.summary(now);
+}
+
+std::size_t RelayCore::quarantinedParts(TimePoint now) const
+{
+    return m_quarantine.size(now);
+}
+
+UpstreamRunKey RelayCore::runKey(const UpstreamRecord &upstream)
+{
+    return UpstreamRunKey(combineHashes(stableHash(upstream.id.value()), upstream.incarnation.value()));
+}
+
+void RelayCore::rateLimitNamed(const UpstreamRecord &upstream, std::optional<RequestRate> limit, TimePoint now)
+{
+    const UpstreamRunKey key = runKey(upstream);
+    const std::optional<RequestRate> previous = m_rateLimits.limitOf(key);
+    if (m_rateLimits.noteResponse(key, limit, now)) {
+        m_listener->onEvent("upstream_limited",
+                            {{"upstream", upstream.id.value()},
+                             {"run", toHexText(key)},
+                             {"per_second", rateText(limit)},
+                             {"previous", rateText(previous)},
+                             {"source", "response"}});
+        announceRate(key, true, now);
+    }
+}
+
+void RelayCore::announceRate(UpstreamRunKey upstream, bool fleetWide, TimePoint now)
+{
+    const std::optional<RateLimitReport> report = m_rateLimits.report(upstream, now);
+    if (!report) {
+        return;
+    }
+    const auto add = [&report](std::vector<RateLimitReport> &reports) {
+        // A report holds a total, so the newest one replaces the others.
+        std::erase_if(reports, [&report](const RateLimitReport &other) {
+            return other.upstream == report->upstream;
+        });
+        reports.push_back(*report);
+    };
+    add(m_pendingUpdate.rateLimits);
+    if (fleetWide && m_inCell) {
+        add(m_fleetRateReports);
+    }
+}
+
+void RelayCore::applyRateReports(const InstanceId &entry, const std::vector<RateLimitReport> &reports, TimePoint now)
+{
+    for (const RateLimitReport &report : reports) {
+        const std::optional<RequestRate> previous = m_rateLimits.limitOf(report.upstream);
+        m_rateLimits.apply(entry, {report}, now);
+        const std::optional<RequestRate> limit = m_rateLimits.limitOf(report.upstream);
+        if (limit.has_value() != previous.has_value()) {
+            m_listener->onEvent("upstream_limited",
+                                {{"run", toHexText(report.upstream)},
+                                 {"per_second", rateText(limit)},
+                                 {"previous", rateText(previous)},
+                                 {"source", entry.value()}});
+        }
+    }
+}
+
+std::vector<RateLimitReport> RelayCore::takeFleetRateReports()
+{
+    return std::exchange(m_fleetRateReports, {});
+}
+
+std::vector<RateLimitReport> RelayCore::nextRateReports(std::size_t count, TimePoint now)
+{
+    return m_rateLimits.nextReports(count, now);
+}
+
+} // namespace ibismast
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -103,6 +103,7 @@
 std::vector<std::int64_t> toThrift(const std::vector<PromptPartId> &parts)
 {
     std::vector<std::int64_t> result;
+    result.reserve(parts.size());
     for (const PromptPartId part : parts) {
         result.push_back(static_cast<std::int64_t>(part.value()));
     }
@@ -112,6 +113,7 @@
 std::vector<PromptPartId> fromThrift(const std::vector<std::int64_t> &parts)
 {
     std::vector<PromptPartId> result;
+    result.reserve(parts.size());
     for (const std::int64_t part : parts) {
         result.emplace_back(static_cast<std::uint64_t>(part));
     }
