Do not blame a prompt for a response that the relay gives up

A response above the limits of an event, a body or all buffers was reported like a broken connection, so three upstreams that send bytes without end after a good head would have put sound prompt parts into quarantine.

AttemptFailure::GivenUp tells them apart. Of the new table on suspected prompts 1 of 11 rows failed before; the second table, on where a prompt in quarantine is stopped, passed and stays as a guard. 128 cases of relay, wire and platform pass.

--- a/UnitTests/relay/callflowretriestest.cpp
+++ b/UnitTests/relay/callflowretriestest.cpp
@@ -248,3 +248,122 @@
     CHECK(done().ends_with("refuse 502"));
     CHECK(environment.refused == 0);
 }
+
+// Guards against prompts that are blamed for a crash although the upstream had declined them, had not begun to answer,
+// had sent an event or was given up by the relay, and against crashes that no prompt is blamed for.
+TEST_CASE_METHOD(FlowFixture, "a prompt is suspected only if its upstream ends at the start of the answer", "[relay]")
+{
+    enum class End {
+        Broken,
+        NotSent,
+        GivenUp,
+        Declined,
+        InsideEvent,
+        WithoutEvent,
+    };
+    struct Row
+    {
+        /// Status of the response; 0 if none arrives.
+        int status;
+        std::string body;
+        End end;
+        bool suspected;
+    };
+    const Row row = GENERATE(values<Row>({
+        {200, "", End::Broken, true},
+        {200, "id:1\nda", End::Broken, true},
+        {200, ": comment\n\n", End::Broken, true},
+        {200, "id:1\nda", End::InsideEvent, true},
+        {200, "", End::WithoutEvent, true},
+        {200, "id:1\ndata:x\n\n", End::Broken, false},
+        {200, std::string(std::size_t {2} << 20, 'x'), End::GivenUp, false},
+        {500, "", End::Broken, false},
+        {0, "", End::Broken, false},
+        {0, "", End::NotSent, false},
+        {503, "", End::Declined, false},
+    }));
+    begin(CallKind::ResumableStream, 2);
+    if (row.status != 0) {
+        head(1, row.status, row.end == End::Declined);
+    }
+    if (!row.body.empty()) {
+        flow().bodyReceived(1, row.body, now, actions);
+    }
+    if (row.end == End::Broken || row.end == End::NotSent) {
+        const auto failure = row.end == End::Broken ? AttemptFailure::Broken : AttemptFailure::NotSent;
+        flow().attemptFailed(1, failure, "reset", now, actions);
+    } else if (row.end == End::InsideEvent || row.end == End::WithoutEvent) {
+        flow().responseCompleted(1, now, actions);
+    }
+    CHECK(environment.brokenStarts == (row.suspected ? std::vector<std::string> {"a"} : std::vector<std::string>()));
+}
+
+// Guards against a prompt in quarantine that still reaches an upstream: as a new call, after a failure, after it has
+// waited for other prefills or for memory, or when its upstream has stalled. A stream that has begun is sound and goes
+// on.
+TEST_CASE_METHOD(FlowFixture, "a prompt in quarantine reaches no further upstream", "[relay]")
+{
+    const Error quarantine {ResultCode::PromptQuarantined, "has crashed upstreams", 60s};
+    SECTION("a new call")
+    {
+        environment.quarantine = quarantine;
+        begin(CallKind::ResumableStream, 2);
+        const auto *refuse = std::get_if<Refuse>(&actions.back());
+        REQUIRE(refuse != nullptr);
+        CHECK(refuse->code == ResultCode::PromptQuarantined);
+        CHECK(refuse->retryAfter == Duration(60s));
+    }
+    SECTION("after a failure that may have run it")
+    {
+        begin(CallKind::ResumableStream, 2);
+        environment.quarantine = quarantine;
+        (void)done();
+        flow().attemptFailed(1, AttemptFailure::Broken, "reset", now, actions);
+        CHECK(done() == "refuse 502");
+    }
+    SECTION("after an attempt that was not sent")
+    {
+        begin(CallKind::ResumableStream, 2);
+        environment.quarantine = quarantine;
+        (void)done();
+        flow().attemptFailed(1, AttemptFailure::NotSent, "refused", now, actions);
+        CHECK(done() == "refuse 503");
+    }
+    SECTION("after a delay")
+    {
+        environment.delay = 500ms;
+        begin(CallKind::ResumableStream, 2);
+        environment.quarantine = quarantine;
+        wait();
+        CHECK(done() == "refuse 503");
+    }
+    SECTION("after a reservation of memory")
+    {
+        environment.reserved = Tokens(1'000);
+        begin(CallKind::ResumableStream, 2);
+        environment.quarantine = quarantine;
+        (void)done();
+        flow().memoryReserved(1, true, now, actions);
+        CHECK(done() == "release, refuse 503");
+    }
+    SECTION("when its upstream has stalled")
+    {
+        begin(CallKind::ResumableStream, 2);
+        environment.quarantine = quarantine;
+        (void)done();
+        for (int step = 0; step < 20 && now < TimePoint(1'005s); ++step) {
+            wait();
+        }
+        CHECK(done().empty());
+    }
+    SECTION("a stream that has begun")
+    {
+        begin(CallKind::ResumableStream, 2);
+        head(1, 200);
+        event(1, 1);
+        environment.quarantine = quarantine;
+        (void)done();
+        flow().attemptFailed(1, AttemptFailure::Broken, "reset", now, actions);
+        CHECK(done() == "start b behind 1");
+    }
+}
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -106,7 +106,7 @@
                          {"head", m_headReceived ? std::to_string(m_responseHead.status) : std::string("none")},
                          {"began", m_attemptHasEvents ? "true" : "false"},
                          {"parts", toText(m_call.promptParts)}});
-    if (m_headReceived && isSuccess(m_responseHead.status) && !m_headSent) {
+    if (failure == AttemptFailure::Broken && m_headReceived && isSuccess(m_responseHead.status) && !m_headSent) {
         m_environment->startBroken(m_call, upstream, now);
     }
     ++m_ranAttempts;
@@ -178,13 +178,13 @@
         m_responseBody.append(bytes);
         if (m_responseBody.size() > m_settings.maxResponseBytes) {
             actions.emplace_back(AbortAttempt {attempt});
-            attemptFailed(attempt, AttemptFailure::Broken, "response body exceeds the size limit", now, actions);
+            attemptFailed(attempt, AttemptFailure::GivenUp, "response body exceeds the size limit", now, actions);
             return;
         }
     }
     if (!m_ended && m_plan && attempt == m_attempt && !accountBuffers()) {
         actions.emplace_back(AbortAttempt {attempt});
-        attemptFailed(attempt, AttemptFailure::Broken, "the response buffers are full", now, actions);
+        attemptFailed(attempt, AttemptFailure::GivenUp, "the response buffers are full", now, actions);
     }
 }
 
@@ -197,7 +197,7 @@
     }
     if (m_scanner.overflowed() || m_comments.size() > m_settings.maxEventBytes) {
         actions.emplace_back(AbortAttempt {attempt});
-        attemptFailed(attempt, AttemptFailure::Broken, "stream event exceeds the size limit", now, actions);
+        attemptFailed(attempt, AttemptFailure::GivenUp, "stream event exceeds the size limit", now, actions);
         return;
     }
     if (events.empty()) {
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -167,6 +167,8 @@
     NotSent,
     /// The connection failed or the response was invalid.
     Broken,
+    /// The relay gave the response up, since it exceeded a limit.
+    GivenUp,
 };
 
 /// State of a memory reservation as reported by its engine.
