Release the reserved memory of answered calls

Callers of large prompts found less memory: after each answer the engines kept it reserved for what was left of 3.5 s, and for longer than the 4 s allowed if an extension reached its engine late.

Cause: CallFlow listed the release behind the action that ends the call (EndBody, SendFullResponse, or CloseCallerConnection at the deadline), and RelayProcess forgets the call's sockets with that action and skips the rest. The test of CallFlow listed the order of actions as it was and could not see what the process does with them.

The action that ends a call is now the last one of its list. The expectation "end, release" of the old test was that fault and is now "release, end"; the new tests are stricter.

--- /dev/null
+++ b/UnitTests/adapters/relay/relayprocesstest.cpp
@@ -0,0 +1,218 @@
+#include "adapters/relay/relayprocess.h"
+#include "UnitTests/adapters/relay/loopbackpeer.h"
+#include "platform/platformprotocol.h"
+
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace ibismast;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+
+namespace
+{
+
+const tcp::endpoint AnyPort(boost::asio::ip::address_v4::loopback(), 0);
+/// Limit by which a test recognises that the configuration is in force.
+constexpr std::uint64_t MaxBodyBytes = 1'000;
+
+/// Store with one configuration and three engines, all at one address.
+class FixedStore final : public ClusterStore
+{
+public:
+    FixedStore(boost::asio::io_context &loop, std::string address) : m_loop(&loop), m_address(std::move(address)) { }
+
+    void readUpstreams(Duration /*timeout*/, UpstreamsHandler handler) override
+    {
+        boost::asio::post(*m_loop, [this, handler = std::move(handler)] {
+            handler(StoredUpstreams {{{"e1", m_address, 1}, {"e2", m_address, 1}, {"e3", m_address, 1}}, 1});
+            listRead = true;
+        });
+    }
+    void readConfig(Duration /*timeout*/, ConfigHandler handler) override
+    {
+        boost::asio::post(*m_loop, [handler = std::move(handler)] {
+            handler(StoredConfig {StoredRecord {"c", "", 1}, 1});
+        });
+    }
+    void
+    awaitConfig(std::int64_t /*revision*/, Duration /*wait*/, Duration /*timeout*/, ConfigHandler /*handler*/) override
+    {
+        // Nothing changes during a test.
+    }
+
+    bool listRead = false;
+
+private:
+    boost::asio::io_context *m_loop;
+    std::string m_address;
+};
+
+/// Decodes records whose key is the engine's id and whose value is its address. An engine holds 100,000 tokens.
+class EngineDecoder final : public RecordDecoder
+{
+public:
+    Result<RelayConfig> decodeConfig(const StoredRecord & /*record*/) const override
+    {
+        RelayConfig config;
+        config.version = RelayConfigVersion(1);
+        config.limits.maxBodyBytes = MaxBodyBytes;
+        RelayRoute route;
+        route.host = "h";
+        route.pathPrefix = "/";
+        route.kind = CallKind::Stream;
+        route.shares = {{ServiceName("pool"), 1}};
+        route.isPublic = true;
+        config.routes.push_back(route);
+        EngineProfile engine;
+        engine.slots = 4;
+        engine.memory = Tokens(100'000);
+        config.services.emplace(ServiceName("pool"), RelayService {ServiceName("pool"), 64, engine});
+        return config;
+    }
+    Result<UpstreamRecord> decodeUpstream(const StoredRecord &record) const override
+    {
+        UpstreamRecord upstream;
+        upstream.id = InstanceId(record.key);
+        upstream.service = ServiceName("pool");
+        upstream.address = UpstreamAddress(record.value);
+        return upstream;
+    }
+};
+
+/// Engines that reserve memory at once and count reservations and releases.
+class CountingOrders final : public EngineOrders
+{
+public:
+    explicit CountingOrders(boost::asio::io_context &loop) : m_loop(&loop) { }
+
+    void reserve(const AttemptHelper &holder, Duration /*hold*/, GrantHandler handler) override
+    {
+        reserved.insert(holder.reservationId);
+        boost::asio::post(*m_loop, [handler = std::move(handler)] {
+            handler(true);
+        });
+    }
+    void inspect(const AttemptHelper & /*holder*/, StateHandler handler) override
+    {
+        handler(ReservationState::Used);
+    }
+    void release(const AttemptHelper &holder) override
+    {
+        released.insert(holder.reservationId);
+    }
+
+    std::set<std::string> reserved;
+    std::set<std::string> released;
+
+private:
+    boost::asio::io_context *m_loop;
+};
+
+class ProcessFixture
+{
+protected:
+    ProcessFixture()
+    {
+        REQUIRE(errorOf(process.start()) == nullptr);
+        caller.socket.connect(callerAcceptor.local_endpoint());
+        connection = std::make_shared<CallerConnection>(callerAcceptor.accept(), process);
+        connection->start();
+        caller.read();
+        upstreamAcceptor.async_accept(upstream.socket, [this](const boost::system::error_code &error) {
+            if (!error) {
+                upstream.read();
+            }
+        });
+    }
+    static RelaySettings settings()
+    {
+        RelaySettings result;
+        result.core.self = InstanceId("self");
+        result.listen = AnyPort;
+        result.ready = AnyPort;
+        result.control = AnyPort;
+        result.peers = {AnyPort.address(), 0};
+        return result;
+    }
+    [[nodiscard]] bool await(const std::function<bool()> &condition)
+    {
+        return runUntil(loop, condition);
+    }
+
+    boost::asio::io_context loop {1};
+    tcp::acceptor upstreamAcceptor {loop, AnyPort};
+    tcp::acceptor callerAcceptor {loop, AnyPort};
+    LoopbackPeer upstream {loop};
+    LoopbackPeer caller {loop};
+    EventListener listener;
+    Metrics metrics;
+    PlatformProtocol protocol;
+    EngineDecoder decoder;
+    FixedStore store {loop, "127.0.0.1:" + std::to_string(upstreamAcceptor.local_endpoint().port())};
+    CountingOrders orders {loop};
+    RelayProcess process {
+        loop, settings(), {&protocol, &decoder, &store, &orders, "/ready"}, Incarnation(1), listener, metrics};
+    std::shared_ptr<CallerConnection> connection;
+};
+
+} // namespace
+
+// Guards against engine memory that stays reserved after a call: answered calls sent no release.
+TEST_CASE_METHOD(ProcessFixture, "reserved memory is released however a call ends", "[relay]")
+{
+    struct Row
+    {
+        /// What the engine sends.
+        std::string response;
+        /// Who closes its connection then; empty for nobody.
+        std::string closes;
+        /// Text that the caller receives; empty if it waits for none.
+        std::string received;
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\nIbismast-Attempt-Id: r1\r\nIbismast-Response-Seal: s\r\n"
+                             "Content-Type: text/event-stream\r\nContent-Length: 14\r\n\r\n";
+    const std::string event = "id:1\ndata:x\n\n";
+    const auto row = GENERATE_COPY(values<Row>({
+        {head + event + "\n", "", "data:x"},
+        {head + event, "engine", "data:x"},
+        {"", "engine", "HTTP/1.1 502"},
+        {"HTTP/1.1 500 Error\r\nIbismast-Attempt-Id: r1\r\nIbismast-Response-Seal: s\r\nContent-Length: 2\r\n\r\nno",
+         "",
+         "HTTP/1.1 500"},
+        {head + event, "caller", "data:x"},
+        {"", "caller", ""},
+    }));
+    CAPTURE(row.response, row.closes);
+    REQUIRE(await([this] {
+        return store.listRead && process.limits().maxBodyBytes == MaxBodyBytes;
+    }));
+    caller.write("POST /a HTTP/1.1\r\nHost: h\r\nIbismast-Attempt-Id: r1\r\nIbismast-Token-Counts: 150000,100\r\n"
+                 "Content-Length: 2\r\n\r\n{}");
+    REQUIRE(await([this] {
+        return upstream.received.find("{}") != std::string::npos;
+    }));
+    REQUIRE_FALSE(orders.reserved.empty());
+    CHECK(orders.released.empty());
+    if (!row.response.empty()) {
+        upstream.write(row.response);
+    }
+    if (row.closes == "engine") {
+        if (row.response.empty()) {
+            upstream.reset();
+        } else {
+            upstream.socket.shutdown(tcp::socket::shutdown_send);
+        }
+    }
+    CHECK(await([this, &row] {
+        return caller.received.find(row.received) != std::string::npos;
+    }));
+    if (row.closes == "caller") {
+        caller.socket.close();
+    }
+    CHECK(await([this] {
+        return orders.released == orders.reserved;
+    }));
+}
--- a/UnitTests/relay/callflowtest.cpp
+++ b/UnitTests/relay/callflowtest.cpp
@@ -48,7 +48,7 @@
         head(1, 200);
         event(1, 1);
         flow().responseCompleted(1, now, actions);
-        CHECK(done() == "head, body 1, end, release");
+        CHECK(done() == "head, body 1, release, end");
     }
     SECTION("refused")
     {
@@ -64,6 +64,45 @@
     CHECK(environment.open == 0);
 }
 
+// Guards against actions that are lost because they follow the one that ends the call, among them the release of
+// memory.
+TEST_CASE_METHOD(FlowFixture, "the action that ends a call is its last one", "[relay]")
+{
+    const auto [kind, ending, expected] = GENERATE(table<CallKind, std::string, std::string>({
+        {CallKind::Stream, "completed", "release, end"},
+        {CallKind::Stream, "broken after an event", "release, cut"},
+        {CallKind::Stream, "broken", "release, refuse 502"},
+        {CallKind::Stream, "late", "abort, release, refuse 504"},
+        {CallKind::Stream, "late after an event", "abort, release, cut"},
+        {CallKind::AtMostOnce, "completed", "release, whole {}"},
+        {CallKind::AtMostOnce, "broken", "release, refuse 502"},
+    }));
+    environment.reserved = Tokens(100'000);
+    environment.upstreams = {"a"};
+    begin(kind, 1);
+    flow().memoryReserved(1, true, now, actions);
+    const bool began = ending.ends_with("event") || (ending == "completed" && kind == CallKind::Stream);
+    if (began) {
+        head(1, 200);
+        event(1, 1);
+    }
+    (void)done();
+    if (ending == "completed") {
+        if (!began) {
+            head(1, 200);
+            flow().bodyReceived(1, "{}", now, actions);
+        }
+        flow().responseCompleted(1, now, actions);
+    } else if (ending.starts_with("broken")) {
+        flow().attemptFailed(1, AttemptFailure::Broken, "reset", now, actions);
+    } else {
+        now += 10s;
+        flow().timerExpired(now, actions);
+    }
+    CHECK(flow().ended());
+    CHECK(done() == expected);
+}
+
 // Guards against a call that reaches its engines while they still prefill other prompts. Also guards against a delayed
 // call that is lost, is kept after its end, or releases memory that it has not reserved.
 TEST_CASE_METHOD(FlowFixture, "a call is sent once its engines have finished earlier prefills", "[relay]")
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -264,6 +264,7 @@
     } else {
         m_environment->upstreamFailed(m_plan->upstream.id, now);
     }
+    const std::string outcome = std::to_string(m_responseHead.status);
     if (isStream() && isSuccess(m_responseHead.status)) {
         if (!m_headSent) {
             m_headSent = true;
@@ -273,14 +274,16 @@
         if (!rest.empty()) {
             actions.emplace_back(SendBody {std::move(rest)});
         }
+        finish("answered", outcome, now, actions);
         actions.emplace_back(EndBody {});
-    } else {
-        if (isSuccess(m_responseHead.status)) {
-            m_environment->firstEventReceived(m_call, now);
-        }
-        actions.emplace_back(SendFullResponse {attempt, std::move(m_responseBody)});
+        return;
     }
-    finish("answered", std::to_string(m_responseHead.status), now, actions);
+    if (isSuccess(m_responseHead.status)) {
+        m_environment->firstEventReceived(m_call, now);
+    }
+    std::string body = std::move(m_responseBody);
+    finish("answered", outcome, now, actions);
+    actions.emplace_back(SendFullResponse {attempt, std::move(body)});
 }
 
 void CallFlow::callerDisconnected(TimePoint now, CallActions &actions)
@@ -357,8 +360,8 @@
 void CallFlow::refuse(Error error, TimePoint now, CallActions &actions)
 {
     if (m_headSent) {
-        actions.emplace_back(CloseCallerConnection {});
         finish("cut", error.message, now, actions);
+        actions.emplace_back(CloseCallerConnection {});
         return;
     }
     if (m_mayHaveRun && resultCodeInfo(error.code).notRun) {
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -132,7 +132,7 @@
 struct CloseCallerConnection
 {
 };
-/// Action that the I/O layer has to carry out for one call.
+/// Action that the I/O layer has to carry out for one call. The last four end the call; nothing follows them.
 using CallAction = std::variant<StartAttempt,
                                 ReserveEngineMemory,
                                 ReleaseEngineMemory,
