Send the release of reserved memory until its engine answers

After an engine had gone dark, the other engines of its prompt kept their memory reserved for up to 5.05 s, where 4 s are allowed; other callers' large prompts found no room meanwhile.

Cause: a lost order was taken for a done one. A release was sent once, without a look at its answer. An entry notices a dark engine after 2 s and extends reservations by 3.5 s until then, so one lost release kept the memory for up to 5.5 s.

ReservationReleases sends each release every 200 ms until the engine has answered or the reservation must have ended by itself, at most 1,024 at a time; a stopping process waits for the answers within its stop time.

--- a/UnitTests/adapters/relay/relayprocesstest.cpp
+++ b/UnitTests/adapters/relay/relayprocesstest.cpp
@@ -99,13 +99,23 @@
     {
         handler(ReservationState::Used);
     }
-    void release(const AttemptHelper &holder) override
+    void release(const AttemptHelper &holder, ReleaseHandler handler) override
     {
-        released.insert(holder.reservationId);
+        const bool answered = lostReleases == 0;
+        if (answered) {
+            released.insert(holder.reservationId);
+        } else {
+            --lostReleases;
+        }
+        boost::asio::post(*m_loop, [handler = std::move(handler), answered] {
+            handler(answered);
+        });
     }
 
     std::set<std::string> reserved;
     std::set<std::string> released;
+    /// Number of releases that are lost from now on.
+    int lostReleases = 0;
 
 private:
     boost::asio::io_context *m_loop;
@@ -160,7 +170,8 @@
 
 } // namespace
 
-// Guards against engine memory that stays reserved after a call: answered calls sent no release.
+// Guards against engine memory that stays reserved after a call: answered calls sent no release, and a lost release was
+// not sent again.
 TEST_CASE_METHOD(ProcessFixture, "reserved memory is released however a call ends", "[relay]")
 {
     struct Row
@@ -185,7 +196,8 @@
         {head + event, "caller", "data:x"},
         {"", "caller", ""},
     }));
-    CAPTURE(row.response, row.closes);
+    orders.lostReleases = GENERATE(0, 3);
+    CAPTURE(row.response, row.closes, orders.lostReleases);
     REQUIRE(await([this] {
         return store.listRead && process.limits().maxBodyBytes == MaxBodyBytes;
     }));
--- a/adapters/relay/engineorders.h
+++ b/adapters/relay/engineorders.h
@@ -12,6 +12,7 @@
 {
 public:
     using GrantHandler = std::function<void(bool granted)>;
+    using ReleaseHandler = std::function<void(bool answered)>;
     using StateHandler = std::function<void(ReservationState state)>;
 
     virtual ~EngineOrders() = default;
@@ -22,8 +23,9 @@
     /// Asks for the state of the reservation on @p holder. @p handler is called exactly once; no answer in time counts
     /// as `ReservationState::Unknown`.
     virtual void inspect(const AttemptHelper &holder, StateHandler handler) = 0;
-    /// Ends a reservation. An order that is lost is made good by the end of the reservation's time.
-    virtual void release(const AttemptHelper &holder) = 0;
+    /// Ends a reservation. @p handler is called exactly once, with false if the engine did not answer in time or could
+    /// not take the order.
+    virtual void release(const AttemptHelper &holder, ReleaseHandler handler) = 0;
 };
 
 } // namespace ibismast
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -116,6 +116,7 @@
     RelayActions actions;
     m_core.tick(now, actions);
     perform(actions);
+    sendReleases();
     std::vector<WatchRequest> requests;
     m_watch.expire(now);
     m_watch.tick(now, requests);
@@ -145,6 +146,9 @@
     if (const std::optional<TimePoint> next = m_core.nextDue()) {
         due = std::min(due, std::max(*next, now));
     }
+    if (const std::optional<TimePoint> next = m_releases.nextDue()) {
+        due = std::min(due, std::max(*next, now));
+    }
     if (due >= m_armed) {
         return;
     }
@@ -200,7 +204,7 @@
         m_callers.closeIdle();
     }
     // Connections are accepted to the end: where several instances stop at once, the balancer has no other.
-    const bool done = m_idleClosed && m_core.openCalls() == 0;
+    const bool done = m_idleClosed && m_core.openCalls() == 0 && !m_releases.nextDue();
     if (!done && elapsed < m_settings.stop.total) {
         return;
     }
--- a/adapters/relay/relayprocess.h
+++ b/adapters/relay/relayprocess.h
@@ -10,6 +10,8 @@
 #include "adapters/relay/relaysettings.h"
 #include "adapters/relay/upstreampool.h"
 
+#include "ibismast/relay/reservationreleases.h"
+
 #include <functional>
 
 namespace ibismast
@@ -56,6 +58,8 @@
     void perform(const RelayActions &actions);
     void startAttempt(CallNumber number, Exchange &exchange, const StartAttempt &start);
     void reserveMemory(CallNumber number, const ReserveEngineMemory &reserve);
+    /// Sends the releases of engine memory that are due.
+    void sendReleases();
     void inspectMemory(CallNumber number, const InspectEngineMemory &inspect);
     [[nodiscard]] AnswerHandler answerHandler(CallNumber number, int attempt);
     void headArrived(CallNumber number, int attempt, const HttpHead &head);
@@ -96,6 +100,7 @@
     PageServer m_copyPage;
     PageServer m_metricsPage;
     EntryPeers m_peers;
+    ReservationReleases m_releases {ReservationReleasesSettings()};
     std::unique_ptr<HttpRequester> m_copyRequester;
     boost::asio::steady_timer m_timer;
     TimePoint m_armed = TimePoint::max();
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -166,8 +166,9 @@
     void operator()(const ReleaseEngineMemory &release)
     {
         for (const AttemptHelper &holder : release.holders) {
-            m_process->m_platform.orders->release(holder);
+            m_process->m_releases.add(holder, processNow());
         }
+        m_process->sendReleases();
     }
     void operator()(const InspectEngineMemory &inspect)
     {
@@ -304,6 +305,17 @@
     }
 }
 
+void RelayProcess::sendReleases()
+{
+    for (const AttemptHelper &holder : m_releases.takeDue(processNow())) {
+        m_platform.orders->release(holder, [this, reservation = holder.reservationId](bool answered) {
+            if (answered) {
+                m_releases.answered(reservation);
+            }
+        });
+    }
+}
+
 void RelayProcess::inspectMemory(CallNumber number, const InspectEngineMemory &inspect)
 {
     m_platform.orders->inspect(inspect.holder, [this, number, attempt = inspect.attempt](ReservationState state) {
