Log that the store was restored, and configurations that are ignored

A configuration record that was taken for an older one left no line, and nothing showed that the store had come back from a copy. The relay now reads the era that the store names in its answers, keeps it beside each revision, hands it on with copies of the records (optional fields, so entries of earlier builds read them), and logs store_restored and config_ignored. Revisions are still compared by their number alone: no decision is changed.

--- a/UnitTests/relay/promptquarantinetest.cpp
+++ b/UnitTests/relay/promptquarantinetest.cpp
@@ -34,7 +34,7 @@
         config.services.emplace(ServiceName("pool"), RelayService {ServiceName("pool"), 64, engine});
         core.applyConfig(config, now);
         UpstreamList list;
-        list.revision = 1;
+        list.revision.number = 1;
         for (int index = 10; index < 30; ++index) {
             UpstreamRecord &record = list.records.emplace_back();
             record.id = InstanceId("e" + std::to_string(index));
--- a/UnitTests/relay/relaycoretest.cpp
+++ b/UnitTests/relay/relaycoretest.cpp
@@ -215,7 +215,7 @@
     REQUIRE(submit("/g/x", "key", 0, Tokens(40'000)) == 0);
     REQUIRE(actions.empty());
 
-    list.revision = 2;
+    list.revision.number = 2;
     RelayConfig config = m_config;
     config.version = RelayConfigVersion(2);
     config.services.emplace(ServiceName("spare"), config.services.begin()->second);
@@ -327,7 +327,7 @@
                                                       now);
             }
         }
-        m_list.revision = 1;
+        m_list.revision.number = 1;
         entry.directory().apply(m_list, now);
         entry.applyConfig(m_config, now);
         RelayActions ignored;
@@ -415,7 +415,7 @@
 {
     const std::size_t left = GENERATE(0, 3);
     UpstreamList list = m_list;
-    list.revision = 2;
+    list.revision.number = 2;
     std::size_t kept = 0;
     std::erase_if(list.records, [&](const UpstreamRecord &record) {
         return record.domain == FailureDomain("east") && kept++ >= left;
--- a/UnitTests/relay/upstreamdirectorytest.cpp
+++ b/UnitTests/relay/upstreamdirectorytest.cpp
@@ -22,7 +22,7 @@
     void apply(const std::vector<std::string> &ids)
     {
         UpstreamList list;
-        list.revision = ++m_revision;
+        list.revision.number = ++m_revision;
         for (const std::string &id : ids) {
             list.records.push_back(record(id, static_cast<std::uint64_t>(m_revision)));
         }
@@ -144,13 +144,13 @@
     for (int index = 0; index < 10; ++index) {
         list.records.push_back(record("e" + std::to_string(index)));
     }
-    list.revision = 1;
+    list.revision.number = 1;
     directory.apply(list, now);
     now += 3s;
     for (int index = silent; index < 10; ++index) {
         ++list.records[static_cast<std::size_t>(index)].reportNumber;
     }
-    ++list.revision;
+    ++list.revision.number;
     directory.apply(list, now);
     CHECK(directory.candidates(Pool, now).suspected.size() == suspected);
 }
--- a/UnitTests/relay/upstreamratelimitstest.cpp
+++ b/UnitTests/relay/upstreamratelimitstest.cpp
@@ -34,7 +34,7 @@
         config.services.emplace(ServiceName("pool"), RelayService {ServiceName("pool"), 64, engine});
         config.services.emplace(ServiceName("plain"), RelayService {ServiceName("plain"), 64, std::nullopt});
         UpstreamList list;
-        list.revision = 1;
+        list.revision.number = 1;
         for (const std::string service : {"pool", "plain"}) {
             for (std::size_t index = 0; index < engines; ++index) {
                 UpstreamRecord &record = list.records.emplace_back();
--- a/UnitTests/wire/relaycodectest.cpp
+++ b/UnitTests/wire/relaycodectest.cpp
@@ -105,16 +105,17 @@
 // Guards against records that change between entries; values need not be text.
 TEST_CASE("a copy of the records survives the wire", "[wire]")
 {
+    const StoreEra era(GENERATE(0, 3));
     RecordCopy copy;
-    copy.config = StoredRecord {"c", std::string("\0\xff{}", 4), 12};
-    copy.upstreams = {{{"a", "x", 1}, {"b", "", 2}}, 15};
+    copy.config = StoredRecord {"c", std::string("\0\xff{}", 4), {12, era}};
+    copy.upstreams = {{{"a", "x", {1, era}}, {"b", "", {2, era}}}, {15, era}};
     copy.age = 300ms;
     const Result<RecordCopy> result = decodeRecordCopy(encodeRecordCopy(copy));
     REQUIRE(errorOf(result) == nullptr);
     const auto &decoded = std::get<RecordCopy>(result);
     CHECK(decoded.config == copy.config);
     CHECK(decoded.upstreams.records == copy.upstreams.records);
-    CHECK(decoded.upstreams.revision == 15);
+    CHECK(decoded.upstreams.revision == StoreRevision {15, era});
     CHECK(decoded.age == 300ms);
 }
 
--- a/adapters/relay/httprequester.cpp
+++ b/adapters/relay/httprequester.cpp
@@ -60,6 +60,7 @@
     m_connection->send(std::move(request),
                        {[this](const HttpHead &head) {
                             m_answer.status = head.status;
+                            m_answer.head = head;
                             return true;
                         },
                         [this](std::string_view bytes) {
--- a/adapters/relay/httprequester.h
+++ b/adapters/relay/httprequester.h
@@ -11,6 +11,7 @@
 struct HttpAnswer
 {
     int status = 0;
+    HttpHead head;
     std::string body;
 };
 
--- a/ibismast/relay/clusterwatch.cpp
+++ b/ibismast/relay/clusterwatch.cpp
@@ -67,7 +67,7 @@
             requests.emplace_back(ReadConfig {m_settings.readTimeout});
         } else {
             requests.emplace_back(AwaitConfig {
-                m_configSeenRevision, m_settings.configWait, m_settings.configWait + m_settings.readTimeout});
+                m_configSeenRevision.number, m_settings.configWait, m_settings.configWait + m_settings.readTimeout});
         }
     }
     if (!m_copyRequestPending && now >= m_nextCopyRequest) {
@@ -179,10 +179,11 @@
     }
     if (answered != m_storeAvailable) {
         m_storeAvailable = answered;
-        m_listener->onEvent(answered ? "store_regained" : "store_lost",
-                            {{"reason", std::string(reason)},
-                             {"list_revision", std::to_string(listRevision())},
-                             {"config_revision", m_config ? std::to_string(m_config->revision) : std::string("none")}});
+        m_listener->onEvent(
+            answered ? "store_regained" : "store_lost",
+            {{"reason", std::string(reason)},
+             {"list_revision", std::to_string(listRevision())},
+             {"config_revision", m_config ? std::to_string(m_config->revision.number) : std::string("none")}});
     }
 }
 
@@ -202,7 +203,35 @@
         m_announcementDue = true;
         m_nextList = now + sharedReadPause();
     }
-    applyUpstreams(std::get<StoredUpstreams>(result), "store", now, now);
+    const auto &upstreams = std::get<StoredUpstreams>(result);
+    noteEra(upstreams.revision.era, "store");
+    applyUpstreams(upstreams, "store", now, now);
+}
+
+void ClusterWatch::noteEra(StoreEra era, std::string_view source)
+{
+    if (era <= m_storeEra) {
+        return;
+    }
+    if (m_upstreams || m_config) {
+        m_listener->onEvent("store_restored",
+                            {{"era", std::to_string(era.value())},
+                             {"previous", std::to_string(m_storeEra.value())},
+                             {"source", std::string(source)},
+                             {"list_revision", std::to_string(listRevision())},
+                             {"config_version", std::to_string(configVersion().value())}});
+    }
+    m_storeEra = era;
+}
+
+void ClusterWatch::logIgnoredConfig(const StoredRecord &record, std::string_view source, std::string_view reason)
+{
+    m_listener->onEvent("config_ignored",
+                        {{"revision", std::to_string(record.revision.number)},
+                         {"era", std::to_string(record.revision.era.value())},
+                         {"source", std::string(source)},
+                         {"reason", std::string(reason)},
+                         {"version_in_force", std::to_string(configVersion().value())}});
 }
 
 void ClusterWatch::configRead(const Result<StoredConfig> &result, TimePoint now)
@@ -215,6 +244,7 @@
     }
     noteStoreResult(true, "configuration read", now);
     const auto &stored = std::get<StoredConfig>(result);
+    noteEra(stored.revision.era, "store");
     m_configReadNeeded = false;
     m_configSeenRevision = stored.revision;
     m_nextConfig = now;
@@ -235,6 +265,7 @@
     }
     m_nextConfig = now;
     const auto &stored = std::get<StoredConfig>(result);
+    noteEra(stored.revision.era, "store");
     m_configSeenRevision = stored.revision;
     if (stored.record) {
         applyConfig(*stored.record, "store", now);
@@ -252,8 +283,9 @@
     if (copy.config) {
         applyConfig(*copy.config, "entry", now);
     }
+    noteEra(copy.upstreams.revision.era, "entry");
     const TimePoint read = now - copy.age;
-    if (copy.upstreams.revision > 0 && (!m_upstreams || read > m_recordsTime)) {
+    if (copy.upstreams.revision.number > 0 && (!m_upstreams || read > m_recordsTime)) {
         m_ownListTime = TimePoint::min();
         applyUpstreams(copy.upstreams, "entry", read, now);
         if (sharesReads() && m_storeAvailable && !m_listPending) {
@@ -264,20 +296,25 @@
 
 void ClusterWatch::applyConfig(const StoredRecord &record, std::string_view source, TimePoint now)
 {
-    if (m_config && record.revision <= m_config->revision) {
+    if (m_config && record.revision.number <= m_config->revision.number) {
+        if (record != *m_config) {
+            logIgnoredConfig(record, source, "not a later revision");
+        }
         return;
     }
     Result<RelayConfig> config = m_decoder->decodeConfig(record);
     m_config = record;
     if (const Error *error = errorOf(config)) {
         m_listener->onEvent("config_unreadable",
-                            {{"revision", std::to_string(record.revision)},
+                            {{"revision", std::to_string(record.revision.number)},
                              {"source", std::string(source)},
                              {"reason", error->message}});
         return;
     }
     m_listener->onEvent("config_received",
-                        {{"revision", std::to_string(record.revision)}, {"source", std::string(source)}});
+                        {{"revision", std::to_string(record.revision.number)},
+                         {"era", std::to_string(record.revision.era.value())},
+                         {"source", std::string(source)}});
     m_announcementDue = true;
     m_core->applyConfig(std::move(std::get<RelayConfig>(config)), now);
 }
@@ -287,7 +324,7 @@
                                   TimePoint read,
                                   TimePoint now)
 {
-    if (m_upstreams && upstreams.revision < m_upstreams->revision) {
+    if (m_upstreams && upstreams.revision.number < m_upstreams->revision.number) {
         return;
     }
     UpstreamList list;
@@ -298,7 +335,7 @@
             if (m_reportedRecords.emplace(record.key, record.revision).second) {
                 m_listener->onEvent("upstream_unreadable",
                                     {{"key", record.key},
-                                     {"revision", std::to_string(record.revision)},
+                                     {"revision", std::to_string(record.revision.number)},
                                      {"source", std::string(source)},
                                      {"reason", error->message}});
             }
--- a/ibismast/relay/clusterwatch.h
+++ b/ibismast/relay/clusterwatch.h
@@ -110,7 +110,7 @@
     /// Revision of the list of upstreams; 0 if there is none.
     [[nodiscard]] std::int64_t listRevision() const
     {
-        return m_upstreams ? m_upstreams->revision : 0;
+        return m_upstreams ? m_upstreams->revision.number : 0;
     }
 
 private:
@@ -122,6 +122,10 @@
 
     void applyConfig(const StoredRecord &record, std::string_view source, TimePoint now);
     void applyUpstreams(const StoredUpstreams &upstreams, std::string_view source, TimePoint read, TimePoint now);
+    /// Records the era of the store that @p source has named.
+    void noteEra(StoreEra era, std::string_view source);
+    /// Logs that @p record is not applied.
+    void logIgnoredConfig(const StoredRecord &record, std::string_view source, std::string_view reason);
     /// Records whether the store has answered; @p reason goes to the log when this changes.
     void noteStoreResult(bool answered, std::string_view reason, TimePoint now);
     /// Returns the pause after a failed read and advances the backoff.
@@ -163,13 +167,15 @@
     TimePoint m_recordsDue = TimePoint::min();
     std::uint64_t m_listDigest = 0;
     /// Keys and revisions of unreadable records that have been logged.
-    std::set<std::pair<std::string, std::int64_t>> m_reportedRecords;
+    std::set<std::pair<std::string, StoreRevision>> m_reportedRecords;
 
     bool m_listPending = false;
     bool m_configPending = false;
     bool m_copyRequestPending = false;
     /// Revision of the store up to which changes of the configuration have been seen.
-    std::int64_t m_configSeenRevision = 0;
+    StoreRevision m_configSeenRevision;
+    /// Latest era of the store that it or another entry's copy has named.
+    StoreEra m_storeEra;
     /// True if the configuration must be read before changes of it can be awaited.
     bool m_configReadNeeded = true;
     TimePoint m_nextList = TimePoint::min();
--- a/ibismast/relay/upstreamdirectory.cpp
+++ b/ibismast/relay/upstreamdirectory.cpp
@@ -13,7 +13,7 @@
 
 void UpstreamDirectory::apply(const UpstreamList &list, TimePoint now)
 {
-    if (m_known && list.revision < m_revision) {
+    if (m_known && list.revision.number < m_revision.number) {
         return;
     }
     std::set<InstanceId> listed;
@@ -33,7 +33,7 @@
         const bool mayReturn = (outage || massLoss) && !member.record.leaving;
         m_listener->onEvent("upstream_missing",
                             {{"upstream", id.value()},
-                             {"revision", std::to_string(list.revision)},
+                             {"revision", std::to_string(list.revision.number)},
                              {"outage", outage ? "true" : "false"},
                              {"kept", mayReturn ? "true" : "false"}});
         if (mayReturn) {
@@ -45,8 +45,8 @@
     for (const UpstreamRecord &record : list.records) {
         applyRecord(record, now);
     }
-    updateSilent(list.revision, now);
     m_revision = list.revision;
+    updateSilent(now);
     m_known = true;
     expire(now);
 }
@@ -57,7 +57,7 @@
         && static_cast<double>(count) >= m_settings.massLossShare * static_cast<double>(m_members.size());
 }
 
-void UpstreamDirectory::updateSilent(std::int64_t revision, TimePoint now)
+void UpstreamDirectory::updateSilent(TimePoint now)
 {
     const auto isSilent = [this, now](const Member &member) {
         return now - member.reportedAt > m_settings.reportTimeout;
@@ -69,9 +69,10 @@
     for (auto &[id, member] : m_members) {
         const bool silent = !reportsFail && isSilent(member);
         if (silent != member.silent) {
-            m_listener->onEvent(
-                silent ? "upstream_silent" : "upstream_reports",
-                {{"upstream", id.value()}, {"revision", std::to_string(revision)}, {"silent", std::to_string(count)}});
+            m_listener->onEvent(silent ? "upstream_silent" : "upstream_reports",
+                                {{"upstream", id.value()},
+                                 {"revision", std::to_string(m_revision.number)},
+                                 {"silent", std::to_string(count)}});
         }
         member.silent = silent;
     }
--- a/ibismast/relay/upstreamdirectory.h
+++ b/ibismast/relay/upstreamdirectory.h
@@ -3,6 +3,7 @@
 #include "ibismast/core/eventlistener.h"
 #include "ibismast/entry/upstreamhealth.h"
 #include "ibismast/relay/relayconfig.h"
+#include "ibismast/relay/storerevision.h"
 
 #include <map>
 
@@ -33,7 +34,7 @@
 struct UpstreamList
 {
     std::vector<UpstreamRecord> records;
-    std::int64_t revision = 0;
+    StoreRevision revision;
 };
 
 /// Settings of an `UpstreamDirectory`.
@@ -92,10 +93,6 @@
     {
         return m_known;
     }
-    [[nodiscard]] std::int64_t revision() const
-    {
-        return m_revision;
-    }
     /// Returns all known upstreams, also those that are leaving or missing from the list.
     [[nodiscard]] const std::map<InstanceId, Member> &members() const
     {
@@ -129,7 +126,7 @@
 
 private:
     void applyRecord(const UpstreamRecord &record, TimePoint now);
-    void updateSilent(std::int64_t revision, TimePoint now);
+    void updateSilent(TimePoint now);
     /// True if the loss of @p count upstreams at once is attributed to an outage of the list or of the reports.
     [[nodiscard]] bool isMassLoss(std::size_t count) const;
 
@@ -138,7 +135,7 @@
     std::map<InstanceId, Member> m_members;
     UpstreamHealth m_health;
     std::optional<TimePoint> m_lastOutage;
-    std::int64_t m_revision = 0;
+    StoreRevision m_revision;
     bool m_known = false;
     TimePoint m_lastReport = TimePoint::min();
 };
--- a/wire/relay.thrift
+++ b/wire/relay.thrift
@@ -97,6 +97,8 @@
     1: required string key,
     2: required binary value,
     3: required i64 revision,
+    /// Era of the store in which it was read; absent if the store names none.
+    4: optional i64 era,
 }
 
 /// Copy of the platform's records that one entry hands to another.
@@ -106,4 +108,6 @@
     3: required i64 listRevision,
     /// Age of the list when the copy was made.
     4: required i64 listAgeMs,
+    /// Era of the store in which the list was read; absent if the store names none.
+    5: optional i64 listEra,
 }
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -218,13 +218,16 @@
     wire::relay::RelayRecord result;
     result.key = record.key;
     result.value = record.value;
-    result.revision = record.revision;
+    result.revision = record.revision.number;
+    if (record.revision.era > StoreEra()) {
+        result.__set_era(record.revision.era.value());
+    }
     return result;
 }
 
 StoredRecord fromThrift(const wire::relay::RelayRecord &record)
 {
-    return {record.key, record.value, record.revision};
+    return {record.key, record.value, {record.revision, StoreEra(record.__isset.era ? record.era : 0)}};
 }
 
 } // namespace
@@ -337,7 +340,10 @@
     for (const StoredRecord &record : copy.upstreams.records) {
         message.upstreams.push_back(toThrift(record));
     }
-    message.listRevision = copy.upstreams.revision;
+    message.listRevision = copy.upstreams.revision.number;
+    if (copy.upstreams.revision.era > StoreEra()) {
+        message.__set_listEra(copy.upstreams.revision.era.value());
+    }
     message.listAgeMs = std::chrono::duration_cast<std::chrono::milliseconds>(copy.age).count();
     return encode(message);
 }
@@ -356,7 +362,7 @@
     for (const wire::relay::RelayRecord &record : message.upstreams) {
         copy.upstreams.records.push_back(fromThrift(record));
     }
-    copy.upstreams.revision = message.listRevision;
+    copy.upstreams.revision = {message.listRevision, StoreEra(message.__isset.listEra ? message.listEra : 0)};
     copy.age = std::chrono::milliseconds(message.listAgeMs);
     return copy;
 }
