Order configurations by their version, not by the store's revision

Cause: the revision of the store was taken for an order that outlives the store's history. A restored store gives revisions out again, so the next configuration got a revision that was not above that of the one in force, and each entry dropped it. A wait for a change could also go on from a revision of the lost history.

A configuration now replaces the one in force if its version is newer, whatever its revision and whoever hands it over. Revisions are compared within one era of the store only; a new era causes a read. An entry hands out the record that it has in force; before, it could hand out one that it had not applied.

Failed before: all 24 rows of "configurations are ordered by their version across a restored store", 3 of 5 of "after the store was restored, the configuration is read anew", 3 of 15 fleets of "a restored store hides no configuration from a fleet".

--- a/UnitTests/relay/clusterwatchfixture.h
+++ b/UnitTests/relay/clusterwatchfixture.h
@@ -133,6 +133,15 @@
         }
     }
 
+    /// Replaces the store by a copy from before the last @p revisions changes, with the configuration @p config.
+    void restore(std::int64_t revisions, std::int64_t config)
+    {
+        m_revision -= revisions;
+        m_era = m_era + StoreEra(1);
+        m_config = config;
+        m_configRevision = m_revision;
+    }
+
     /// Number of calls to the store.
     int storeCalls = 0;
 
@@ -218,38 +227,45 @@
     [[nodiscard]] bool isDue(const PendingAnswer &answer) const
     {
         const auto *await = std::get_if<AwaitConfig>(&answer.request);
-        return m_now >= answer.due || (await != nullptr && m_configRevision > await->revision);
+        return m_now >= answer.due
+            || (await != nullptr && (m_configRevision > await->revision || m_revision < await->revision));
     }
     void deliver(Entry &entry, const WatchRequest &request)
     {
         const Error failure {ResultCode::StoreUnavailable, "no answer", std::nullopt};
-        const StoredConfig config {StoredRecord {"c", std::to_string(m_config), m_configRevision}, m_revision};
-        std::visit(
-            Overloaded {[&](const ReadUpstreams & /*read*/) {
-                            entry.watch.upstreamsRead(entry.disconnected ? Result<StoredUpstreams>(failure)
-                                                                         : StoredUpstreams {m_upstreams, m_revision},
-                                                      m_now);
-                        },
-                        [&](const ReadConfig & /*read*/) {
-                            entry.watch.configRead(entry.disconnected ? Result<StoredConfig>(failure) : config, m_now);
-                        },
-                        [&](const AwaitConfig & /*await*/) {
-                            entry.watch.configAwaited(entry.disconnected ? Result<StoredConfig>(failure) : config,
-                                                      m_now);
-                        },
-                        [&](const FetchRecordCopy &fetch) {
-                            for (const auto &other : m_entries) {
-                                if (other->name == fetch.address) {
-                                    entry.watch.copyReceived(other->watch.copy(m_now), m_now);
-                                }
-                            }
-                        }},
-            request);
+        const StoredConfig config {StoredRecord {"c", std::to_string(m_config), {m_configRevision, m_era}},
+                                   {m_revision, m_era}};
+        std::visit(Overloaded {[&](const ReadUpstreams & /*read*/) {
+                                   entry.watch.upstreamsRead(entry.disconnected
+                                                                 ? Result<StoredUpstreams>(failure)
+                                                                 : StoredUpstreams {m_upstreams, {m_revision, m_era}},
+                                                             m_now);
+                               },
+                               [&](const ReadConfig & /*read*/) {
+                                   entry.watch.configRead(entry.disconnected ? Result<StoredConfig>(failure) : config,
+                                                          m_now);
+                               },
+                               [&](const AwaitConfig &await) {
+                                   const bool compacted = m_revision < await.revision;
+                                   const StoredConfig unchanged {std::nullopt, config.revision};
+                                   const StoredConfig &answer = m_configRevision > await.revision ? config : unchanged;
+                                   entry.watch.configAwaited(
+                                       entry.disconnected || compacted ? Result<StoredConfig>(failure) : answer, m_now);
+                               },
+                               [&](const FetchRecordCopy &fetch) {
+                                   for (const auto &other : m_entries) {
+                                       if (other->name == fetch.address) {
+                                           entry.watch.copyReceived(other->watch.copy(m_now), m_now);
+                                       }
+                                   }
+                               }},
+                   request);
     }
 
     TimePoint m_now {1'000s};
     std::vector<StoredRecord> m_upstreams;
     std::int64_t m_revision = 0;
+    StoreEra m_era;
     std::int64_t m_config = 0;
     std::int64_t m_configRevision = 0;
     std::vector<std::unique_ptr<Entry>> m_entries;
--- a/UnitTests/relay/clusterwatchtest.cpp
+++ b/UnitTests/relay/clusterwatchtest.cpp
@@ -19,6 +19,78 @@
     CHECK(due() == "await12 ");
 }
 
+// Guards against a configuration that is not in force, or an older one that is, because a restored store has given its
+// revision to another one before.
+TEST_CASE_METHOD(WatchFixture, "configurations are ordered by their version across a restored store", "[relay]")
+{
+    struct Row
+    {
+        std::string value;
+        StoreRevision revision;
+        std::int64_t expected;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"8", {5, StoreEra(1)}, 8},
+        {"8", {10, StoreEra(1)}, 8},
+        {"8", {12, StoreEra(1)}, 8},
+        {"8", {5, StoreEra(0)}, 8},
+        {"6", {9, StoreEra(1)}, 7},
+        {"6", {12, StoreEra(1)}, 7},
+        {"?", {9, StoreEra(1)}, 7},
+        {"7", {9, StoreEra(1)}, 7},
+    }));
+    const std::string source = GENERATE("wait", "read", "entry");
+    (void)due();
+    watch.configRead(StoredConfig {StoredRecord {"c", "7", 10}, 10}, now);
+    REQUIRE(version() == 7);
+    const StoredRecord record {"c", row.value, row.revision};
+    if (source == "entry") {
+        watch.copyReceived(RecordCopy {record, {}, 0ms}, now);
+    } else if (source == "read") {
+        watch.configRead(StoredConfig {record, row.revision}, now);
+    } else {
+        watch.configAwaited(StoredConfig {record, row.revision}, now);
+    }
+    CHECK(version() == row.expected);
+    // An entry hands out the configuration that it has in force.
+    REQUIRE(watch.copy(now).config);
+    CHECK(watch.copy(now).config->value == std::to_string(row.expected));
+    watch.configAwaited(StoredConfig {StoredRecord {"c", "9", {6, StoreEra(2)}}, {6, StoreEra(2)}}, now);
+    CHECK(version() == 9);
+}
+
+// Guards against a change that is missed because the wait for it goes on from a revision that a restored store has
+// given out again.
+TEST_CASE_METHOD(WatchFixture, "after the store was restored, the configuration is read anew", "[relay]")
+{
+    const auto [source, era, expected] = GENERATE(table<std::string, std::int64_t, std::string>({
+        {"wait", 0, "await12 "},
+        {"wait", 1, "config "},
+        {"list", 0, "await12 "},
+        {"list", 1, "config "},
+        {"entry", 1, "config "},
+    }));
+    (void)due();
+    watch.upstreamsRead(StoredUpstreams {{{"a", "1:1", 5}}, 9}, now);
+    watch.configRead(StoredConfig {StoredRecord {"c", "7", 4}, 10}, now);
+    REQUIRE(due() == "await10 ");
+    const StoreRevision restored {12, StoreEra(era)};
+    if (source == "list") {
+        watch.upstreamsRead(StoredUpstreams {{{"a", "1:1", restored}}, restored}, now);
+    } else if (source == "entry") {
+        watch.copyReceived(RecordCopy {std::nullopt, {{{"a", "1:1", restored}}, restored}, 0ms}, now);
+    }
+    // Other answers of the former era are still on their way.
+    watch.configAwaited(StoredConfig {std::nullopt, {12, StoreEra(source == "wait" ? era : 0)}}, now);
+    CHECK(due() == expected);
+    if (era > 0) {
+        watch.configRead(StoredConfig {std::nullopt, {12, StoreEra(0)}}, now);
+        CHECK(due() == "config ");
+        watch.configRead(StoredConfig {std::nullopt, {12, StoreEra(1)}}, now);
+        CHECK(due() == "await12 ");
+    }
+}
+
 // Guards against a change that is missed because the long poll broke off or the store has compacted its history.
 TEST_CASE_METHOD(WatchFixture, "a failed long poll is followed by a read", "[relay]")
 {
--- a/UnitTests/relay/sharedreadstest.cpp
+++ b/UnitTests/relay/sharedreadstest.cpp
@@ -138,3 +138,36 @@
     watch.copyReceived(RecordCopy {std::nullopt, {{{"b", "2:2", 8}}, 9}, 100ms}, now);
     CHECK(watch.knowledge(now).listAge == std::nullopt);
 }
+
+// Guards against a configuration that a part of the fleet does not apply within 2 s, or that falls back to an older
+// one, after the store was restored from an older copy of its data.
+TEST_CASE("a restored store hides no configuration from a fleet", "[relay]")
+{
+    const std::size_t entries = GENERATE(3, 9, 26);
+    // Changes that the store loses, and changes after that before the next configuration.
+    const auto [lost, later] = GENERATE(table<std::int64_t, int>({{1, 0}, {5, 0}, {5, 4}, {5, 5}, {5, 8}}));
+    SharingFleet fleet(entries);
+    const auto hasVersion = [](std::int64_t version) {
+        return [version](const RelayCore &core) {
+            return core.config() != nullptr && core.config()->version.value() == version;
+        };
+    };
+    fleet.store(false, 1);
+    fleet.run(5s);
+    for (int change = 0; change < 4; ++change) {
+        fleet.store(false, 1);
+    }
+    fleet.store(false, 2);
+    REQUIRE(fleet.runUntilAll(hasVersion(2)) <= 2s);
+    fleet.restore(lost, 1);
+    fleet.run(1s);
+    CHECK(fleet.runUntilAll(hasVersion(2)) == 0s);
+    for (int change = 0; change < later; ++change) {
+        fleet.store(false, 1);
+    }
+    fleet.store(false, 2);
+    fleet.run(500ms);
+    CHECK(fleet.runUntilAll(hasVersion(2)) == 0s);
+    fleet.store(false, 3);
+    CHECK(fleet.runUntilAll(hasVersion(3)) <= 2s);
+}
--- a/ibismast/relay/clusterwatch.cpp
+++ b/ibismast/relay/clusterwatch.cpp
@@ -12,6 +12,9 @@
 /// An entry from which no announcement has arrived for this long is removed.
 constexpr Duration EntryTimeout = std::chrono::milliseconds(2500);
 
+/// Records of configurations that are remembered as not applied, so that a copy that repeats one is not decoded again.
+constexpr std::size_t MaxRejectedConfigs = 16;
+
 /// Returns a digest of a list that ignores the upstreams' reports. Entries of the same build compare their digests.
 std::uint64_t digestOf(const UpstreamList &list)
 {
@@ -222,16 +225,8 @@
                              {"config_version", std::to_string(configVersion().value())}});
     }
     m_storeEra = era;
-}
-
-void ClusterWatch::logIgnoredConfig(const StoredRecord &record, std::string_view source, std::string_view reason)
-{
-    m_listener->onEvent("config_ignored",
-                        {{"revision", std::to_string(record.revision.number)},
-                         {"era", std::to_string(record.revision.era.value())},
-                         {"source", std::string(source)},
-                         {"reason", std::string(reason)},
-                         {"version_in_force", std::to_string(configVersion().value())}});
+    // A wait that goes on from a revision of the former era misses the changes up to that number.
+    m_configReadNeeded = true;
 }
 
 void ClusterWatch::configRead(const Result<StoredConfig> &result, TimePoint now)
@@ -245,7 +240,7 @@
     noteStoreResult(true, "configuration read", now);
     const auto &stored = std::get<StoredConfig>(result);
     noteEra(stored.revision.era, "store");
-    m_configReadNeeded = false;
+    m_configReadNeeded = stored.revision.era < m_storeEra;
     m_configSeenRevision = stored.revision;
     m_nextConfig = now;
     if (stored.record) {
@@ -266,6 +261,7 @@
     m_nextConfig = now;
     const auto &stored = std::get<StoredConfig>(result);
     noteEra(stored.revision.era, "store");
+    m_configReadNeeded = m_configReadNeeded || stored.revision.era != m_configSeenRevision.era;
     m_configSeenRevision = stored.revision;
     if (stored.record) {
         applyConfig(*stored.record, "store", now);
@@ -296,29 +292,53 @@
 
 void ClusterWatch::applyConfig(const StoredRecord &record, std::string_view source, TimePoint now)
 {
-    if (m_config && record.revision.number <= m_config->revision.number) {
-        if (record != *m_config) {
-            logIgnoredConfig(record, source, "not a later revision");
-        }
+    if (m_config && record.value == m_config->value) {
+        m_config->revision = std::max(m_config->revision, record.revision);
+        return;
+    }
+    if (std::ranges::find(m_rejectedConfigs, record.revision) != m_rejectedConfigs.end()) {
         return;
     }
     Result<RelayConfig> config = m_decoder->decodeConfig(record);
-    m_config = record;
     if (const Error *error = errorOf(config)) {
+        rejectConfig(record);
         m_listener->onEvent("config_unreadable",
                             {{"revision", std::to_string(record.revision.number)},
+                             {"era", std::to_string(record.revision.era.value())},
                              {"source", std::string(source)},
                              {"reason", error->message}});
         return;
     }
+    // The order of versions is the operators' own and outlives a restored store, whose revisions start again.
+    const RelayConfigVersion version = std::get<RelayConfig>(config).version;
+    if (m_core->config() != nullptr && version <= configVersion()) {
+        rejectConfig(record);
+        m_listener->onEvent("config_ignored",
+                            {{"version", std::to_string(version.value())},
+                             {"version_in_force", std::to_string(configVersion().value())},
+                             {"revision", std::to_string(record.revision.number)},
+                             {"era", std::to_string(record.revision.era.value())},
+                             {"source", std::string(source)}});
+        return;
+    }
+    m_config = record;
     m_listener->onEvent("config_received",
-                        {{"revision", std::to_string(record.revision.number)},
+                        {{"version", std::to_string(version.value())},
+                         {"revision", std::to_string(record.revision.number)},
                          {"era", std::to_string(record.revision.era.value())},
                          {"source", std::string(source)}});
     m_announcementDue = true;
     m_core->applyConfig(std::move(std::get<RelayConfig>(config)), now);
 }
 
+void ClusterWatch::rejectConfig(const StoredRecord &record)
+{
+    m_rejectedConfigs.push_back(record.revision);
+    if (m_rejectedConfigs.size() > MaxRejectedConfigs) {
+        m_rejectedConfigs.pop_front();
+    }
+}
+
 void ClusterWatch::applyUpstreams(const StoredUpstreams &upstreams,
                                   std::string_view source,
                                   TimePoint read,
--- a/ibismast/relay/clusterwatch.h
+++ b/ibismast/relay/clusterwatch.h
@@ -4,6 +4,8 @@
 #include "ibismast/relay/platformrecords.h"
 #include "ibismast/relay/relaycore.h"
 
+#include <deque>
+
 namespace ibismast
 {
 
@@ -124,8 +126,8 @@
     void applyUpstreams(const StoredUpstreams &upstreams, std::string_view source, TimePoint read, TimePoint now);
     /// Records the era of the store that @p source has named.
     void noteEra(StoreEra era, std::string_view source);
-    /// Logs that @p record is not applied.
-    void logIgnoredConfig(const StoredRecord &record, std::string_view source, std::string_view reason);
+    /// Remembers that @p record was not applied.
+    void rejectConfig(const StoredRecord &record);
     /// Records whether the store has answered; @p reason goes to the log when this changes.
     void noteStoreResult(bool answered, std::string_view reason, TimePoint now);
     /// Returns the pause after a failed read and advances the backoff.
@@ -154,7 +156,10 @@
     SeededRandom m_random;
     EventListener *m_listener;
 
+    /// Record of the configuration in force.
     std::optional<StoredRecord> m_config;
+    /// Revisions of the latest records that were unreadable or held no newer version.
+    std::deque<StoreRevision> m_rejectedConfigs;
     std::optional<StoredUpstreams> m_upstreams;
     /// Latest time, by this process's clock, at which the list is known to have matched the store.
     TimePoint m_listTime = TimePoint::min();
