Keep the list of upstreams sound across a restored store

The cause that hid configurations stood in the list of upstreams too: a list whose revision was below the last one was ignored, so an entry went on with its old list until the numbers had caught up, without leaving or new upstreams; and one whose number was above it was taken whole, so upstreams that had announced their shutdown or were gone came back as ready.

A list of a later era is now applied. For 10 s after a restore a record is ignored if it is not newer (start, number of reports) than what is known of its upstream, also of one that was removed in the last minute; an upstream that the restored store does not list may return within 2.2 s, as after an outage.

--- a/UnitTests/relay/upstreamdirectorytest.cpp
+++ b/UnitTests/relay/upstreamdirectorytest.cpp
@@ -122,6 +122,74 @@
     CHECK(usable() == "a");
 }
 
+// Guards against calls to upstreams that have left, and against live ones that get none, because a restored store lists
+// them as they were in an older copy or has given the revision of its list out before.
+TEST_CASE_METHOD(DirectoryFixture, "a restored store brings no upstream back and hides none", "[relay]")
+{
+    struct Row
+    {
+        /// Records of "b", leaving by its report 5, "d", removed after its report 5, or "e", which is new.
+        std::string id;
+        std::uint64_t report;
+        std::uint64_t incarnation;
+        bool leaving;
+        std::string usable;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"a", 6, 1, true, "c"},
+        {"b", 3, 1, false, "ac"},
+        {"b", 5, 1, false, "ac"},
+        {"b", 9, 0, false, "ac"},
+        {"b", 6, 1, true, "ac"},
+        {"b", 1, 2, false, "abc"},
+        {"d", 3, 1, false, "ac"},
+        {"d", 5, 1, true, "ac"},
+        {"d", 6, 1, false, "acd"},
+        {"d", 1, 2, false, "acd"},
+        {"e", 1, 1, false, "ace"},
+        {"e", 1, 1, true, "ac"},
+    }));
+    const std::int64_t number = GENERATE(2, 11, 20);
+    UpstreamList list {{record("a", 5), record("b", 5), record("c", 5), record("d", 5)}, 10};
+    list.records[1].leaving = true;
+    directory.apply(list, now);
+    list.records.pop_back();
+    list.revision.number = 11;
+    directory.apply(list, now);
+    REQUIRE(usable() == "ac");
+
+    now += 2s;
+    UpstreamRecord changed = record(row.id, row.report);
+    changed.incarnation = Incarnation(row.incarnation);
+    changed.leaving = row.leaving;
+    UpstreamList restored {{changed}, {number, StoreEra(1)}};
+    for (const char *id : {"a", "c"}) {
+        if (row.id != id) {
+            restored.records.push_back(record(id, 3));
+        }
+    }
+    directory.apply(restored, now);
+    CHECK(usable() == row.usable);
+}
+
+// Guards against a live upstream that a restored store does not list until it registers again, and against one that
+// never does and gets calls for long.
+TEST_CASE_METHOD(DirectoryFixture, "an upstream that a restored store has lost may return for 2.2 s", "[relay]")
+{
+    const bool returns = GENERATE(false, true);
+    directory.apply({{record("a", 5), record("b", 5)}, 10}, now);
+    now += 700ms;
+    directory.apply({{record("a", 3)}, {4, StoreEra(1)}}, now);
+    CHECK(usable() == "ab");
+    now += 2s;
+    directory.apply(
+        {returns ? std::vector {record("a", 6), record("b", 6)} : std::vector {record("a", 6)}, {6, StoreEra(1)}}, now);
+    CHECK(usable() == "ab");
+    now += 500ms;
+    directory.expire(now);
+    CHECK(usable() == (returns ? "ab" : "a"));
+}
+
 // Load: nine of 23 engines shut down while the store does not answer. Guards against long prompts that are refused one
 // after another because of the same unavailable helpers (seen in regsel-jawa trouble-3).
 TEST_CASE_METHOD(DirectoryFixture, "an upstream whose failure another one reports is avoided for 3 s", "[relay][load]")
--- a/ibismast/relay/clusterwatch.cpp
+++ b/ibismast/relay/clusterwatch.cpp
@@ -344,7 +344,7 @@
                                   TimePoint read,
                                   TimePoint now)
 {
-    if (m_upstreams && upstreams.revision.number < m_upstreams->revision.number) {
+    if (m_upstreams && upstreams.revision < m_upstreams->revision) {
         return;
     }
     UpstreamList list;
--- a/ibismast/relay/upstreamdirectory.cpp
+++ b/ibismast/relay/upstreamdirectory.cpp
@@ -13,9 +13,14 @@
 
 void UpstreamDirectory::apply(const UpstreamList &list, TimePoint now)
 {
-    if (m_known && list.revision.number < m_revision.number) {
+    if (m_known && list.revision < m_revision) {
         return;
     }
+    if (m_known && list.revision.era > m_revision.era) {
+        // Upstreams that registered after the copy was made are missing from it until they do so again.
+        noteOutage(now);
+        m_settlingUntil = now + m_settings.restoreSettleTime;
+    }
     std::set<InstanceId> listed;
     for (const UpstreamRecord &record : list.records) {
         listed.insert(record.id);
@@ -39,11 +44,13 @@
         if (mayReturn) {
             member.returnDeadline = (outage ? *m_lastOutage : now) + m_settings.returnGracePeriod;
         } else {
-            m_members.erase(id);
+            remove(id, now);
         }
     }
     for (const UpstreamRecord &record : list.records) {
-        applyRecord(record, now);
+        if (!isFromOlderCopy(record, now)) {
+            applyRecord(record, now);
+        }
     }
     m_revision = list.revision;
     updateSilent(now);
@@ -51,6 +58,35 @@
     expire(now);
 }
 
+bool UpstreamDirectory::isFromOlderCopy(const UpstreamRecord &record, TimePoint now) const
+{
+    if (!m_settlingUntil || now >= *m_settlingUntil) {
+        return false;
+    }
+    const auto isNotNewerThan = [&record](Incarnation incarnation, std::uint64_t reportNumber) {
+        return record.incarnation < incarnation
+            || (record.incarnation == incarnation && record.reportNumber <= reportNumber);
+    };
+    if (const Member *member = find(record.id)) {
+        return isNotNewerThan(member->record.incarnation, member->record.reportNumber);
+    }
+    const auto removed = m_removed.find(record.id);
+    return removed != m_removed.end() && isNotNewerThan(removed->second.incarnation, removed->second.reportNumber);
+}
+
+void UpstreamDirectory::remove(const InstanceId &id, TimePoint now)
+{
+    const auto found = m_members.find(id);
+    m_removed.insert_or_assign(id,
+                               RemovedRun {found->second.record.incarnation, found->second.record.reportNumber, now});
+    m_members.erase(found);
+    if (m_removed.size() > m_settings.maxRemoved) {
+        m_removed.erase(std::ranges::min_element(m_removed, {}, [](const auto &entry) {
+            return entry.second.removedAt;
+        }));
+    }
+}
+
 bool UpstreamDirectory::isMassLoss(std::size_t count) const
 {
     return count >= m_settings.massLossCount
@@ -112,12 +148,22 @@
 
 void UpstreamDirectory::expire(TimePoint now)
 {
-    std::erase_if(m_members, [this, now](const auto &entry) {
-        const Member &member = entry.second;
-        // While the list cannot be read, a live upstream cannot reappear in it.
-        const bool outage = m_lastOutage && now - *m_lastOutage < m_settings.returnGracePeriod;
-        return member.returnDeadline && now >= *member.returnDeadline && !outage;
+    std::erase_if(m_removed, [this, now](const auto &entry) {
+        return now - entry.second.removedAt >= m_settings.removedRetention;
     });
+    // While the list cannot be read, a live upstream cannot reappear in it.
+    if (m_lastOutage && now - *m_lastOutage < m_settings.returnGracePeriod) {
+        return;
+    }
+    std::vector<InstanceId> expired;
+    for (const auto &[id, member] : m_members) {
+        if (member.returnDeadline && now >= *member.returnDeadline) {
+            expired.push_back(id);
+        }
+    }
+    for (const InstanceId &id : expired) {
+        remove(id, now);
+    }
 }
 
 const UpstreamDirectory::Member *UpstreamDirectory::find(const InstanceId &id) const
--- a/ibismast/relay/upstreamdirectory.h
+++ b/ibismast/relay/upstreamdirectory.h
@@ -43,6 +43,13 @@
     /// Time after an outage of the store within which live upstreams reappear in the list. An upstream that is missing
     /// from the list stays in use until then; one that disappears later is removed at once.
     Duration returnGracePeriod = std::chrono::milliseconds(2200);
+    /// Time after a restore of the store within which upstreams and their expiry have replaced the records of the older
+    /// copy. Until then a record that is not newer than what is known of its upstream is ignored.
+    Duration restoreSettleTime = std::chrono::seconds(10);
+    /// Time for which removed upstreams are remembered, since a restored store may list them again, and their maximum
+    /// number.
+    Duration removedRetention = std::chrono::seconds(60);
+    std::size_t maxRemoved = 1024;
     /// Share of the upstreams whose simultaneous loss is attributed to an outage that this process has not observed. If
     /// they disappear from the list, their records are assumed to have expired during the outage; if their reports
     /// stop, the reports are assumed to be delayed on their way to the list.
@@ -81,7 +88,9 @@
 
     UpstreamDirectory(const UpstreamDirectorySettings &settings, EventListener &listener);
 
-    /// Applies @p list. A list with an older revision than the last one is ignored.
+    /// Applies @p list. A list with an older revision than the last one is ignored. If the store has been restored from
+    /// an older copy since the last list, upstreams stay leaving or removed until a newer report of theirs arrives, and
+    /// missing ones may still return.
     void apply(const UpstreamList &list, TimePoint now);
     /// Records that neither the store nor another entry provides a current list at @p now.
     void noteOutage(TimePoint now);
@@ -125,7 +134,20 @@
     [[nodiscard]] bool suspected(const Member &member, TimePoint now) const;
 
 private:
+    /// Run of an upstream that has been removed.
+    struct RemovedRun
+    {
+        Incarnation incarnation;
+        std::uint64_t reportNumber = 0;
+        TimePoint removedAt;
+    };
+
     void applyRecord(const UpstreamRecord &record, TimePoint now);
+    /// True if @p record may come from the older copy that the store was restored from: it says nothing that is newer
+    /// than what is known of its upstream.
+    [[nodiscard]] bool isFromOlderCopy(const UpstreamRecord &record, TimePoint now) const;
+    /// Removes the upstream and remembers its run.
+    void remove(const InstanceId &id, TimePoint now);
     void updateSilent(TimePoint now);
     /// True if the loss of @p count upstreams at once is attributed to an outage of the list or of the reports.
     [[nodiscard]] bool isMassLoss(std::size_t count) const;
@@ -133,6 +155,9 @@
     UpstreamDirectorySettings m_settings;
     EventListener *m_listener;
     std::map<InstanceId, Member> m_members;
+    std::map<InstanceId, RemovedRun> m_removed;
+    /// End of the time in which the store may list records of an older copy.
+    std::optional<TimePoint> m_settlingUntil;
     UpstreamHealth m_health;
     std::optional<TimePoint> m_lastOutage;
     StoreRevision m_revision;
