--- a/UnitTests/platform/platformstoretest.cpp
+++ b/UnitTests/platform/platformstoretest.cpp
@@ -72,9 +72,9 @@
     read();
     answer("3", body);
     REQUIRE(runUntil(loop, arrived));
-    CHECK(config->revision == StoreRevision {9, StoreEra(3)});
+    CHECK(config->revision == RecordRevision {9, StoreEra(3)});
     REQUIRE(config->record);
-    CHECK(config->record->revision == StoreRevision {4, StoreEra(3)});
+    CHECK(config->record->revision == RecordRevision {4, StoreEra(3)});
     read();
     answer(text, body);
     REQUIRE(runUntil(loop, arrived));
@@ -97,6 +97,6 @@
     CHECK((errorOf(*upstreams) == nullptr) == whole);
     if (whole) {
         CHECK(std::get<StoredUpstreams>(*upstreams).records.size() == 2);
-        CHECK(std::get<StoredUpstreams>(*upstreams).revision == StoreRevision {9, StoreEra(3)});
+        CHECK(std::get<StoredUpstreams>(*upstreams).revision == RecordRevision {9, StoreEra(3)});
     }
 }
--- a/UnitTests/relay/clusterwatchtest.cpp
+++ b/UnitTests/relay/clusterwatchtest.cpp
@@ -26,7 +26,7 @@
     struct Row
     {
         std::string value;
-        StoreRevision revision;
+        RecordRevision revision;
         std::int64_t expected;
     };
     const Row row = GENERATE(values<Row>({
@@ -74,7 +74,7 @@
     watch.upstreamsRead(StoredUpstreams {{{"a", "1:1", 5}}, 9}, now);
     watch.configRead(StoredConfig {StoredRecord {"c", "7", 4}, 10}, now);
     REQUIRE(due() == "await10 ");
-    const StoreRevision restored {12, StoreEra(era)};
+    const RecordRevision restored {12, StoreEra(era)};
     if (source == "list") {
         watch.upstreamsRead(StoredUpstreams {{{"a", "1:1", restored}}, restored}, now);
     } else if (source == "entry") {
--- a/UnitTests/wire/relaycodectest.cpp
+++ b/UnitTests/wire/relaycodectest.cpp
@@ -115,7 +115,7 @@
     const auto &decoded = std::get<RecordCopy>(result);
     CHECK(decoded.config == copy.config);
     CHECK(decoded.upstreams.records == copy.upstreams.records);
-    CHECK(decoded.upstreams.revision == StoreRevision {15, era});
+    CHECK(decoded.upstreams.revision == RecordRevision {15, era});
     CHECK(decoded.age == 300ms);
 }
 
--- a/ibismast/relay/clusterwatch.h
+++ b/ibismast/relay/clusterwatch.h
@@ -159,7 +159,7 @@
     /// Record of the configuration in force.
     std::optional<StoredRecord> m_config;
     /// Revisions of the latest records that were unreadable or held no newer version.
-    std::deque<StoreRevision> m_rejectedConfigs;
+    std::deque<RecordRevision> m_rejectedConfigs;
     std::optional<StoredUpstreams> m_upstreams;
     /// Latest time, by this process's clock, at which the list is known to have matched the store.
     TimePoint m_listTime = TimePoint::min();
@@ -172,13 +172,13 @@
     TimePoint m_recordsDue = TimePoint::min();
     std::uint64_t m_listDigest = 0;
     /// Keys and revisions of unreadable records that have been logged.
-    std::set<std::pair<std::string, StoreRevision>> m_reportedRecords;
+    std::set<std::pair<std::string, RecordRevision>> m_reportedRecords;
 
     bool m_listPending = false;
     bool m_configPending = false;
     bool m_copyRequestPending = false;
     /// Revision of the store up to which changes of the configuration have been seen.
-    StoreRevision m_configSeenRevision;
+    RecordRevision m_configSeenRevision;
     /// Latest era of the store that it or another entry's copy has named.
     StoreEra m_storeEra;
     /// True if the configuration must be read before changes of it can be awaited.
--- a/ibismast/relay/platformrecords.h
+++ b/ibismast/relay/platformrecords.h
@@ -12,7 +12,7 @@
     std::string key;
     std::string value;
     /// Revision of the store at which the record was last modified, in the era in which it was read.
-    StoreRevision revision;
+    RecordRevision revision;
 
     bool operator==(const StoredRecord &) const = default;
 };
@@ -21,7 +21,7 @@
 struct StoredUpstreams
 {
     std::vector<StoredRecord> records;
-    StoreRevision revision;
+    RecordRevision revision;
 };
 
 /// Result of reading the configuration record.
@@ -30,7 +30,7 @@
     /// Empty if the record does not exist, or if a wait for a change has ended without one.
     std::optional<StoredRecord> record;
     /// Revision of the store at which the record was read.
-    StoreRevision revision;
+    RecordRevision revision;
 };
 
 /// Records as last read by one entry. Entries fetch this copy from each other while the store is unavailable.
--- a/ibismast/relay/storerevision.h
+++ b/ibismast/relay/recordrevision.h
@@ -12,13 +12,13 @@
 
 /// Position in the history of the store. A restored store loses its latest changes and gives their numbers out again,
 /// so numbers are comparable only within one era.
-struct StoreRevision
+struct RecordRevision
 {
     std::int64_t number = 0;
     StoreEra era {};
 
-    bool operator==(const StoreRevision &) const = default;
-    friend constexpr std::strong_ordering operator<=>(const StoreRevision &left, const StoreRevision &right)
+    bool operator==(const RecordRevision &) const = default;
+    friend constexpr std::strong_ordering operator<=>(const RecordRevision &left, const RecordRevision &right)
     {
         return left.era == right.era ? left.number <=> right.number : left.era <=> right.era;
     }
--- a/ibismast/relay/upstreamdirectory.h
+++ b/ibismast/relay/upstreamdirectory.h
@@ -2,8 +2,8 @@
 
 #include "ibismast/core/eventlistener.h"
 #include "ibismast/entry/upstreamhealth.h"
+#include "ibismast/relay/recordrevision.h"
 #include "ibismast/relay/relayconfig.h"
-#include "ibismast/relay/storerevision.h"
 
 #include <map>
 
@@ -34,7 +34,7 @@
 struct UpstreamList
 {
     std::vector<UpstreamRecord> records;
-    StoreRevision revision;
+    RecordRevision revision;
 };
 
 /// Settings of an `UpstreamDirectory`.
@@ -160,7 +160,7 @@
     std::optional<TimePoint> m_settlingUntil;
     UpstreamHealth m_health;
     std::optional<TimePoint> m_lastOutage;
-    StoreRevision m_revision;
+    RecordRevision m_revision;
     bool m_known = false;
     TimePoint m_lastReport = TimePoint::min();
 };
