Guard streams and heads against answers that break off

An error of the upstream that resumes a stream reaches no caller (40 rows: ten statuses, with and without the declaration that it has not run, two limits), and an answer that ends inside its head is never complete (42 rows). Both passed on the code before: they cannot happen here, and now have a test.

--- a/UnitTests/adapters/relay/upstreamconnectiontest.cpp
+++ b/UnitTests/adapters/relay/upstreamconnectiontest.cpp
@@ -117,6 +117,29 @@
     CHECK(connection->isIdle() == row.reusable);
 }
 
+// Guards against a success with an empty or short body, framed as whole, when the upstream stops in the middle of its
+// answer's head (reports of other operators, issue 29).
+TEST_CASE_METHOD(ConnectionFixture, "an answer that ends inside its head is broken off", "[relay]")
+{
+    const std::string head = GENERATE(as<std::string>(),
+                                      "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\n",
+                                      "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                      "HTTP/1.1 200 OK\r\nId: mine\r\n\r\n");
+    const std::size_t missing = GENERATE(1, 2, 3, 4, 12, 20, 25);
+    const bool resets = GENERATE(false, true);
+    send();
+    upstream.write(head.substr(0, head.size() - missing));
+    if (resets) {
+        upstream.reset();
+    } else {
+        upstream.socket.shutdown(tcp::socket::shutdown_send);
+    }
+    await();
+    CHECK(outcome == "broken");
+    CHECK(body.empty());
+    CHECK_FALSE(connection->isIdle());
+}
+
 // Guards against a late second answer that is taken for that of the next call.
 TEST_CASE_METHOD(ConnectionFixture, "bytes on an idle connection end it", "[relay]")
 {
--- a/UnitTests/relay/callflowretriestest.cpp
+++ b/UnitTests/relay/callflowretriestest.cpp
@@ -71,6 +71,35 @@
     CHECK(flow().ended());
 }
 
+// Guards against the text or the head of an error in the middle of a caller's stream, and against a stream that ends as
+// if it were complete, when the upstream that should resume it answers with an error (reports of other operators, issue
+// 29).
+TEST_CASE_METHOD(FlowFixture, "an error of the upstream that resumes a stream does not reach the caller", "[relay]")
+{
+    const int status = GENERATE(204, 302, 400, 404, 408, 421, 429, 500, 502, 503);
+    const int maxAttempts = GENERATE(2, 3);
+    const bool notRun = GENERATE(false, true);
+    begin(CallKind::ResumableStream, maxAttempts);
+    head(1, 200);
+    event(1, 1);
+    flow().attemptFailed(1, AttemptFailure::Broken, "reset", now, actions);
+    CHECK(done() == "start a, head, body 1, start b behind 1");
+    flow().headReceived(2, {status, notRun, true, {}}, now, actions);
+    if (!flow().ended()) {
+        flow().bodyReceived(2, "{\"error\":\"busy\"}", now, actions);
+    }
+    if (!flow().ended()) {
+        flow().responseCompleted(2, now, actions);
+    }
+    const std::string seen = done();
+    CHECK(seen.find("body") == std::string::npos);
+    CHECK(seen.find("whole") == std::string::npos);
+    CHECK(seen.find("end") == std::string::npos);
+    CHECK(seen.find("refuse") == std::string::npos);
+    // The caller learns that the stream broke off, or a third upstream resumes it.
+    CHECK((seen.ends_with("cut") || seen.ends_with("start c behind 1")));
+}
+
 // Guards against repeated prefills because an engine is merely busy, and against streams that wait for a failed engine
 // until their callers give up after 2 s.
 TEST_CASE_METHOD(FlowFixture, "a silent stream fails over sooner if its engine is silent too", "[relay]")
