Do not read a store of an older era without a pause, keep returned upstreams

- If another entry named a later era than the store did, the configuration was read again at once, each time.
Such reads now pause like failed ones.
- An upstream that the restored store lacked, and that then wrote its latest record again, was still removed at the end of its time to return.

--- a/ibismast/relay/clusterwatch.cpp
+++ b/ibismast/relay/clusterwatch.cpp
@@ -240,9 +240,11 @@
     noteStoreResult(true, "configuration read", now);
     const auto &stored = std::get<StoredConfig>(result);
     noteEra(stored.revision.era, "store");
+    // The answer may have been on its way when the store was restored. A store that never names the era that another
+    // entry has seen must not be read without a pause.
     m_configReadNeeded = stored.revision.era < m_storeEra;
     m_configSeenRevision = stored.revision;
-    m_nextConfig = now;
+    m_nextConfig = m_configReadNeeded ? now + nextRetryPause() : now;
     if (stored.record) {
         applyConfig(*stored.record, "store", now);
     }
--- a/ibismast/relay/upstreamdirectory.cpp
+++ b/ibismast/relay/upstreamdirectory.cpp
@@ -50,6 +50,10 @@
     for (const UpstreamRecord &record : list.records) {
         if (!isFromOlderCopy(record, now)) {
             applyRecord(record, now);
+        } else if (const auto found = m_members.find(record.id);
+                   found != m_members.end() && found->second.record == record) {
+            // Its latest record has been written again, so it has returned.
+            found->second.returnDeadline.reset();
         }
     }
     m_revision = list.revision;
