--- a/UnitTests/platform/platformtest.cpp
+++ b/UnitTests/platform/platformtest.cpp
@@ -159,6 +159,39 @@
     CHECK(PlatformProtocol().decodeAnswer(head, "r1").head.rateLimit == limit);
 }
 
+// Guards against a pause that an upstream asks for and that is overlooked, and against one that is read from a
+// malformed header or from an answer other than a refusal.
+TEST_CASE("an upstream's pause is a decimal number of seconds in a refusal with 503", "[platform]")
+{
+    using Values = std::vector<std::string>;
+    const auto [status, values, pause] = GENERATE(table<int, Values, std::optional<Duration>>({
+        {503, {"3"}, 3s},
+        {503, {"2.5"}, 2'500ms},
+        {503, {"0"}, 0s},
+        {503, {"86400"}, 24h},
+        {503, {"1000000000000000000000"}, 24h},
+        {503, {}, std::nullopt},
+        {503, {""}, std::nullopt},
+        {503, {"-1"}, std::nullopt},
+        {503, {"nan"}, std::nullopt},
+        {503, {"inf"}, std::nullopt},
+        {503, {"1e3"}, std::nullopt},
+        {503, {"5 s"}, std::nullopt},
+        {503, {"Sat, 05 Dec 2026 07:28:00 GMT"}, std::nullopt},
+        {503, {"1", "2"}, std::nullopt},
+        {200, {"3"}, std::nullopt},
+        {429, {"3"}, std::nullopt},
+        {421, {"3"}, std::nullopt},
+    }));
+    HttpHead head;
+    head.status = status;
+    head.headers = {{"Ibismast-Attempt-Id", "r1"}, {"Ibismast-Not-Executed", "1"}};
+    for (const std::string &value : values) {
+        head.headers.emplace_back("Retry-After", value);
+    }
+    CHECK(PlatformProtocol().decodeAnswer(head, "r1").head.pause == pause);
+}
+
 // Guards against answers that reach the wrong caller or lack the upstream's signature.
 TEST_CASE("an answer is judged by its id, signature and encoding", "[platform]")
 {
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -125,6 +125,14 @@
     if (head.status != MisdirectedStatus) {
         m_environment->rateLimitNamed(m_plan->upstream, head.rateLimit, now);
     }
+    if (head.pause) {
+        m_listener->onEvent("upstream_refused",
+                            {{"request", m_call.requestId},
+                             {"attempt", std::to_string(attempt)},
+                             {"upstream", m_plan->upstream.id.value()},
+                             {"status", std::to_string(head.status)},
+                             {"pause_ms", inMs(*head.pause)}});
+    }
     if (!head.failedUpstream.empty()) {
         if (const std::optional<InstanceId> reportedUpstream =
                 m_environment->upstreamFailedAt(head.failedUpstream, now)) {
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -159,6 +159,8 @@
     UpstreamAddress failedUpstream;
     /// Rate of requests that the upstream takes from all entries together at present; empty if it names none.
     std::optional<RequestRate> rateLimit {};
+    /// Time for which the upstream wants no requests from this entry; empty if it names none.
+    std::optional<Duration> pause {};
 };
 
 /// Reason why an attempt ended without a complete response.
