Send nothing to an upstream for the time that its refusal names

An upstream that answered 503 with Retry-After went on getting calls from the same entry, up to 570 in the time in which it wanted none.

Cause: nothing read the header. A refusal made its upstream count as full for 300 ms, and a full upstream is still used if no other one has room; releases of reserved memory were repeated to an engine that had refused them.

UpstreamPauses keeps the end of the time for each run of an upstream, from refused calls, orders and reports.

With the check before a release taken out, the engine of the socket test gets 3 releases in place of 1.

--- a/UnitTests/adapters/relay/relayprocesstest.cpp
+++ b/UnitTests/adapters/relay/relayprocesstest.cpp
@@ -91,6 +91,7 @@
     void reserve(const AttemptHelper &holder, Duration /*hold*/, GrantHandler handler) override
     {
         reserved.insert(holder.reservationId);
+        holders.insert(holder.upstream.id);
         boost::asio::post(*m_loop, [handler = std::move(handler)] {
             handler(true);
         });
@@ -101,6 +102,7 @@
     }
     void release(const AttemptHelper &holder, ReleaseHandler handler) override
     {
+        ++releaseOrders[holder.upstream.id];
         const bool answered = lostReleases == 0;
         if (answered) {
             released.insert(holder.reservationId);
@@ -112,7 +114,18 @@
         });
     }
 
+    /// Reports that the engine @p id asks for a pause.
+    void pause(const InstanceId &id, Duration time)
+    {
+        UpstreamRecord engine;
+        engine.id = id;
+        reportPause(engine, time);
+    }
+
     std::set<std::string> reserved;
+    /// Engines at which memory is reserved.
+    std::set<InstanceId> holders;
+    std::map<InstanceId, int> releaseOrders;
     std::set<std::string> released;
     /// Number of releases that are lost from now on.
     int lostReleases = 0;
@@ -228,3 +241,27 @@
         return orders.released == orders.reserved;
     }));
 }
+
+// Guards against releases of memory that are repeated to an engine that has asked for a pause, while engines that have
+// not are sent each release again until they answer.
+TEST_CASE_METHOD(ProcessFixture, "a release is sent once to an engine that wants no requests", "[relay]")
+{
+    constexpr int ManyLost = 100;
+    orders.lostReleases = ManyLost;
+    REQUIRE(await([this] {
+        return store.listRead && process.limits().maxBodyBytes == MaxBodyBytes;
+    }));
+    caller.write("POST /a HTTP/1.1\r\nHost: h\r\nIbismast-Attempt-Id: r1\r\nIbismast-Token-Counts: 150000,100\r\n"
+                 "Content-Length: 2\r\n\r\n{}");
+    REQUIRE(await([this] {
+        return upstream.received.find("{}") != std::string::npos;
+    }));
+    REQUIRE(orders.holders.size() >= 2);
+    const InstanceId paused = *orders.holders.begin();
+    orders.pause(paused, 1min);
+    upstream.reset();
+    CHECK(await([this] {
+        return orders.releaseOrders[*orders.holders.rbegin()] >= 3;
+    }));
+    CHECK(orders.releaseOrders[paused] == 1);
+}
--- a/UnitTests/relay/callflowfixture.h
+++ b/UnitTests/relay/callflowfixture.h
@@ -78,6 +78,14 @@
     {
         rateLimit = limit;
     }
+    void pauseRequested(const UpstreamRecord & /*upstream*/, Duration time, TimePoint /*now*/) override
+    {
+        pause = time;
+    }
+    std::optional<Duration> retryDelay(const RelayCall & /*call*/, TimePoint /*now*/) const override
+    {
+        return pause;
+    }
     void upstreamProgressed(const InstanceId & /*upstream*/, TimePoint now) override
     {
         progress = now;
@@ -107,6 +115,8 @@
     std::optional<Error> revoked;
     /// Limit that the last response has named.
     std::optional<RequestRate> rateLimit;
+    /// Pause that an upstream has asked for last; the call may return after it.
+    std::optional<Duration> pause;
     /// Error with which the call's prompt is kept from further upstreams.
     std::optional<Error> quarantine;
     /// Upstreams at which the call broke off at the start of its answer.
--- a/adapters/relay/engineorders.h
+++ b/adapters/relay/engineorders.h
@@ -15,8 +15,16 @@
     using ReleaseHandler = std::function<void(bool answered)>;
     using StateHandler = std::function<void(ReservationState state)>;
 
+    /// Called when an engine has refused an order and wants no requests from this entry for @p pause.
+    using PauseHandler = std::function<void(const UpstreamRecord &engine, Duration pause)>;
+
     virtual ~EngineOrders() = default;
 
+    void setPauseHandler(PauseHandler handler)
+    {
+        m_pauseHandler = std::move(handler);
+    }
+
     /// Reserves memory on @p holder for @p hold, or extends the reservation of the same name. @p handler is called
     /// exactly once; no answer in time counts as a refusal.
     virtual void reserve(const AttemptHelper &holder, Duration hold, GrantHandler handler) = 0;
@@ -26,6 +34,17 @@
     /// Ends a reservation. @p handler is called exactly once, with false if the engine did not answer in time or could
     /// not take the order.
     virtual void release(const AttemptHelper &holder, ReleaseHandler handler) = 0;
+
+protected:
+    void reportPause(const UpstreamRecord &engine, Duration pause) const
+    {
+        if (m_pauseHandler) {
+            m_pauseHandler(engine, pause);
+        }
+    }
+
+private:
+    PauseHandler m_pauseHandler;
 };
 
 } // namespace ibismast
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -14,6 +14,9 @@
 /// Idle connections kept for each upstream.
 constexpr std::size_t MaxIdlePerUpstream = 24;
 
+/// Longest time for which memory of an engine is reserved that takes no further orders for a time.
+constexpr Duration LongestPausedHold = std::chrono::seconds(10);
+
 } // namespace
 
 // The part of RelayProcess between callers' and upstreams' connections. Constructor and destructor stand here, where
@@ -57,9 +60,15 @@
               })
     , m_timer(loop)
 {
+    m_platform.orders->setPauseHandler([this](const UpstreamRecord &engine, Duration pause) {
+        m_core.pauseRequested(engine, pause, processNow());
+    });
 }
 
-RelayProcess::~RelayProcess() = default;
+RelayProcess::~RelayProcess()
+{
+    m_platform.orders->setPauseHandler(nullptr);
+}
 
 void RelayProcess::requestReceived(const std::shared_ptr<CallerConnection> &connection, std::string body)
 {
@@ -287,11 +296,19 @@
     };
     const auto grants = std::make_shared<Grants>();
     grants->open = reserve.holders.size();
+    const TimePoint now = processNow();
     for (const AttemptHelper &holder : reserve.holders) {
+        Duration hold = reserve.ttl;
+        if (const std::optional<TimePoint> pauseEnd = m_core.pauseEnd(holder.upstream, now);
+            pauseEnd && reserve.extends) {
+            // The call loses its memory unless one order extends the reservation beyond the pause.
+            if (!m_core.takeOrder(holder.upstream, PausedOrder::Extend, now)) {
+                continue;
+            }
+            hold = std::max(hold, std::min(hold + (*pauseEnd - now), LongestPausedHold));
+        }
         m_platform.orders->reserve(
-            holder,
-            reserve.ttl,
-            [this, number, grants, attempt = reserve.attempt, extends = reserve.extends](bool granted) {
+            holder, hold, [this, number, grants, attempt = reserve.attempt, extends = reserve.extends](bool granted) {
                 grants->all = grants->all && granted;
                 if (--grants->open > 0 || extends) {
                     return;
@@ -307,7 +324,11 @@
 
 void RelayProcess::sendReleases()
 {
-    for (const AttemptHelper &holder : m_releases.takeDue(processNow())) {
+    const TimePoint now = processNow();
+    for (const AttemptHelper &holder : m_releases.takeDue(now)) {
+        if (!m_core.takeOrder(holder.upstream, PausedOrder::Release, now)) {
+            continue;
+        }
         m_platform.orders->release(holder, [this, reservation = holder.reservationId](bool answered) {
             if (answered) {
                 m_releases.answered(reservation);
@@ -318,6 +339,9 @@
 
 void RelayProcess::inspectMemory(CallNumber number, const InspectEngineMemory &inspect)
 {
+    if (m_core.pauseEnd(inspect.holder.upstream, processNow())) {
+        return;
+    }
     m_platform.orders->inspect(inspect.holder, [this, number, attempt = inspect.attempt](ReservationState state) {
         RelayActions actions;
         m_core.reservationInspected(number, attempt, state, processNow(), actions);
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -132,6 +132,7 @@
                              {"upstream", m_plan->upstream.id.value()},
                              {"status", std::to_string(head.status)},
                              {"pause_ms", inMs(*head.pause)}});
+        m_environment->pauseRequested(m_plan->upstream, *head.pause, now);
     }
     if (!head.failedUpstream.empty()) {
         if (const std::optional<InstanceId> reportedUpstream =
@@ -362,7 +363,8 @@
 
 void CallFlow::refuse(ResultCode code, std::string reason, TimePoint now, CallActions &actions)
 {
-    refuse(Error {code, std::move(reason), m_settings.retryAfter}, now, actions);
+    const Duration retryAfter = m_environment->retryDelay(m_call, now).value_or(m_settings.retryAfter);
+    refuse(Error {code, std::move(reason), retryAfter}, now, actions);
 }
 
 void CallFlow::refuse(Error error, TimePoint now, CallActions &actions)
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -225,6 +225,10 @@
     [[nodiscard]] virtual bool changeBuffered(std::int64_t change) = 0;
     /// A response of @p upstream names @p limit as the rate of requests that it takes, or no limit if that is empty.
     virtual void rateLimitNamed(const UpstreamRecord &upstream, std::optional<RequestRate> limit, TimePoint now) = 0;
+    /// @p upstream has refused a call and wants no requests from this entry for @p pause.
+    virtual void pauseRequested(const UpstreamRecord &upstream, Duration pause, TimePoint now) = 0;
+    /// Returns the time after which @p call may find an upstream; empty if that is not known.
+    [[nodiscard]] virtual std::optional<Duration> retryDelay(const RelayCall &call, TimePoint now) const = 0;
     /// A part of a response was received from @p upstream: a whole event of a stream, or bytes of another body.
     virtual void upstreamProgressed(const InstanceId &upstream, TimePoint now) = 0;
     /// Returns when `upstreamProgressed` was last called for @p upstream; `TimePoint::min()` if never.
@@ -291,7 +295,8 @@
     Duration maxIdleReservation = std::chrono::seconds(9);
     double idleCheckShare = 0.75;
     Duration idleCheckInterval = std::chrono::milliseconds(400);
-    /// Retry-After of refused calls that were not executed. It needs no jitter, since callers add their own.
+    /// Retry-After of refused calls that were not executed, unless `CallEnvironment::retryDelay` is known. It needs no
+    /// jitter, since callers add their own.
     Duration retryAfter = std::chrono::milliseconds(1200);
 };
 
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -37,6 +37,7 @@
     , m_tieBreakOffset(std::hash<std::string>()(m_settings.self.value()))
     , m_quarantine(m_settings.quarantine, listener)
     , m_rateLimits(m_settings.rateLimits)
+    , m_pauses(m_settings.pauses)
     , m_cells(m_settings.cells, m_settings.domain)
 {
 }
@@ -293,6 +294,7 @@
         return m_directory.find(entry.first) == nullptr;
     });
     m_rateLimits.expire(now);
+    m_pauses.expire(now);
     std::erase_if(m_refused, [now](const auto &entry) {
         return now >= entry.second;
     });
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -6,6 +6,7 @@
 #include "ibismast/relay/memberview.h"
 #include "ibismast/relay/promptquarantine.h"
 #include "ibismast/relay/routetable.h"
+#include "ibismast/relay/upstreampauses.h"
 #include "ibismast/relay/upstreamratelimits.h"
 #include "ibismast/retry/retrybudget.h"
 
@@ -59,6 +60,7 @@
     CellViewSettings cells;
     PromptQuarantineSettings quarantine;
     UpstreamRateLimitsSettings rateLimits;
+    UpstreamPausesSettings pauses;
     /// Limits on the retries of all entries together in ten seconds: a ratio to the requests of that time, and a number
     /// allowed in addition.
     double retryRatio = 0.2;
@@ -182,6 +184,15 @@
     [[nodiscard]] std::vector<RateLimitReport> takeFleetRateReports();
     /// Returns reports on up to @p count rate limits for a heartbeat, on other ones with each call.
     [[nodiscard]] std::vector<RateLimitReport> nextRateReports(std::size_t count, TimePoint now);
+    /// Returns the end of the time in which @p upstream wants no requests from this entry; empty if it takes requests.
+    [[nodiscard]] std::optional<TimePoint> pauseEnd(const UpstreamRecord &upstream, TimePoint now) const;
+    /// Returns whether @p order may be sent to @p upstream now, and counts it. See `UpstreamPauses`.
+    [[nodiscard]] bool takeOrder(const UpstreamRecord &upstream, PausedOrder order, TimePoint now);
+    /// Number of upstreams that want no requests from this entry.
+    [[nodiscard]] std::size_t pausedUpstreams() const
+    {
+        return m_pauses.size();
+    }
     /// Applies what another entry has reported of prompt parts.
     void applyQuarantineUpdate(const QuarantineUpdate &update, TimePoint now);
     /// Returns what all other entries must learn of prompt parts at once; later calls do not return it again.
@@ -221,6 +232,8 @@
     void callRefused(const RelayCall &call, TimePoint now) override;
     [[nodiscard]] bool changeBuffered(std::int64_t change) override;
     void rateLimitNamed(const UpstreamRecord &upstream, std::optional<RequestRate> limit, TimePoint now) override;
+    void pauseRequested(const UpstreamRecord &upstream, Duration pause, TimePoint now) override;
+    [[nodiscard]] std::optional<Duration> retryDelay(const RelayCall &call, TimePoint now) const override;
     void upstreamProgressed(const InstanceId &upstream, TimePoint now) override;
     [[nodiscard]] TimePoint lastProgress(const InstanceId &upstream) const override;
     void upstreamSucceeded(const InstanceId &upstream) override;
@@ -319,6 +332,7 @@
     std::map<FailureDomain, LoadUpdate> m_remoteUpdates;
     PromptQuarantine m_quarantine;
     UpstreamRateLimits m_rateLimits;
+    UpstreamPauses m_pauses;
     std::vector<RateLimitReport> m_fleetRateReports;
     CellView m_cells;
     bool m_inCell = false;
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -28,13 +28,16 @@
     const bool generation = target != nullptr && target->engine && call.size.prompt.value() > 0;
     const UpstreamDirectory::Candidates candidates = m_directory.candidates(call.service, now);
     std::size_t limited = 0;
+    std::size_t paused = 0;
     for (const auto *upstreams : {&candidates.trusted, &candidates.suspected}) {
         std::vector<const UpstreamDirectory::Member *> untried;
         for (const UpstreamDirectory::Member *member : *upstreams) {
             if (tried.contains(member->record.id)) {
                 continue;
             }
-            if (m_rateLimits.allows(runKey(member->record), now)) {
+            if (pauseEnd(member->record, now)) {
+                ++paused;
+            } else if (m_rateLimits.allows(runKey(member->record), now)) {
                 untried.push_back(member);
             } else {
                 ++limited;
@@ -49,12 +52,13 @@
             return plan;
         }
     }
-    if (limited > 0) {
+    if (limited > 0 || paused > 0) {
         m_listener->onEvent("no_plan",
                             {{"request", call.requestId},
                              {"service", call.service.value()},
                              {"trusted", std::to_string(candidates.trusted.size())},
-                             {"rate_limited", std::to_string(limited)}});
+                             {"rate_limited", std::to_string(limited)},
+                             {"paused", std::to_string(paused)}});
     }
     return std::nullopt;
 }
@@ -81,6 +85,9 @@
         if (member->record.incarnation != record->incarnation || member->record.address != record->address) {
             return PlanFault {name + " has restarted"};
         }
+        if (pauseEnd(*record, now)) {
+            return PlanFault {name + " wants no requests for a time"};
+        }
         if (!suspect && m_directory.suspected(*member, now)) {
             suspect = PlanFault {name + " is suspected", false};
         }
--- a/ibismast/relay/relaycorereports.cpp
+++ b/ibismast/relay/relaycorereports.cpp
@@ -2,6 +2,7 @@
 
 #include "ibismast/core/stablehash.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -25,9 +26,15 @@
     return rate ? std::to_string(rate->perSecond) : std::string("none");
 }
 
+std::string secondsText(Duration duration)
+{
+    return std::to_string(toSeconds(duration));
+}
+
 } // namespace
 
-// What entries tell each other about prompts that crash upstreams and about upstreams' rate limits.
+// What entries tell each other about prompts that crash upstreams and about upstreams' rate limits, and the pauses that
+// upstreams ask this entry for.
 
 std::optional<Error> RelayCore::checkParts(const std::vector<PromptPartId> &parts, TimePoint now) const
 {
@@ -89,6 +96,39 @@
     }
 }
 
+void RelayCore::pauseRequested(const UpstreamRecord &upstream, Duration pause, TimePoint now)
+{
+    if (m_pauses.begin(runKey(upstream), pause, now)) {
+        m_listener->onEvent("upstream_paused", {{"upstream", upstream.id.value()}, {"seconds", secondsText(pause)}});
+    }
+}
+
+std::optional<TimePoint> RelayCore::pauseEnd(const UpstreamRecord &upstream, TimePoint now) const
+{
+    return m_pauses.endOf(runKey(upstream), now);
+}
+
+bool RelayCore::takeOrder(const UpstreamRecord &upstream, PausedOrder order, TimePoint now)
+{
+    return m_pauses.takeOrder(runKey(upstream), order, now);
+}
+
+std::optional<Duration> RelayCore::retryDelay(const RelayCall &call, TimePoint now) const
+{
+    const UpstreamDirectory::Candidates candidates = m_directory.candidates(call.service, now);
+    std::optional<TimePoint> first;
+    for (const auto *upstreams : {&candidates.trusted, &candidates.suspected}) {
+        for (const UpstreamDirectory::Member *member : *upstreams) {
+            const std::optional<TimePoint> end = pauseEnd(member->record, now);
+            if (!end) {
+                return std::nullopt;
+            }
+            first = first ? std::min(*first, *end) : *end;
+        }
+    }
+    return first ? std::optional(*first - now) : std::nullopt;
+}
+
 void RelayCore::announceRate(UpstreamRunKey upstream, bool fleetWide, TimePoint now)
 {
     const std::optional<RateLimitReport> report = m_rateLimits.report(upstream, now);
