--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -72,12 +72,14 @@
 
 void RelayProcess::requestReceived(const std::shared_ptr<CallerConnection> &connection, std::string body)
 {
-    const Result<IncomingCall> decoded = m_platform.protocol->decodeCall(connection->request());
+    const HttpHead &request = connection->request();
+    Result<IncomingCall> decoded = m_platform.protocol->decodeCall(request);
     if (const Error *error = errorOf(decoded)) {
         refuse(*connection, {}, *error);
         return;
     }
-    const auto &incoming = std::get<IncomingCall>(decoded);
+    auto &incoming = std::get<IncomingCall>(decoded);
+    incoming.contentHash = requestContentHash(request.method, request.target, body);
     RelayActions actions;
     const Result<CallNumber> admitted = m_core.submit(incoming, processNow(), actions);
     if (const Error *error = errorOf(admitted)) {
--- a/ibismast/core/ids.cpp
+++ b/ibismast/core/ids.cpp
@@ -47,6 +47,11 @@
     return toHex(id.value());
 }
 
+std::string toString(RequestHash hash)
+{
+    return toHex(hash.value());
+}
+
 std::string toString(const RequestId &id)
 {
     return toHex(id.entry.value()) + '-' + toHex(id.sequence);
--- a/ibismast/core/ids.h
+++ b/ibismast/core/ids.h
@@ -21,6 +21,9 @@
 /// Part of a prompt that other prompts may share, such as a system prompt; the same in every prompt that holds it.
 using PromptPartId = StrongInteger<struct PromptPartIdTag, std::uint64_t>;
 
+/// Hash of what stays the same when a request is sent again for its customer: host, method, target and body.
+using RequestHash = StrongInteger<struct RequestHashTag, std::uint64_t>;
+
 /// Identifies one run of a process; a restart of the same instance gets a larger number.
 using Incarnation = StrongInteger<struct IncarnationTag, std::uint64_t>;
 /// Position in the configuration log; grows by one with each accepted change.
@@ -58,6 +61,8 @@
 
 /// Returns @p id in hexadecimal digits.
 [[nodiscard]] std::string toString(PromptPartId id);
+/// Returns @p hash in hexadecimal digits.
+[[nodiscard]] std::string toString(RequestHash hash);
 /// Returns @p id as `<incarnation>-<sequence>` in hexadecimal digits.
 [[nodiscard]] std::string toString(const RequestId &id);
 /// Returns @p id as `<incarnation>-<sequence>-<attempt>` in hexadecimal digits.
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -105,6 +105,7 @@
                          {"reason", std::string(reason)},
                          {"head", m_headReceived ? std::to_string(m_responseHead.status) : std::string("none")},
                          {"began", m_attemptHasEvents ? "true" : "false"},
+                         {"request_hash", toString(m_call.requestHash)},
                          {"parts", toText(m_call.promptParts)}});
     if (failure == AttemptFailure::Broken && m_headReceived && isSuccess(m_responseHead.status) && !m_headSent) {
         m_environment->startBroken(m_call, upstream, now);
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -25,6 +25,8 @@
     GenerationSize size;
     /// See `IncomingCall::fingerprint`.
     std::uint64_t fingerprint = 0;
+    /// Identifies the request when it is sent again; 0 if unknown.
+    RequestHash requestHash;
     /// See `IncomingCall::promptParts`.
     std::vector<PromptPartId> promptParts;
     /// True if the caller sends the call again after an entry has refused it.
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -1,5 +1,7 @@
 #include "ibismast/relay/relaycore.h"
 
+#include "ibismast/core/stablehash.h"
+
 #include <algorithm>
 
 namespace ibismast
@@ -13,6 +15,11 @@
 
 } // namespace
 
+std::uint64_t requestContentHash(std::string_view method, std::string_view target, std::string_view body)
+{
+    return combineHashes(combineHashes(stableHash(method), stableHash(target)), stableHash(body));
+}
+
 /// Open call with the time of its next timeout.
 struct RelayCore::OpenCall
 {
@@ -106,6 +113,7 @@
     call.size = incoming.size;
     call.lastEventId = incoming.lastEventId;
     call.fingerprint = incoming.fingerprint;
+    call.requestHash = requestHash(incoming, customer);
     call.promptParts = incoming.promptParts;
     call.returning = m_refused.contains(incoming.fingerprint);
     call.configVersion = m_routes->config().version;
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -34,11 +34,16 @@
     /// Hash of the parts of the request that stay the same when the caller sends it again after a refusal, which
     /// changes its id; 0 if unknown.
     std::uint64_t fingerprint = 0;
+    /// Hash of the method, the target and the body; 0 if unknown. See `requestContentHash`.
+    std::uint64_t contentHash = 0;
     /// Parts of the prompt that other prompts may share; without the last part, which belongs to the request or its
     /// session.
     std::vector<PromptPartId> promptParts;
 };
 
+/// Returns the `IncomingCall::contentHash` of a request.
+[[nodiscard]] std::uint64_t requestContentHash(std::string_view method, std::string_view target, std::string_view body);
+
 /// Action for one open call.
 struct RelayAction
 {
@@ -255,6 +260,8 @@
     /// admit the request. The customer is empty if the route needs no API key.
     [[nodiscard]] Result<std::pair<const RelayRoute *, CustomerId>>
     admit(const std::string &host, const std::string &path, const std::string &key) const;
+    /// Returns the hash that identifies @p incoming when it is sent again for @p customer.
+    [[nodiscard]] static RequestHash requestHash(const IncomingCall &incoming, const CustomerId &customer);
     [[nodiscard]] static UpstreamRunKey runKey(const UpstreamRecord &upstream);
     /// Tells the other entries of a change of an upstream's rate limit, or of a request to a limited upstream. The
     /// entries of other cells learn of it if @p fleetWide is true.
--- a/ibismast/relay/relaycorereports.cpp
+++ b/ibismast/relay/relaycorereports.cpp
@@ -36,6 +36,16 @@
 // What entries tell each other about prompts that crash upstreams and about upstreams' rate limits, and the pauses that
 // upstreams ask this entry for.
 
+RequestHash RelayCore::requestHash(const IncomingCall &incoming, const CustomerId &customer)
+{
+    if (incoming.contentHash == 0) {
+        return {};
+    }
+    // The customer may send the request with another of its keys.
+    const std::uint64_t caller = combineHashes(stableHash(incoming.host), stableHash(customer.value()));
+    return RequestHash(combineHashes(caller, incoming.contentHash));
+}
+
 std::optional<Error> RelayCore::checkParts(const std::vector<PromptPartId> &parts, TimePoint now) const
 {
     const std::optional<PromptQuarantine::Hit> hit = m_quarantine.find(parts, now);
