Keep a request that crashes upstreams from them when it comes again

Copies of one request are one, its parts are cleared by sound prompts, and plain services have no parts.

A request is now a part of its own, by the hash of host, method, target, customer and body, so all entries learn of it in the same way. Three crashes under one request suffice, unless another request was at all of the same upstreams. What explains a crash exonerates the requests that broke off with it, and one entry lets a quarantined request through once after 5 s, so that one that was only near to losses of other causes is served again.

One row of 'a prompt is suspected only if its upstream ends at the start of the answer' is changed: an attempt without any head is now reported as not begun, which is evidence against the request only. That it says nothing about parts is checked in 'only the request that explains the crashes is quarantined'. The quarantine tests name requests by their hash and upstreams by their run.

--- a/UnitTests/relay/callflowfixture.h
+++ b/UnitTests/relay/callflowfixture.h
@@ -44,9 +44,10 @@
     {
         return quarantine;
     }
-    void startBroken(const RelayCall & /*call*/, const InstanceId &upstream, TimePoint /*now*/) override
+    void
+    startBroken(const RelayCall & /*call*/, const UpstreamRecord &upstream, bool begun, TimePoint /*now*/) override
     {
-        brokenStarts.push_back(upstream.value());
+        brokenStarts.push_back(upstream.id.value() + (begun ? "" : " not begun"));
     }
     bool takeRetry(const ServiceName & /*service*/, TimePoint /*now*/) override
     {
--- a/UnitTests/relay/callflowretriestest.cpp
+++ b/UnitTests/relay/callflowretriestest.cpp
@@ -278,8 +278,8 @@
     CHECK(environment.refused == 0);
 }
 
-// Guards against prompts that are blamed for a crash although the upstream had declined them, had not begun to answer,
-// had sent an event or was given up by the relay, and against crashes that no prompt is blamed for.
+// Guards against prompts that are blamed for a crash although the upstream had declined them, had sent an event or was
+// given up by the relay, and against crashes that no prompt is blamed for. Calls that had not begun are told apart.
 TEST_CASE_METHOD(FlowFixture, "a prompt is suspected only if its upstream ends at the start of the answer", "[relay]")
 {
     enum class End {
@@ -296,20 +296,21 @@
         int status;
         std::string body;
         End end;
-        bool suspected;
+        /// What is reported of the attempt at the upstream `a`; empty if nothing is.
+        std::string suspected;
     };
     const Row row = GENERATE(values<Row>({
-        {200, "", End::Broken, true},
-        {200, "id:1\nda", End::Broken, true},
-        {200, ": comment\n\n", End::Broken, true},
-        {200, "id:1\nda", End::InsideEvent, true},
-        {200, "", End::WithoutEvent, true},
-        {200, "id:1\ndata:x\n\n", End::Broken, false},
-        {200, std::string(std::size_t {2} << 20, 'x'), End::GivenUp, false},
-        {500, "", End::Broken, false},
-        {0, "", End::Broken, false},
-        {0, "", End::NotSent, false},
-        {503, "", End::Declined, false},
+        {200, "", End::Broken, "a"},
+        {200, "id:1\nda", End::Broken, "a"},
+        {200, ": comment\n\n", End::Broken, "a"},
+        {200, "id:1\nda", End::InsideEvent, "a"},
+        {200, "", End::WithoutEvent, "a"},
+        {200, "id:1\ndata:x\n\n", End::Broken, ""},
+        {200, std::string(std::size_t {2} << 20, 'x'), End::GivenUp, ""},
+        {500, "", End::Broken, ""},
+        {0, "", End::Broken, "a not begun"},
+        {0, "", End::NotSent, ""},
+        {503, "", End::Declined, ""},
     }));
     begin(CallKind::ResumableStream, 2);
     if (row.status != 0) {
@@ -324,7 +325,8 @@
     } else if (row.end == End::InsideEvent || row.end == End::WithoutEvent) {
         flow().responseCompleted(1, now, actions);
     }
-    CHECK(environment.brokenStarts == (row.suspected ? std::vector<std::string> {"a"} : std::vector<std::string>()));
+    const std::vector<std::string> none;
+    CHECK(environment.brokenStarts == (row.suspected.empty() ? none : std::vector<std::string> {row.suspected}));
 }
 
 // Guards against a prompt in quarantine that still reaches an upstream: as a new call, after a failure, after it has
--- a/UnitTests/relay/promptquarantinetest.cpp
+++ b/UnitTests/relay/promptquarantinetest.cpp
@@ -11,6 +11,8 @@
 constexpr PromptPartId SystemPart {0x5c};
 constexpr PromptPartId OtherSystemPart {0x5d};
 constexpr PromptPartId CrashingPart {0xbad};
+/// Hashes of requests begin above this number, so that they differ from those of parts.
+constexpr std::uint64_t CallBase = 0x1'0000;
 
 /// One entry with twenty engines, which crash when they begin to answer a prompt that holds `CrashingPart`.
 class CrashFixture
@@ -51,7 +53,7 @@
         incoming.host = "h";
         incoming.path = "/g/x";
         incoming.size = {Tokens(2'000), Tokens(100)};
-        incoming.fingerprint = m_calls;
+        incoming.contentHash = m_calls;
         incoming.promptParts = parts;
         const bool crashes = std::ranges::find(parts, CrashingPart) != parts.end();
         RelayActions actions;
@@ -135,11 +137,16 @@
     /// An attempt of @p call at @p upstream breaks off at the start of its answer.
     void breakAt(PromptQuarantine &entry, int upstream, std::uint64_t call, const std::vector<PromptPartId> &parts)
     {
-        entry.noteBrokenStart(InstanceId("e" + std::to_string(upstream)), call, parts, now);
+        entry.noteBrokenStart(
+            UpstreamRunKey(static_cast<std::uint64_t>(upstream) + 1), RequestHash(CallBase + call), parts, true, now);
     }
     [[nodiscard]] bool isQuarantined(const PromptQuarantine &entry, PromptPartId part) const
     {
-        return entry.find({part}, now).has_value();
+        return entry.find(RequestHash(), {part}, now).has_value();
+    }
+    [[nodiscard]] bool isQuarantined(const PromptQuarantine &entry, RequestHash request) const
+    {
+        return entry.find(request, {}, now).has_value();
     }
 
     TimePoint now {1'000s};
@@ -179,7 +186,7 @@
         now += row.apart;
         breakAt(first, index % row.upstreams, static_cast<std::uint64_t>(index % row.calls), {CrashingPart});
         if (row.answered && index % 2 == 1) {
-            first.noteSound({CrashingPart}, now);
+            first.noteSound(RequestHash(), {CrashingPart}, now);
         }
     }
     CHECK(isQuarantined(first, CrashingPart) == row.quarantined);
@@ -219,13 +226,13 @@
     }
     if (row.answered != none) {
         now += 100ms;
-        first.noteSound({row.answered}, now);
+        first.noteSound(RequestHash(), {row.answered}, now);
     }
     const Prompts prompts {{a}, {b}, {c}, {a, b}, {a, c}, {b, c}, {a, b, c}};
     for (const std::vector<PromptPartId> &prompt : prompts) {
         INFO("prompt of " << prompt.size() << " parts, first " << toString(prompt.front()));
         const bool expected = std::ranges::find(row.quarantined, prompt) != row.quarantined.end();
-        CHECK(first.find(prompt, now).has_value() == expected);
+        CHECK(first.find(RequestHash(), prompt, now).has_value() == expected);
     }
 }
 
@@ -284,7 +291,7 @@
     second.apply(first.takeUpdate(), now);
     REQUIRE(isQuarantined(second, CrashingPart));
     now += 200ms;
-    first.noteSound({CrashingPart}, now);
+    first.noteSound(RequestHash(), {CrashingPart}, now);
     now += 1ms;
     second.apply(byHeartbeat ? first.summary(now) : first.takeUpdate(), now);
     CHECK_FALSE(isQuarantined(first, CrashingPart));
@@ -304,7 +311,7 @@
     now += 9min;
     first.expire(now);
     CHECK(isQuarantined(first, CrashingPart));
-    CHECK(first.find({CrashingPart}, now)->left == 1min);
+    CHECK(first.find(RequestHash(), {CrashingPart}, now)->left == 1min);
     now += 2min;
     first.expire(now);
     CHECK_FALSE(isQuarantined(first, CrashingPart));
@@ -328,3 +335,124 @@
     CHECK(summary.brokenStarts.front().parts.size() <= PromptQuarantineSettings().maxParts);
     CHECK(summary.quarantined.size() <= PromptQuarantineSettings().maxReported);
 }
+
+// Guards against a sound request that is refused since it was near to the crashes of another one, and against a
+// crashing one that is not found beside it.
+TEST_CASE_METHOD(QuarantineFixture, "only the request that explains the crashes is quarantined", "[relay]")
+{
+    /// A request that was at the upstreams when they crashed.
+    struct Present
+    {
+        RequestHash request;
+        std::set<int> upstreams;
+        /// Whether its attempts had begun.
+        bool begun = false;
+        /// Upstream after whose crash another one has answered it; 0 for none.
+        int answeredAfter = 0;
+    };
+    struct Row
+    {
+        std::string cause;
+        std::vector<Present> present;
+        std::vector<bool> quarantined;
+    };
+    const RequestHash a(0x1'000a);
+    const RequestHash b(0x1'000b);
+    const Row row = GENERATE_COPY(values<Row>({
+        {"a alone", {{a, {1, 2, 3}}}, {true}},
+        {"too few crashes", {{a, {1, 2}}}, {false}},
+        {"answered in between", {{a, {1, 2, 3}, false, 2}}, {false}},
+        {"b near to some of a's crashes", {{a, {1, 2, 3}}, {b, {1, 2}}}, {true, false}},
+        {"cannot be told apart", {{a, {1, 2, 3}}, {b, {1, 2, 3}}}, {false, false}},
+        {"a goes on alone", {{a, {1, 2, 3, 4}}, {b, {1, 2, 3}}}, {true, false}},
+        {"b was answered", {{a, {1, 2, 3}}, {b, {1, 2, 3}, false, 3}}, {true, false}},
+        {"both at many crashes", {{a, {1, 2, 3, 4, 5}}, {b, {1, 2, 3, 4, 5}}}, {true, true}},
+        {"two crashing requests", {{a, {1, 3, 5}}, {b, {2, 4, 6}}}, {true, true}},
+        {"b had not begun", {{a, {1, 2, 3}, true}, {b, {1, 2, 3, 4}}}, {true, false}},
+        {"others had begun", {{a, {1, 2, 3}}, {b, {1}, true}}, {false, false}},
+    }));
+    INFO(row.cause);
+    for (int upstream = 1; upstream <= 6; ++upstream) {
+        now += 500ms;
+        for (const Present &present : row.present) {
+            if (present.upstreams.contains(upstream)) {
+                first.noteBrokenStart(
+                    UpstreamRunKey(static_cast<std::uint64_t>(upstream)), present.request, {}, present.begun, now);
+            }
+        }
+        now += 100ms;
+        for (const Present &present : row.present) {
+            if (present.answeredAfter == upstream) {
+                first.noteSound(present.request, {}, now);
+            }
+        }
+        now += 200ms;
+        first.expire(now);
+    }
+    for (std::size_t index = 0; index < row.present.size(); ++index) {
+        CAPTURE(index);
+        CHECK(isQuarantined(first, row.present[index].request) == row.quarantined[index]);
+    }
+}
+
+// Guards against a sound request that stays in quarantine for ten minutes since three upstreams were lost for another
+// reason, and against a crashing one that is let through more than once.
+TEST_CASE_METHOD(QuarantineFixture, "one entry tests a quarantined request once", "[relay]")
+{
+    const RequestHash request(0x1'000a);
+    const bool sound = GENERATE(false, true);
+    const bool byHeartbeat = GENERATE(false, true);
+    for (int index = 0; index < 3; ++index) {
+        now += 500ms;
+        breakAt(first, index, 0xa, {});
+        second.apply(first.takeUpdate(), now);
+    }
+    now += 200ms;
+    first.expire(now);
+    second.expire(now);
+    const auto mayTest = [this, request](PromptQuarantine &entry) {
+        const auto hit = entry.find(request, {}, now);
+        REQUIRE(hit);
+        return entry.takeTest(request, *hit, now);
+    };
+    CHECK_FALSE(mayTest(first));
+    now += 5s;
+    CHECK_FALSE(mayTest(second));
+    CHECK(mayTest(first));
+    CHECK_FALSE(mayTest(first));
+    now += 100ms;
+    if (sound) {
+        first.noteSound(request, {}, now);
+    } else {
+        breakAt(first, 3, 0xa, {});
+    }
+    now += 1ms;
+    second.apply(byHeartbeat ? first.summary(now) : first.takeUpdate(), now);
+    CHECK(isQuarantined(first, request) != sound);
+    CHECK((isQuarantined(second, request) != sound || (sound && byHeartbeat)));
+    if (!sound) {
+        now += 1min;
+        CHECK_FALSE(mayTest(first));
+        CHECK_FALSE(mayTest(second));
+    }
+}
+
+// Guards against an entry that has just started and does not learn of all requests in quarantine.
+TEST_CASE_METHOD(QuarantineFixture, "heartbeats report all quarantines in turn", "[relay]")
+{
+    constexpr std::uint64_t Requests = 100;
+    for (std::uint64_t request = 0; request < Requests; ++request) {
+        for (int index = 0; index < 3; ++index) {
+            now += 20ms;
+            breakAt(first, static_cast<int>(request * 3) + index, request, {});
+        }
+        now += 200ms;
+        first.expire(now);
+    }
+    REQUIRE(first.size(now) == Requests);
+    for (int heartbeat = 0; heartbeat < 4; ++heartbeat) {
+        now += 500ms;
+        second.apply(first.summary(now), now);
+    }
+    CHECK(second.size(now) == Requests);
+}
--- a/UnitTests/wire/relaycodectest.cpp
+++ b/UnitTests/wire/relaycodectest.cpp
@@ -30,7 +30,12 @@
     placement.prefills = {{InstanceId("e1"), 30ms, Tokens()}, {InstanceId("e2"), 30ms, Tokens(500)}};
     news.load = {{placement}, {CallNumber(2)}, {CallNumber(1)}, {0xfedcba9876543210U}};
     news.quarantine.brokenStarts = {
-        {0xfedcba9876543210U, 3, {PromptPartId(1), PromptPartId(0xfedcba9876543210U)}, 20ms}};
+        {UpstreamRunKey(0xfedcba9876543210U),
+         RequestHash(3),
+         {PromptPartId(1), PromptPartId(0xfedcba9876543210U)},
+         20ms,
+         true},
+        {UpstreamRunKey(2), RequestHash(0xfedcba9876543210U), {PromptPartId(1)}, 20ms, false}};
     news.quarantine.quarantined = {{{PromptPartId(5), PromptPartId(6)}, 9min}};
     news.quarantine.sound = {{PromptPartId(6), 0ms}};
     news.load.rateLimits = {{UpstreamRunKey(0xfedcba9876543210U), RequestRate {2.8}, 20ms, 7},
@@ -73,7 +78,8 @@
     news.sender = {InstanceId("entry-1"), Incarnation(7), "10.0.0.1:1", {}};
     const auto [age, kept] = GENERATE(
         table<Duration, bool>({{0ms, true}, {1h, true}, {1h + 1ms, false}, {-1ms, false}, {Duration::max(), false}}));
-    news.quarantine = {{{1, 2, {}, age}}, {{{PromptPartId(3)}, age}}, {{PromptPartId(4), age}}};
+    news.quarantine = {
+        {{UpstreamRunKey(1), RequestHash(2), {}, age}}, {{{PromptPartId(3)}, age}}, {{PromptPartId(4), age}}};
     const Result<EntryNews> result = decodeEntryNews(encodeEntryNews(news));
     REQUIRE(errorOf(result) == nullptr);
     const QuarantineUpdate &decoded = std::get<EntryNews>(result).quarantine;
--- a/ibismast/core/resultcode.cpp
+++ b/ibismast/core/resultcode.cpp
@@ -64,7 +64,7 @@
                     "PromptQuarantined",
                     503,
                     true,
-                    "A part of the prompt has crashed upstreams and is kept from them for a time."},
+                    "The request, or a part of its prompt, has crashed upstreams and is kept from them for a time."},
     ResultCodeInfo {DeadlineExceeded, "DeadlineExceeded", 504, false, "The request did not end before its deadline."},
     ResultCodeInfo {OutcomeUnknown, "OutcomeUnknown", 502, false, "It is not known whether the request was run."},
     ResultCodeInfo {UpstreamFailed, "UpstreamFailed", 502, false, "The upstream failed while it ran the request."},
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -81,7 +81,8 @@
     if (m_ended || !m_plan || attempt != m_attempt) {
         return;
     }
-    const InstanceId upstream = m_plan->upstream.id;
+    const UpstreamRecord record = m_plan->upstream;
+    const InstanceId &upstream = record.id;
     m_environment->upstreamFailed(upstream, now);
     closeAttempt(now, actions);
     if (failure == AttemptFailure::NotSent) {
@@ -107,8 +108,9 @@
                          {"began", m_attemptHasEvents ? "true" : "false"},
                          {"request_hash", toString(m_call.requestHash)},
                          {"parts", toText(m_call.promptParts)}});
-    if (failure == AttemptFailure::Broken && m_headReceived && isSuccess(m_responseHead.status) && !m_headSent) {
-        m_environment->startBroken(m_call, upstream, now);
+    const bool begun = m_headReceived && isSuccess(m_responseHead.status);
+    if (failure == AttemptFailure::Broken && !m_headSent && (begun || !m_headReceived)) {
+        m_environment->startBroken(m_call, record, begun, now);
     }
     ++m_ranAttempts;
     m_mayHaveRun = true;
@@ -288,7 +290,7 @@
         actions.emplace_back(EndBody {});
         return;
     }
-    if (isSuccess(m_responseHead.status)) {
+    if (m_responseHead.status < FirstServerError) {
         m_environment->firstEventReceived(m_call, now);
     }
     std::string body = std::move(m_responseBody);
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -27,6 +27,8 @@
     std::uint64_t fingerprint = 0;
     /// Identifies the request when it is sent again; 0 if unknown.
     RequestHash requestHash;
+    /// True if the call is let through although its request is in quarantine, to show whether it crashes upstreams.
+    bool testsQuarantine = false;
     /// See `IncomingCall::promptParts`.
     std::vector<PromptPartId> promptParts;
     /// True if the caller sends the call again after an entry has refused it.
@@ -210,13 +212,14 @@
     [[nodiscard]] virtual std::optional<Error> readmit(RelayCall &call) = 0;
     /// Returns an error if @p call, of which no event has arrived yet, must not be sent to another upstream.
     [[nodiscard]] virtual std::optional<Error> checkPrompt(const RelayCall &call, TimePoint now) const = 0;
-    /// An attempt at @p upstream broke off after the head of a successful response and before any event of the call.
-    virtual void startBroken(const RelayCall &call, const InstanceId &upstream, TimePoint now) = 0;
+    /// An attempt at @p upstream broke off before any event of the call or the end of its response. @p begun is true if
+    /// the head of a successful response had arrived.
+    virtual void startBroken(const RelayCall &call, const UpstreamRecord &upstream, bool begun, TimePoint now) = 0;
     /// Takes one retry from the retry budget of @p service; returns false if the budget is exhausted.
     [[nodiscard]] virtual bool takeRetry(const ServiceName &service, TimePoint now) = 0;
     /// The attempt has been assigned to its upstream; it may still wait for a delay or a memory reservation.
     virtual void attemptStarted(const RelayCall &call, const AttemptPlan &plan, TimePoint now) = 0;
-    /// The first event of the current attempt, or a successful response that is no stream, has arrived.
+    /// The first event of the current attempt, or a whole response that is no stream and no server error, has arrived.
     virtual void firstEventReceived(const RelayCall &call, TimePoint now) = 0;
     /// The attempt has ended, successfully or not.
     virtual void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) = 0;
--- a/ibismast/relay/promptquarantine.cpp
+++ b/ibismast/relay/promptquarantine.cpp
@@ -1,7 +1,5 @@
 #include "ibismast/relay/promptquarantine.h"
 
-#include "ibismast/core/stablehash.h"
-
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -19,6 +17,14 @@
     });
 }
 
+std::vector<PromptPartId> withOwnPart(std::vector<PromptPartId> parts, RequestHash request)
+{
+    if (request != RequestHash()) {
+        parts.push_back(ownPart(request));
+    }
+    return parts;
+}
+
 } // namespace
 
 std::string toText(const std::vector<PromptPartId> &parts)
@@ -33,14 +39,23 @@
 /// What speaks against a part.
 struct PromptQuarantine::Suspicion
 {
+    PromptPartId part;
     std::size_t crashes = 0;
-    std::size_t calls = 0;
-    std::size_t upstreams = 0;
+    std::set<RequestHash> requests;
+    std::set<UpstreamRunKey> upstreams;
     /// Largest position of the part in a prompt.
     std::size_t depth = 0;
     TimePoint lastBroken;
+    /// True if this entry has sent the attempt that broke off last.
+    bool lastIsLocal = false;
     /// Parts that all these prompts hold.
     PartSet common;
+
+    /// True if the part stands for a single request.
+    [[nodiscard]] bool isRequest() const
+    {
+        return requests.size() == 1 && ownPart(*requests.begin()) == part;
+    }
 };
 
 PromptQuarantine::PromptQuarantine(const PromptQuarantineSettings &settings, EventListener &listener)
@@ -48,26 +63,35 @@
 {
 }
 
-void PromptQuarantine::noteBrokenStart(const InstanceId &upstream,
-                                       std::uint64_t call,
-                                       const std::vector<PromptPartId> &parts,
-                                       TimePoint now)
+void PromptQuarantine::noteBrokenStart(
+    UpstreamRunKey upstream, RequestHash request, const std::vector<PromptPartId> &parts, bool begun, TimePoint now)
 {
-    if (parts.empty()) {
+    // A call that had not begun cannot have crashed its upstream by a part of its prompt.
+    PartSet held = withOwnPart(begun ? parts : PartSet(), request);
+    if (held.empty()) {
         return;
     }
-    Evidence evidence {stableHash(upstream.value()), call, parts, now};
-    if (parts.size() > m_settings.maxParts) {
-        evidence.parts.assign(parts.end() - static_cast<std::ptrdiff_t>(m_settings.maxParts), parts.end());
+    if (held.size() > m_settings.maxParts) {
+        held.erase(held.begin(), held.end() - static_cast<std::ptrdiff_t>(m_settings.maxParts));
     }
-    BrokenStart report {evidence.upstream, evidence.call, evidence.parts, {}};
-    if (addEvidence(std::move(evidence))) {
-        m_pending.brokenStarts.push_back(std::move(report));
+    if (addEvidence({upstream, request, held, now, begun, true})) {
+        m_pending.brokenStarts.push_back({upstream, request, std::move(held), {}, begun});
         evaluate(now);
     }
 }
 
-void PromptQuarantine::noteSound(const std::vector<PromptPartId> &parts, TimePoint now)
+bool PromptQuarantine::isKnown(PromptPartId part) const
+{
+    const auto names = [part](const auto &item) {
+        return holdsAll(item, {part});
+    };
+    return std::ranges::any_of(m_evidence, names, &Evidence::parts)
+        || std::ranges::any_of(m_quarantines, names, [](const auto &entry) -> const PartSet & {
+               return entry.first;
+           });
+}
+
+void PromptQuarantine::noteSound(RequestHash request, const std::vector<PromptPartId> &parts, TimePoint now)
 {
     for (const PromptPartId part : parts) {
         const bool suspected = std::ranges::any_of(m_quarantines, [&](const auto &entry) {
@@ -78,6 +102,11 @@
             m_pending.sound.push_back({part, {}});
         }
     }
+    // Most requests are sound and are not sent again, so only those are remembered that something speaks against.
+    if (request != RequestHash() && isKnown(ownPart(request))) {
+        markSound(ownPart(request), now, now);
+        m_pending.sound.push_back({ownPart(request), {}});
+    }
 }
 
 void PromptQuarantine::markSound(PromptPartId part, TimePoint at, TimePoint now)
@@ -122,21 +151,30 @@
     return now < lastBroken + m_settings.quarantineTime;
 }
 
-std::optional<PromptQuarantine::Hit> PromptQuarantine::find(const std::vector<PromptPartId> &parts, TimePoint now) const
+std::optional<PromptQuarantine::Hit>
+PromptQuarantine::find(RequestHash request, const std::vector<PromptPartId> &parts, TimePoint now) const
 {
+    const PartSet held = withOwnPart(parts, request);
     for (const auto &[quarantined, lastBroken] : m_quarantines) {
-        if (isInForce(lastBroken, now) && holdsAll(parts, quarantined)) {
-            return Hit {quarantined, lastBroken + m_settings.quarantineTime - now};
+        if (isInForce(lastBroken, now) && holdsAll(held, quarantined)) {
+            return Hit {quarantined, lastBroken + m_settings.quarantineTime - now, lastBroken};
         }
     }
     return std::nullopt;
 }
 
+bool PromptQuarantine::takeTest(RequestHash request, const Hit &hit, TimePoint now)
+{
+    return now - hit.lastBroken >= m_settings.testDelay && holdsAll(hit.parts, {ownPart(request)})
+        && m_testable.erase(hit.parts) > 0;
+}
+
 bool PromptQuarantine::addEvidence(Evidence evidence)
 {
     const bool known = std::ranges::any_of(m_evidence, [&](const Evidence &other) {
         const Duration apart = other.at < evidence.at ? evidence.at - other.at : other.at - evidence.at;
-        return other.upstream == evidence.upstream && other.call == evidence.call && apart < m_settings.reportTime;
+        return other.upstream == evidence.upstream && other.request == evidence.request
+            && apart < m_settings.reportTime;
     });
     if (known) {
         return false;
@@ -165,53 +203,145 @@
         });
         result.push_back(found == m_quarantines.end() ? nullptr : &found->first);
     }
+    // What explains why one call broke off explains the crash of its upstream, under which the others broke off.
+    std::map<UpstreamRunKey, const PartSet *> causes;
+    for (std::size_t index = 0; index < m_evidence.size(); ++index) {
+        if (result[index] != nullptr) {
+            causes.emplace(m_evidence[index].upstream, result[index]);
+        }
+    }
+    for (std::size_t index = 0; index < m_evidence.size(); ++index) {
+        const auto cause = causes.find(m_evidence[index].upstream);
+        if (result[index] == nullptr && cause != causes.end()) {
+            result[index] = cause->second;
+        }
+    }
     return result;
 }
 
+std::set<UpstreamRunKey> PromptQuarantine::crashedWhileAnswering() const
+{
+    std::set<UpstreamRunKey> upstreams;
+    for (const Evidence &evidence : m_evidence) {
+        if (evidence.begun) {
+            upstreams.insert(evidence.upstream);
+        }
+    }
+    return upstreams;
+}
+
 PromptQuarantine::Suspicion PromptQuarantine::suspicionOf(PromptPartId part,
                                                           const std::vector<const PartSet *> &explainedBy) const
 {
     Suspicion result;
-    std::set<std::uint64_t> calls;
-    std::set<std::uint64_t> upstreams;
+    result.part = part;
+    const std::set<UpstreamRunKey> answering = crashedWhileAnswering();
     TimePoint lastCrash = TimePoint::min();
+    const bool isRequest = std::ranges::any_of(m_evidence, [part](const Evidence &broken) {
+        return ownPart(broken.request) == part;
+    });
+    const Duration spacing = isRequest ? m_settings.requestCrashSpacing : m_settings.crashSpacing;
     for (std::size_t index = 0; index < m_evidence.size(); ++index) {
         const Evidence &broken = m_evidence[index];
         const PartSet *explanation = explainedBy[index];
-        if (!isSuspect(part, broken) || (explanation != nullptr && !holdsAll(*explanation, {part}))) {
+        if (!isSuspect(part, broken) || (explanation != nullptr && !holdsAll(*explanation, {part}))
+            || (!broken.begun && answering.contains(broken.upstream))) {
             continue;
         }
-        if (calls.empty()) {
+        if (result.requests.empty()) {
             result.common = broken.parts;
         }
         std::erase_if(result.common, [&](PromptPartId other) {
             return !isSuspect(other, broken);
         });
-        if (calls.empty() || broken.at - lastCrash >= m_settings.crashSpacing) {
+        if (result.requests.empty() || broken.at - lastCrash >= spacing) {
             lastCrash = broken.at;
             ++result.crashes;
         }
-        calls.insert(broken.call);
-        upstreams.insert(broken.upstream);
+        result.requests.insert(broken.request);
+        result.upstreams.insert(broken.upstream);
         const auto place = std::ranges::find(broken.parts, part) - broken.parts.begin();
         result.depth = std::max(result.depth, static_cast<std::size_t>(place));
         result.lastBroken = broken.at;
+        result.lastIsLocal = broken.local;
     }
-    result.calls = calls.size();
-    result.upstreams = upstreams.size();
     std::ranges::sort(result.common);
     result.common.erase(std::unique(result.common.begin(), result.common.end()), result.common.end());
     return result;
 }
 
-bool PromptQuarantine::isSufficient(const Suspicion &suspicion) const
+bool PromptQuarantine::isSufficient(const Suspicion &suspicion, TimePoint now) const
 {
-    return suspicion.crashes >= m_settings.minCrashes && suspicion.calls >= m_settings.minCalls
-        && suspicion.upstreams >= m_settings.minUpstreams;
+    if (suspicion.crashes < m_settings.minCrashes) {
+        return false;
+    }
+    if (suspicion.isRequest()) {
+        return suspicion.upstreams.size() >= m_settings.minCrashes
+            && now - suspicion.lastBroken >= m_settings.settleTime;
+    }
+    return suspicion.requests.size() >= m_settings.minCalls && suspicion.upstreams.size() >= m_settings.minUpstreams;
+}
+
+std::vector<PromptQuarantine::Suspicion>
+PromptQuarantine::worstSuspicions(const std::vector<const PartSet *> &explainedBy, TimePoint now) const
+{
+    struct Count
+    {
+        std::size_t all = 0;
+        std::size_t unexplained = 0;
+    };
+    std::map<PromptPartId, Count> counts;
+    for (std::size_t index = 0; index < m_evidence.size(); ++index) {
+        for (const PromptPartId part : m_evidence[index].parts) {
+            Count &count = counts[part];
+            ++count.all;
+            count.unexplained += explainedBy[index] == nullptr ? 1 : 0;
+        }
+    }
+    std::vector<Suspicion> candidates;
+    for (const auto &[part, count] : counts) {
+        if (count.all >= m_settings.minCrashes && count.unexplained > 0) {
+            Suspicion suspicion = suspicionOf(part, explainedBy);
+            if (suspicion.crashes >= m_settings.minCrashes) {
+                candidates.push_back(std::move(suspicion));
+            }
+        }
+    }
+    // A request is not the cause as long as another one was at all the upstreams that crashed under it.
+    const auto isEclipsed = [&](const Suspicion &suspicion) {
+        return suspicion.isRequest() && suspicion.crashes < m_settings.decisiveCrashes
+            && std::ranges::any_of(candidates, [&suspicion](const Suspicion &other) {
+                   return other.isRequest() && other.part != suspicion.part
+                       && std::ranges::includes(other.upstreams, suspicion.upstreams);
+               });
+    };
+    const auto rank = [](const Suspicion &suspicion) {
+        return std::pair(suspicion.crashes, suspicion.depth);
+    };
+    std::vector<Suspicion> worst;
+    for (const Suspicion &suspicion : candidates) {
+        if (!isSufficient(suspicion, now) || isEclipsed(suspicion)) {
+            continue;
+        }
+        const bool together = !worst.empty() && suspicion.isRequest() && worst.front().isRequest()
+            && suspicion.upstreams == worst.front().upstreams;
+        if (!together && !worst.empty() && rank(suspicion) <= rank(worst.front())) {
+            continue;
+        }
+        if (!together) {
+            worst.clear();
+        }
+        worst.push_back(suspicion);
+    }
+    return worst;
 }
 
 void PromptQuarantine::evaluate(TimePoint now)
 {
+    m_nextEvaluation.reset();
+    if (!m_evidence.empty() && now < m_evidence.back().at + m_settings.settleTime) {
+        m_nextEvaluation = m_evidence.back().at + m_settings.settleTime;
+    }
     std::vector<const PartSet *> explainedBy = explanations();
     // One more crash prolongs a quarantine, and begins it again if it has ended.
     for (std::size_t index = 0; index < explainedBy.size(); ++index) {
@@ -220,30 +350,22 @@
         }
     }
     while (m_quarantines.size() < m_settings.maxQuarantined) {
-        std::set<PromptPartId> candidates;
-        for (std::size_t index = 0; index < explainedBy.size(); ++index) {
-            if (explainedBy[index] == nullptr) {
-                candidates.insert(m_evidence[index].parts.begin(), m_evidence[index].parts.end());
-            }
+        const std::vector<Suspicion> worst = worstSuspicions(explainedBy, now);
+        if (worst.empty()) {
+            return;
         }
-        Suspicion worst;
-        for (const PromptPartId part : candidates) {
-            Suspicion suspicion = suspicionOf(part, explainedBy);
-            if (isSufficient(suspicion)
-                && std::pair(suspicion.crashes, suspicion.depth) > std::pair(worst.crashes, worst.depth)) {
-                worst = std::move(suspicion);
+        for (const Suspicion &suspicion : worst) {
+            if (suspicion.isRequest() && suspicion.lastIsLocal) {
+                m_testable.insert(suspicion.common);
             }
+            quarantine(suspicion.common,
+                       suspicion.lastBroken,
+                       {{"source", "own"},
+                        {"crashes", std::to_string(suspicion.crashes)},
+                        {"calls", std::to_string(suspicion.requests.size())},
+                        {"upstreams", std::to_string(suspicion.upstreams.size())}},
+                       now);
         }
-        if (worst.crashes == 0) {
-            return;
-        }
-        quarantine(worst.common,
-                   worst.lastBroken,
-                   {{"source", "own"},
-                    {"crashes", std::to_string(worst.crashes)},
-                    {"calls", std::to_string(worst.calls)},
-                    {"upstreams", std::to_string(worst.upstreams)}},
-                   now);
         explainedBy = explanations();
     }
 }
@@ -287,7 +409,8 @@
     }
     bool added = false;
     for (const BrokenStart &broken : update.brokenStarts) {
-        added = addEvidence({broken.upstream, broken.call, broken.parts, now - broken.age}) || added;
+        added = addEvidence({broken.upstream, broken.request, broken.parts, now - broken.age, broken.begun, false})
+            || added;
     }
     if (added) {
         evaluate(now);
@@ -299,7 +422,7 @@
     return std::exchange(m_pending, QuarantineUpdate());
 }
 
-QuarantineUpdate PromptQuarantine::summary(TimePoint now) const
+QuarantineUpdate PromptQuarantine::summary(TimePoint now)
 {
     QuarantineUpdate result;
     std::set<PromptPartId> parts;
@@ -307,7 +430,8 @@
         if (now - broken->at > m_settings.reportTime || result.brokenStarts.size() >= m_settings.maxReported) {
             break;
         }
-        result.brokenStarts.push_back({broken->upstream, broken->call, broken->parts, now - broken->at});
+        result.brokenStarts.push_back(
+            {broken->upstream, broken->request, broken->parts, now - broken->at, broken->begun});
         for (const PromptPartId part : broken->parts) {
             if (answeredSince(part, broken->at) && parts.size() < m_settings.maxReported) {
                 parts.insert(part);
@@ -317,16 +441,26 @@
     for (const PromptPartId part : parts) {
         result.sound.push_back({part, now - m_sound.at(part)});
     }
-    for (const auto &[quarantined, lastBroken] : m_quarantines) {
-        if (isInForce(lastBroken, now) && result.quarantined.size() < m_settings.maxReported) {
-            result.quarantined.push_back({quarantined, now - lastBroken});
+    auto next = m_quarantines.upper_bound(m_lastReported);
+    for (std::size_t seen = 0; seen < m_quarantines.size() && result.quarantined.size() < m_settings.maxReported;
+         ++seen) {
+        if (next == m_quarantines.end()) {
+            next = m_quarantines.begin();
+        }
+        if (isInForce(next->second, now)) {
+            result.quarantined.push_back({next->first, now - next->second});
         }
+        m_lastReported = next->first;
+        ++next;
     }
     return result;
 }
 
 void PromptQuarantine::expire(TimePoint now)
 {
+    if (m_nextEvaluation && now >= *m_nextEvaluation) {
+        evaluate(now);
+    }
     while (!m_evidence.empty() && now - m_evidence.front().at > m_settings.quarantineTime) {
         m_evidence.pop_front();
     }
@@ -336,6 +470,9 @@
     std::erase_if(m_quarantines, [this, now](const auto &entry) {
         return now - entry.second > m_settings.quarantineTime + m_settings.relapseTime;
     });
+    std::erase_if(m_testable, [this](const PartSet &parts) {
+        return !m_quarantines.contains(parts);
+    });
 }
 
 std::size_t PromptQuarantine::size(TimePoint now) const
--- a/ibismast/relay/promptquarantine.h
+++ b/ibismast/relay/promptquarantine.h
@@ -3,11 +3,13 @@
 #include "ibismast/core/eventlistener.h"
 #include "ibismast/core/ids.h"
 #include "ibismast/core/units.h"
+#include "ibismast/relay/upstreamrunkey.h"
 
 #include <cstddef>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,16 +19,24 @@
 /// Returns the ids of @p parts for logs and messages, separated by commas; `none` if there is none.
 [[nodiscard]] std::string toText(const std::vector<PromptPartId> &parts);
 
-/// Attempt that broke off after its upstream had begun to answer and before the first event.
+/// Returns the part that stands for the request as a whole. No other request holds it.
+[[nodiscard]] inline PromptPartId ownPart(RequestHash request)
+{
+    return PromptPartId(request.value());
+}
+
+/// Attempt that broke off before the first event or the end of its response.
 struct BrokenStart
 {
-    /// Hashes of the upstream's id and of the prompt, see `IncomingCall::fingerprint`.
-    std::uint64_t upstream = 0;
-    std::uint64_t call = 0;
-    /// Shared parts of the prompt in their order.
+    UpstreamRunKey upstream;
+    RequestHash request;
+    /// Shared parts of the prompt in their order, unless the upstream had not begun to answer, and the request's own
+    /// part.
     std::vector<PromptPartId> parts;
     /// Time since the attempt broke off.
     Duration age {};
+    /// True if the head of a successful response had arrived.
+    bool begun = true;
 
     bool operator==(const BrokenStart &) const = default;
 };
@@ -72,8 +82,18 @@
     std::size_t minCrashes = 3;
     std::size_t minCalls = 2;
     std::size_t minUpstreams = 2;
+    /// Number of crashes from which on a request is quarantined although another one was at the same upstreams.
+    std::size_t decisiveCrashes = 5;
+    /// Time that the evidence against a single request must be old, so that the reports of all entries on the same
+    /// crash have arrived.
+    Duration settleTime = std::chrono::milliseconds(200);
+    /// Time after the last crash of a single request after which one entry lets it through once. This shows whether the
+    /// request was only near to the crashes.
+    Duration testDelay = std::chrono::seconds(5);
     /// Broken starts within this time count as one crash: a lost network path breaks many connections at once.
     Duration crashSpacing = std::chrono::milliseconds(100);
+    /// The same for the broken starts of a single request, whose attempts follow each other.
+    Duration requestCrashSpacing = std::chrono::milliseconds(10);
     /// Time for which a part stays in quarantine after its last broken start, and for which broken starts are kept.
     Duration quarantineTime = std::chrono::minutes(10);
     /// Time after its quarantine within which one more broken start is enough to quarantine a part again.
@@ -89,41 +109,54 @@
     std::size_t maxParts = 16;
 };
 
-/// Finds prompt parts that crash upstreams, from the broken starts of all entries, and keeps prompts with such a part
-/// from the upstreams.
+/// Finds prompt parts and requests that crash upstreams, from the broken starts of all entries, and keeps prompts with
+/// such a part, and such requests when they are sent again, from the upstreams.
 ///
 /// A part is quarantined if several crashes have it in common and no upstream has answered a prompt that holds it
 /// since. Parts that cannot be told apart, since all these prompts hold all of them, are quarantined together. An
 /// answer to a prompt with one of them then shows that the others are the cause.
+///
+/// A request counts as a part of its own, see `ownPart`. It is quarantined if it was at several upstreams when they
+/// crashed, no upstream has answered it since, and no other request was at all of these upstreams too. If some of the
+/// calls that broke off with an upstream had begun, only these can be the cause.
 class PromptQuarantine
 {
 public:
     PromptQuarantine(const PromptQuarantineSettings &settings, EventListener &listener);
 
-    /// Records that an attempt with @p parts broke off at the start of its answer. @p call is the hash of its prompt.
-    void noteBrokenStart(const InstanceId &upstream,
-                         std::uint64_t call,
+    /// Records that an attempt to send @p request, whose prompt holds @p parts, broke off. @p begun is true if the head
+    /// of a successful response had arrived.
+    void noteBrokenStart(UpstreamRunKey upstream,
+                         RequestHash request,
                          const std::vector<PromptPartId> &parts,
+                         bool begun,
                          TimePoint now);
-    /// Records that an upstream has begun to answer a prompt with @p parts and sent an event.
-    void noteSound(const std::vector<PromptPartId> &parts, TimePoint now);
+    /// Records that an upstream has answered @p request, whose prompt holds @p parts, or has sent an event of the
+    /// answer.
+    void noteSound(RequestHash request, const std::vector<PromptPartId> &parts, TimePoint now);
 
     /// Quarantine that applies to a prompt, and its remaining time.
     struct Hit
     {
         std::vector<PromptPartId> parts;
         Duration left {};
+        /// Time of the last crash.
+        TimePoint lastBroken;
     };
-    /// Returns the quarantine that applies to a prompt with @p parts; empty if there is none.
-    [[nodiscard]] std::optional<Hit> find(const std::vector<PromptPartId> &parts, TimePoint now) const;
+    /// Returns the quarantine that applies to @p request, whose prompt holds @p parts; empty if there is none.
+    [[nodiscard]] std::optional<Hit>
+    find(RequestHash request, const std::vector<PromptPartId> &parts, TimePoint now) const;
+    /// Returns true if the quarantine @p hit of a single request may be tested by letting @p request through, and
+    /// counts the test. Each quarantine is tested once, by the entry that has seen the crash that began it.
+    [[nodiscard]] bool takeTest(RequestHash request, const Hit &hit, TimePoint now);
 
     /// Applies what another entry has reported.
     void apply(const QuarantineUpdate &update, TimePoint now);
     /// Returns what the other entries must learn at once, and clears it.
     [[nodiscard]] QuarantineUpdate takeUpdate();
-    /// Returns what each heartbeat repeats.
-    [[nodiscard]] QuarantineUpdate summary(TimePoint now) const;
-    /// Drops what is too old to matter.
+    /// Returns what each heartbeat repeats, of a large number of quarantines other ones with each call.
+    [[nodiscard]] QuarantineUpdate summary(TimePoint now);
+    /// Evaluates evidence that has become old enough, and drops what is too old to matter.
     void expire(TimePoint now);
     /// Number of quarantines in force.
     [[nodiscard]] std::size_t size(TimePoint now) const;
@@ -131,10 +164,13 @@
 private:
     struct Evidence
     {
-        std::uint64_t upstream = 0;
-        std::uint64_t call = 0;
+        UpstreamRunKey upstream;
+        RequestHash request;
         std::vector<PromptPartId> parts;
         TimePoint at;
+        bool begun = true;
+        /// True if this entry has sent the attempt.
+        bool local = false;
     };
     struct Suspicion;
     /// Parts of a quarantine, in ascending order.
@@ -146,15 +182,23 @@
     void evaluate(TimePoint now);
     /// Returns for each item of the evidence the quarantine that explains it, or null.
     [[nodiscard]] std::vector<const PartSet *> explanations() const;
+    /// Upstreams of which a call had begun when they crashed.
+    [[nodiscard]] std::set<UpstreamRunKey> crashedWhileAnswering() const;
+    /// Returns the parts with sufficient evidence that explain the most crashes; several only if they are requests that
+    /// were at the same upstreams.
+    [[nodiscard]] std::vector<Suspicion> worstSuspicions(const std::vector<const PartSet *> &explainedBy,
+                                                         TimePoint now) const;
     /// Returns what speaks against @p part: the evidence that no quarantine of other parts explains.
     [[nodiscard]] Suspicion suspicionOf(PromptPartId part, const std::vector<const PartSet *> &explainedBy) const;
-    [[nodiscard]] bool isSufficient(const Suspicion &suspicion) const;
+    [[nodiscard]] bool isSufficient(const Suspicion &suspicion, TimePoint now) const;
     /// True if @p evidence speaks against @p part: the prompt holds it, and no answer has shown since that it is sound.
     [[nodiscard]] bool isSuspect(PromptPartId part, const Evidence &evidence) const;
     /// True if an upstream has answered a prompt with @p part after @p at.
     [[nodiscard]] bool answeredSince(PromptPartId part, TimePoint at) const;
     [[nodiscard]] bool isInForce(TimePoint lastBroken, TimePoint now) const;
     void markSound(PromptPartId part, TimePoint at, TimePoint now);
+    /// True if the evidence or a quarantine names @p part.
+    [[nodiscard]] bool isKnown(PromptPartId part) const;
     /// Records that attempts with @p parts last broke off at @p lastBroken, and logs a quarantine that begins by that.
     void quarantine(const PartSet &parts, TimePoint lastBroken, std::vector<LogField> details, TimePoint now);
 
@@ -166,6 +210,12 @@
     std::map<PromptPartId, TimePoint> m_sound;
     /// Parts that are or were in quarantine, and the time of their last broken start.
     std::map<PartSet, TimePoint> m_quarantines;
+    /// Quarantines of single requests that this entry may test.
+    std::set<PartSet> m_testable;
+    /// Time at which the newest evidence is evaluated again; empty if that is not needed.
+    std::optional<TimePoint> m_nextEvaluation;
+    /// Quarantine that the last summary ended with.
+    PartSet m_lastReported;
     QuarantineUpdate m_pending;
 };
 
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -101,11 +101,13 @@
                       "the instance is shutting down and cannot complete the call in time",
                       StopRetryAfter};
     }
-    if (std::optional<Error> error = checkParts(incoming.promptParts, now)) {
+    call.requestHash = requestHash(incoming, customer);
+    call.promptParts = incoming.promptParts;
+    call.requestId = incoming.requestId;
+    if (std::optional<Error> error = checkQuarantine(call, now)) {
         return std::move(*error);
     }
     call.number = CallNumber(++m_lastCall);
-    call.requestId = incoming.requestId;
     call.route = *route;
     call.service = RouteTable::serviceOf(*route, m_random.uniform());
     call.arrived = now;
@@ -113,8 +115,6 @@
     call.size = incoming.size;
     call.lastEventId = incoming.lastEventId;
     call.fingerprint = incoming.fingerprint;
-    call.requestHash = requestHash(incoming, customer);
-    call.promptParts = incoming.promptParts;
     call.returning = m_refused.contains(incoming.fingerprint);
     call.configVersion = m_routes->config().version;
     call.host = incoming.host;
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -203,7 +203,7 @@
     /// Returns what all other entries must learn of prompt parts at once; later calls do not return it again.
     [[nodiscard]] QuarantineUpdate takeQuarantineUpdate();
     /// Returns what each heartbeat repeats of it.
-    [[nodiscard]] QuarantineUpdate quarantineSummary(TimePoint now) const;
+    [[nodiscard]] QuarantineUpdate quarantineSummary(TimePoint now);
     /// Number of prompt parts in quarantine.
     [[nodiscard]] std::size_t quarantinedParts(TimePoint now) const;
     /// True if this entry's failure domain is a cell. See `CellView`.
@@ -229,7 +229,7 @@
     planFault(const RelayCall &call, const AttemptPlan &plan, TimePoint now) const override;
     [[nodiscard]] std::optional<Error> readmit(RelayCall &call) override;
     [[nodiscard]] std::optional<Error> checkPrompt(const RelayCall &call, TimePoint now) const override;
-    void startBroken(const RelayCall &call, const InstanceId &upstream, TimePoint now) override;
+    void startBroken(const RelayCall &call, const UpstreamRecord &upstream, bool begun, TimePoint now) override;
     [[nodiscard]] bool takeRetry(const ServiceName &service, TimePoint now) override;
     void attemptStarted(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
     void firstEventReceived(const RelayCall &call, TimePoint now) override;
@@ -267,8 +267,11 @@
     /// entries of other cells learn of it if @p fleetWide is true.
     void announceRate(UpstreamRunKey upstream, bool fleetWide, TimePoint now);
     void applyRateReports(const InstanceId &entry, const std::vector<RateLimitReport> &reports, TimePoint now);
-    /// Returns an error if one of @p parts is in quarantine.
-    [[nodiscard]] std::optional<Error> checkParts(const std::vector<PromptPartId> &parts, TimePoint now) const;
+    /// Returns the error for a call to which the quarantine @p hit applies.
+    [[nodiscard]] static Error quarantineError(const RelayCall &call, const PromptQuarantine::Hit &hit);
+    /// Returns an error if a quarantine applies to @p call, which has just arrived. Otherwise, the call may be marked
+    /// as a test of one.
+    [[nodiscard]] std::optional<Error> checkQuarantine(RelayCall &call, TimePoint now);
     /// Returns the configured service @p name, or null.
     [[nodiscard]] const RelayService *service(const ServiceName &name) const;
     /// Whether a plan may use more than the estimated capacity of the engines, since the estimates lag behind the end
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -232,7 +232,7 @@
 
 void RelayCore::firstEventReceived(const RelayCall &call, TimePoint now)
 {
-    m_quarantine.noteSound(call.promptParts, now);
+    m_quarantine.noteSound(call.requestHash, call.promptParts, now);
     const auto placement = m_placements.find(call.number);
     if (placement != m_placements.end()) {
         const auto &[number, domains] = placement->second;
--- a/ibismast/relay/relaycorereports.cpp
+++ b/ibismast/relay/relaycorereports.cpp
@@ -46,24 +46,42 @@
     return RequestHash(combineHashes(caller, incoming.contentHash));
 }
 
-std::optional<Error> RelayCore::checkParts(const std::vector<PromptPartId> &parts, TimePoint now) const
+Error RelayCore::quarantineError(const RelayCall &call, const PromptQuarantine::Hit &hit)
 {
-    const std::optional<PromptQuarantine::Hit> hit = m_quarantine.find(parts, now);
+    const bool request = std::ranges::find(hit.parts, ownPart(call.requestHash)) != hit.parts.end();
+    return {ResultCode::PromptQuarantined,
+            request ? "the request " + toString(call.requestHash) + " has crashed upstreams"
+                    : "the prompt parts " + toText(hit.parts) + " have crashed upstreams",
+            hit.left};
+}
+
+std::optional<Error> RelayCore::checkQuarantine(RelayCall &call, TimePoint now)
+{
+    const std::optional<PromptQuarantine::Hit> hit = m_quarantine.find(call.requestHash, call.promptParts, now);
     if (!hit) {
         return std::nullopt;
     }
-    return Error {
-        ResultCode::PromptQuarantined, "the prompt parts " + toText(hit->parts) + " have crashed upstreams", hit->left};
+    if (!m_quarantine.takeTest(call.requestHash, *hit, now)) {
+        return quarantineError(call, *hit);
+    }
+    m_listener->onEvent("quarantine_tested",
+                        {{"request", call.requestId}, {"request_hash", toString(call.requestHash)}});
+    call.testsQuarantine = true;
+    return std::nullopt;
 }
 
 std::optional<Error> RelayCore::checkPrompt(const RelayCall &call, TimePoint now) const
 {
-    return checkParts(call.promptParts, now);
+    const std::optional<PromptQuarantine::Hit> hit = m_quarantine.find(call.requestHash, call.promptParts, now);
+    if (!hit || (call.testsQuarantine && hit->lastBroken < call.arrived)) {
+        return std::nullopt;
+    }
+    return quarantineError(call, *hit);
 }
 
-void RelayCore::startBroken(const RelayCall &call, const InstanceId &upstream, TimePoint now)
+void RelayCore::startBroken(const RelayCall &call, const UpstreamRecord &upstream, bool begun, TimePoint now)
 {
-    m_quarantine.noteBrokenStart(upstream, call.fingerprint, call.promptParts, now);
+    m_quarantine.noteBrokenStart(runKey(upstream), call.requestHash, call.promptParts, begun, now);
 }
 
 void RelayCore::applyQuarantineUpdate(const QuarantineUpdate &update, TimePoint now)
@@ -76,7 +94,7 @@
     return m_quarantine.takeUpdate();
 }
 
-QuarantineUpdate RelayCore::quarantineSummary(TimePoint now) const
+QuarantineUpdate RelayCore::quarantineSummary(TimePoint now)
 {
     return m_quarantine.summary(now);
 }
--- a/ibismast/relay/upstreampauses.h
+++ b/ibismast/relay/upstreampauses.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "ibismast/relay/relayconfig.h"
-#include "ibismast/relay/upstreamratelimits.h"
+#include "ibismast/core/units.h"
+#include "ibismast/relay/upstreamrunkey.h"
 
 #include <cstddef>
 #include <map>
--- a/ibismast/relay/upstreamratelimits.h
+++ b/ibismast/relay/upstreamratelimits.h
@@ -1,15 +1,13 @@
 #pragma once
 
 #include "ibismast/relay/relayconfig.h"
+#include "ibismast/relay/upstreamrunkey.h"
 
 #include <cstddef>
 
 namespace ibismast
 {
 
-/// Identifies one run of an upstream in reports between entries: a hash of its id and incarnation.
-using UpstreamRunKey = StrongInteger<struct UpstreamRunKeyTag, std::uint64_t>;
-
 /// Rate limit of an upstream as one entry knows it, and what this entry has sent to the upstream.
 struct RateLimitReport
 {
--- a/wire/relay.thrift
+++ b/wire/relay.thrift
@@ -21,13 +21,15 @@
     6: required list<RelayReadShare> reads,
 }
 
-/// Attempt that broke off at the start of its answer.
+/// Attempt that broke off before the first event or the end of its answer.
 struct RelayBrokenStart {
-    /// Hashes of the upstream's id and of the prompt.
+    /// Hash of the upstream's id and incarnation, and hash of the request.
     1: required i64 upstream,
     2: required i64 call,
     3: required list<i64> parts,
     4: required i64 ageMs,
+    /// False if the upstream had not begun to answer; absent means true.
+    5: optional bool begun,
 }
 
 /// Prompt parts that are kept from the upstreams together, with the time since their last broken start.
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -126,8 +126,11 @@
         message.__isset.brokenStarts = true;
         for (const BrokenStart &broken : update.brokenStarts) {
             wire::relay::RelayBrokenStart &start = message.brokenStarts.emplace_back();
-            start.upstream = static_cast<std::int64_t>(broken.upstream);
-            start.call = static_cast<std::int64_t>(broken.call);
+            start.upstream = static_cast<std::int64_t>(broken.upstream.value());
+            start.call = static_cast<std::int64_t>(broken.request.value());
+            if (!broken.begun) {
+                start.__set_begun(false);
+            }
             start.parts = toThrift(broken.parts);
             start.ageMs = toMs(broken.age);
         }
@@ -158,10 +161,11 @@
         if (!age) {
             continue;
         }
-        update.brokenStarts.push_back({static_cast<std::uint64_t>(start.upstream),
-                                       static_cast<std::uint64_t>(start.call),
+        update.brokenStarts.push_back({UpstreamRunKey(static_cast<std::uint64_t>(start.upstream)),
+                                       RequestHash(static_cast<std::uint64_t>(start.call)),
                                        fromThrift(start.parts),
-                                       *age});
+                                       *age,
+                                       !start.__isset.begun || start.begun});
     }
     for (const wire::relay::RelayQuarantine &quarantine : message.quarantines) {
         const std::optional<Duration> age = decodeAge(quarantine.ageMs);
