--- a/UnitTests/platform/platformtest.cpp
+++ b/UnitTests/platform/platformtest.cpp
@@ -11,13 +11,13 @@
 TEST_CASE("a record names an upstream only if all its fields have their types", "[platform]")
 {
     const auto [value, readable] = GENERATE(table<std::string, bool>({
-        {R"({"backend":"p","address":"1:2","zone":"z","slots":16,"state":"ready","seq":4,"born":5})", true},
-        {R"({"backend":"p","address":"1:2","zone":"z","slots":16,"state":"draining","seq":4})", true},
-        {R"({"backend":"p","address":"1:2","zone":"z","slots":16,"state":"ready","seq":4,"born":5.5})", false},
-        {R"({"backend":"p","address":"1:2","zone":"z","slots":16,"state":"odd","seq":4})", false},
-        {R"({"backend":7,"address":"1:2","zone":"z","slots":16,"state":"ready","seq":4})", false},
+        {R"({"backend":"p","address":"10.0.0.1:2","zone":"z","slots":16,"state":"ready","seq":4,"born":5})", true},
+        {R"({"backend":"p","address":"10.0.0.1:2","zone":"z","slots":16,"state":"draining","seq":4})", true},
+        {R"({"backend":"p","address":"10.0.0.1:2","zone":"z","slots":16,"state":"ready","seq":4,"born":5.5})", false},
+        {R"({"backend":"p","address":"10.0.0.1:2","zone":"z","slots":16,"state":"odd","seq":4})", false},
+        {R"({"backend":7,"address":"10.0.0.1:2","zone":"z","slots":16,"state":"ready","seq":4})", false},
         {R"({"backend":"p","zone":"z","slots":16,"state":"ready","seq":4})", false},
-        {R"({"backend":"p","address":"1:2","zone":"z","slots":16,"state":"ready","seq":"4"})", false},
+        {R"({"backend":"p","address":"10.0.0.1:2","zone":"z","slots":16,"state":"ready","seq":"4"})", false},
         {R"([1])", false},
         {"\xff\xfe", false},
         {"", false},
@@ -31,6 +31,41 @@
     }
 }
 
+// Guards against one odd record of another writer that ends the entries or that they take for an upstream: very deeply
+// nested, with a number too large, or with an address that no connection can be opened to.
+TEST_CASE("an odd record among those of the upstreams names none", "[platform]")
+{
+    constexpr std::size_t Depth = 200'000;
+    const auto with = [](const std::string &address, const std::string &fields) {
+        return R"({"backend":"p","zone":"z","state":"ready","address":")" + address + "\"," + fields + "}";
+    };
+    const std::string numbers = R"("slots":16,"seq":4)";
+    const std::string value =
+        GENERATE_COPY(as<std::string> {},
+                      std::string(Depth, '['),
+                      std::string(Depth, '[') + std::string(Depth, ']'),
+                      with("10.0.0.1:2", numbers + ",\"more\":" + std::string(Depth, '[') + std::string(Depth, ']')),
+                      with("10.0.0.1:2", R"("slots":16,"seq":1e999)"),
+                      with("10.0.0.1:2", R"("slots":16,"seq":18446744073709551615)"),
+                      with("10.0.0.1:2", R"("slots":16,"seq":99999999999999999999999999)"),
+                      with("10.0.0.1:2", R"("slots":99999999999999999999999999,"seq":4)"),
+                      with("10.0.0.1:2", numbers + R"(,"born":1e400)"),
+                      with("10.0.0.1:65536", numbers),
+                      with("10.0.0.1:99999999999999999999", numbers),
+                      with("10.0.0.1:-1", numbers),
+                      with("10.0.0.1:0", numbers),
+                      with("10.0.0.1:", numbers),
+                      with("10.0.0.1", numbers),
+                      with("10.0.0.256:2", numbers),
+                      with("host:2", numbers),
+                      with("", numbers));
+    const PlatformDecoder decoder;
+    CHECK(errorOf(decoder.decodeUpstream({"servers/i-1", value, 3})) != nullptr);
+    CHECK(errorOf(decoder.decodeUpstream({"servers/i-1", with("10.0.0.1:65535", numbers), 3})) == nullptr);
+    CHECK(errorOf(decoder.decodeUpstream({"serv", with("10.0.0.1:65535", numbers), 3})) != nullptr);
+    CHECK(errorOf(decoder.decodeConfig({"op/config", value, 3})) != nullptr);
+}
+
 // Guards against fields of the configuration that are lost or mixed up.
 TEST_CASE("a configuration is decoded into the product's types", "[platform]")
 {
