Refuse streams that a stopping entry would cut

Here a stopping entry took every stream that arrived until 4.6 s before its end, also one that must not be repeated and whose timeout is longer, and one whose first event was predicted for later.

While an entry stops, a stream that cannot be resumed is taken only if its timeout is within the time left, as other calls that must not be repeated, and a new generation only if its predicted end is. Others are refused at once with Retry-After 0.1 s.

3 of the 7 rows of the new table failed before.

--- a/UnitTests/relay/relaycoretest.cpp
+++ b/UnitTests/relay/relaycoretest.cpp
@@ -117,6 +117,36 @@
     CHECK(submit("/g/x", "key") == status);
 }
 
+// Guards against calls that a stopping instance takes late and cuts at its end without an answer: streams that no other
+// instance can resume, and prompts whose answer is predicted to come later than that.
+TEST_CASE_METHOD(CoreFixture, "a stopping instance takes no stream that would be cut", "[relay]")
+{
+    const auto [path, kind, left, prompt, status] = GENERATE(table<std::string, CallKind, Duration, std::int64_t, int>({
+        {"/k/x", CallKind::Stream, 10'100ms, 1'000, 0},
+        {"/k/x", CallKind::Stream, 9'900ms, 1'000, 503},
+        {"/k/x", CallKind::Stream, 4'700ms, 1'000, 503},
+        {"/k/x", CallKind::AtMostOnce, 9'900ms, 1'000, 503},
+        {"/k/x", CallKind::ResumableStream, 4'700ms, 1'000, 0},
+        {"/k/x", CallKind::ResumableStream, 7'000ms, 200'000, 503},
+        {"/k/x", CallKind::ResumableStream, 60'000ms, 200'000, 0},
+    }));
+    CAPTURE(static_cast<int>(kind), left.count(), prompt);
+    RelayRoute route = m_config.routes.front();
+    route.pathPrefix = "/k/";
+    route.kind = kind;
+    m_config.routes.push_back(route);
+    m_config.services.at(ServiceName("pool")).engine->prefillTokensPerSecond = 20'000.0;
+    configure();
+    addEngine();
+    core.beginStop(now + left);
+    CHECK(submit(path, "key", 0, Tokens(prompt)) == status);
+    if (status == 503 && !actions.empty()) {
+        const auto *refuse = std::get_if<Refuse>(&actions.back().action);
+        REQUIRE(refuse != nullptr);
+        CHECK(refuse->retryAfter == 100ms);
+    }
+}
+
 // Load: more short prompts than slots. Guards against queues that delay all calls, and against calls that are refused
 // again when their callers retry.
 TEST_CASE_METHOD(CoreFixture, "a call that was refused before may queue where a new one is refused", "[relay][load]")
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -7,14 +7,6 @@
 namespace ibismast
 {
 
-namespace
-{
-
-/// Retry-After of a stopping instance. It is short, since other instances can serve the call at once.
-constexpr Duration StopRetryAfter = std::chrono::milliseconds(100);
-
-} // namespace
-
 std::uint64_t requestContentHash(std::string_view method, std::string_view target, std::string_view body)
 {
     return combineHashes(combineHashes(stableHash(method), stableHash(target)), stableHash(body));
@@ -99,7 +91,7 @@
     if (m_stopEnd && now + typicalDuration(*route) > *m_stopEnd) {
         return Error {ResultCode::ShuttingDown,
                       "the instance is shutting down and cannot complete the call in time",
-                      StopRetryAfter};
+                      m_settings.stopRetryAfter};
     }
     call.requestHash = requestHash(incoming, customer);
     call.promptParts = incoming.promptParts;
@@ -177,8 +169,9 @@
 
 Duration RelayCore::typicalDuration(const RelayRoute &route) const
 {
-    const bool plain = route.kind == CallKind::Idempotent || route.kind == CallKind::AtMostOnce;
-    return plain ? route.timeout : std::min(route.timeout, m_settings.typicalStreamTime);
+    // Another instance can go on only with a stream that may be resumed.
+    return route.kind != CallKind::ResumableStream ? route.timeout
+                                                   : std::min(route.timeout, m_settings.typicalStreamTime);
 }
 
 void RelayCore::run(CallNumber number, const FlowStep &step, RelayActions &actions)
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -81,8 +81,11 @@
     int maxEngineQueue = 1;
     /// The same limit for calls that are sent again after a refusal.
     int maxReturningQueue = 12;
-    /// Time within which all but rare streams end; a stopping instance refuses streams if it has less time left.
+    /// Time within which all but rare streams end; a stopping instance refuses resumable streams if it has less time
+    /// left, and other calls if it has less time left than their timeout.
     Duration typicalStreamTime = std::chrono::milliseconds(4600);
+    /// Retry-After of a stopping instance. It is short, since other instances can serve the call at once.
+    Duration stopRetryAfter = std::chrono::milliseconds(100);
     /// Time for which the fingerprint of a refused call is kept; callers retry within a third of their timeout.
     Duration refusalRetention = std::chrono::seconds(6);
     /// Maximum number of bytes of incomplete responses and events that are buffered for all calls together.
@@ -272,6 +275,9 @@
     /// Returns an error if a quarantine applies to @p call, which has just arrived. Otherwise, the call may be marked
     /// as a test of one.
     [[nodiscard]] std::optional<Error> checkQuarantine(RelayCall &call, TimePoint now);
+    /// Returns the predicted time from the start of an attempt by @p plan to the end of its response.
+    [[nodiscard]] static Duration
+    expectedTime(const RelayCall &call, const EngineProfile &profile, const AttemptPlan &plan);
     /// Returns the configured service @p name, or null.
     [[nodiscard]] const RelayService *service(const ServiceName &name) const;
     /// Whether a plan may use more than the estimated capacity of the engines, since the estimates lag behind the end
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -11,6 +11,12 @@
 /// Retries per ten seconds that an entry may always make, however many entries share the allowance.
 constexpr double MinRetries = 1.0;
 
+/// Returns the KV memory that a call with a typical output uses in the end.
+Tokens typicalMemory(const RelayCall &call, const EngineProfile &profile)
+{
+    return call.size.prompt + Tokens(static_cast<std::int64_t>(profile.typicalOutputTokens));
+}
+
 } // namespace
 
 // Implementation of `CallEnvironment`: choice of upstreams, retry budget, load tracking and refusals.
@@ -48,6 +54,11 @@
         }
         std::optional<AttemptPlan> plan =
             generation ? planInCells(call, *target->engine, untried, now) : planPlainCall(untried);
+        if (plan && generation && m_stopEnd && tried.empty()
+            && now + expectedTime(call, *target->engine, *plan) > *m_stopEnd) {
+            // Another instance has the time to complete the call.
+            return std::nullopt;
+        }
         if (plan) {
             return plan;
         }
@@ -199,10 +210,8 @@
     placement.id = {m_settings.self, CallNumber(++m_lastPlacement)};
     placement.decodingEngine = plan.upstream.id;
     placement.pauseTarget = call.route.pauseTarget;
-    placement.memory = call.size.prompt + Tokens(static_cast<std::int64_t>(profile.typicalOutputTokens));
-    const double passes = profile.typicalOutputTokens / static_cast<double>(profile.tokensPerPass);
-    placement.expected =
-        plan.timeToFirstEvent + fromSeconds(passes * toSeconds(estimateDecodePass(profile, 1, placement.memory)));
+    placement.memory = typicalMemory(call, profile);
+    placement.expected = expectedTime(call, profile, plan);
     placement.prefills.push_back({plan.upstream.id, plan.prefillTime, Tokens()});
     for (const AttemptHelper &helper : plan.helpers) {
         placement.prefills.push_back({helper.upstream.id, plan.prefillTime, helper.reserved});
@@ -217,6 +226,13 @@
     m_pendingUpdate.placed.push_back(std::move(placement));
 }
 
+Duration RelayCore::expectedTime(const RelayCall &call, const EngineProfile &profile, const AttemptPlan &plan)
+{
+    const double passes = profile.typicalOutputTokens / static_cast<double>(profile.tokensPerPass);
+    const Duration pass = estimateDecodePass(profile, 1, typicalMemory(call, profile));
+    return plan.timeToFirstEvent + fromSeconds(passes * toSeconds(pass));
+}
+
 std::set<FailureDomain> RelayCore::remoteDomains(const AttemptPlan &plan) const
 {
     std::set<FailureDomain> domains;
--- a/ibismast/relay/relaycorereports.cpp
+++ b/ibismast/relay/relaycorereports.cpp
@@ -143,6 +143,9 @@
 
 std::optional<Duration> RelayCore::retryDelay(const RelayCall &call, TimePoint now) const
 {
+    if (m_stopEnd) {
+        return m_settings.stopRetryAfter;
+    }
     const UpstreamDirectory::Candidates candidates = m_directory.candidates(call.service, now);
     std::optional<TimePoint> first;
     for (const auto *upstreams : {&candidates.trusted, &candidates.suspected}) {
