Keep the newest quarantines and test requests that share parts

A quarantined request that shares parts with other prompts lost its test as soon as these parts were found to be sound, since its quarantine was then another set; the test now follows it.

--- a/UnitTests/relay/promptquarantinetest.cpp
+++ b/UnitTests/relay/promptquarantinetest.cpp
@@ -437,6 +437,53 @@
     }
 }
 
+// Guards against a request that is not tested since its prompt shares a part with others.
+TEST_CASE_METHOD(QuarantineFixture, "a request is tested when its shared parts are found to be sound", "[relay]")
+{
+    const bool answered = GENERATE(false, true);
+    const RequestHash request(CallBase + 0xa);
+    for (int index = 0; index < 3; ++index) {
+        now += 500ms;
+        breakAt(first, index, 0xa, {SystemPart});
+    }
+    now += 200ms;
+    first.expire(now);
+    if (answered) {
+        now += 100ms;
+        first.noteSound(RequestHash(CallBase + 0xb), {SystemPart}, now);
+    }
+    first.expire(now);
+    now += 5s;
+    const auto hit = first.find(request, {SystemPart}, now);
+    REQUIRE(hit);
+    CHECK(hit->parts.size() == (answered ? 1 : 2));
+    CHECK(first.takeTest(request, *hit, now));
+}
+
+// Guards against a full table of quarantines that lets the next crashing request through.
+TEST_CASE_METHOD(QuarantineFixture, "the newest quarantines are kept", "[relay]")
+{
+    const std::uint64_t requests = PromptQuarantineSettings().maxQuarantined + 20;
+    const bool byMessage = GENERATE(false, true);
+    for (std::uint64_t request = 0; request < requests; ++request) {
+        for (int index = 0; index < 3; ++index) {
+            now += 20ms;
+            breakAt(first, static_cast<int>(request * 3) + index, request, {});
+        }
+        now += 200ms;
+        first.expire(now);
+        if (byMessage) {
+            QuarantineUpdate update = first.takeUpdate();
+            update.brokenStarts.clear();
+            second.apply(update, now);
+        }
+    }
+    const PromptQuarantine &entry = byMessage ? second : first;
+    CHECK(entry.size(now) == PromptQuarantineSettings().maxQuarantined);
+    CHECK_FALSE(isQuarantined(entry, RequestHash(CallBase)));
+    CHECK(isQuarantined(entry, RequestHash(CallBase + requests - 1)));
+}
+
 // Guards against an entry that has just started and does not learn of all requests in quarantine.
 TEST_CASE_METHOD(QuarantineFixture, "heartbeats report all quarantines in turn", "[relay]")
 {
--- a/ibismast/relay/promptquarantine.cpp
+++ b/ibismast/relay/promptquarantine.cpp
@@ -129,7 +129,11 @@
         // The other parts remain as the cause.
         PartSet rest = parts;
         std::erase(rest, part);
+        const bool testable = m_testable.erase(parts) > 0;
         if (!rest.empty()) {
+            if (testable) {
+                m_testable.insert(rest);
+            }
             narrowed.emplace_back(std::move(rest), lastBroken);
         }
         return true;
@@ -349,7 +353,7 @@
             quarantine(*explainedBy[index], m_evidence[index].at, {{"source", "relapse"}}, now);
         }
     }
-    while (m_quarantines.size() < m_settings.maxQuarantined) {
+    for (std::size_t round = 0; round < m_settings.maxQuarantined; ++round) {
         const std::vector<Suspicion> worst = worstSuspicions(explainedBy, now);
         if (worst.empty()) {
             return;
@@ -377,15 +381,28 @@
 {
     const auto [place, added] = m_quarantines.try_emplace(parts, lastBroken);
     const bool wasInForce = !added && isInForce(place->second, now);
-    place->second = std::max(place->second, lastBroken);
-    if (wasInForce || !isInForce(place->second, now)) {
+    const TimePoint last = std::max(place->second, lastBroken);
+    place->second = last;
+    if (added) {
+        dropOldest();
+    }
+    if (wasInForce || !isInForce(last, now)) {
         return;
     }
-    m_pending.quarantined.push_back({parts, now - place->second});
+    m_pending.quarantined.push_back({parts, now - last});
     details.insert(details.begin(), {"parts", toText(parts)});
     m_listener->onEvent("prompt_part_quarantined", details);
 }
 
+void PromptQuarantine::dropOldest()
+{
+    if (m_quarantines.size() > m_settings.maxQuarantined) {
+        m_quarantines.erase(std::ranges::min_element(m_quarantines, {}, [](const auto &entry) {
+            return entry.second;
+        }));
+    }
+}
+
 void PromptQuarantine::apply(const QuarantineUpdate &update, TimePoint now)
 {
     for (const SoundPart &report : update.sound) {
@@ -397,8 +414,7 @@
         std::erase_if(parts, [&](PromptPartId part) {
             return answeredSince(part, lastBroken);
         });
-        if (parts.empty() || !isInForce(lastBroken, now)
-            || (!m_quarantines.contains(parts) && m_quarantines.size() >= m_settings.maxQuarantined)) {
+        if (parts.empty() || !isInForce(lastBroken, now)) {
             continue;
         }
         const auto [place, added] = m_quarantines.try_emplace(parts, lastBroken);
@@ -406,6 +422,9 @@
             m_listener->onEvent("prompt_part_quarantined", {{"parts", toText(parts)}, {"source", "entry"}});
         }
         place->second = std::max(place->second, lastBroken);
+        if (added) {
+            dropOldest();
+        }
     }
     bool added = false;
     for (const BrokenStart &broken : update.brokenStarts) {
--- a/ibismast/relay/promptquarantine.h
+++ b/ibismast/relay/promptquarantine.h
@@ -100,7 +100,8 @@
     Duration relapseTime = std::chrono::hours(24);
     /// Time for which other entries are told of a broken start and of an answer, in case a message is lost.
     Duration reportTime = std::chrono::seconds(5);
-    /// Maximum number of broken starts, of quarantines and of sound parts that are kept.
+    /// Maximum number of broken starts, of quarantines and of sound parts that are kept. Of quarantines, it must be
+    /// larger than what the broken starts can be evidence for.
     std::size_t maxBrokenStarts = 256;
     std::size_t maxQuarantined = 256;
     std::size_t maxSound = 8192;
@@ -201,6 +202,8 @@
     [[nodiscard]] bool isKnown(PromptPartId part) const;
     /// Records that attempts with @p parts last broke off at @p lastBroken, and logs a quarantine that begins by that.
     void quarantine(const PartSet &parts, TimePoint lastBroken, std::vector<LogField> details, TimePoint now);
+    /// Makes room for a new quarantine: drops the one that broke off the longest time ago if there are too many.
+    void dropOldest();
 
     PromptQuarantineSettings m_settings;
     EventListener *m_listener;
