Report an answer to a suspected request once for each crash

A request that is sent often, such as a poll, and was once near to a crash sent a message to all entries with each answer for the ten minutes in which the evidence is kept. Now only an answer that clears something is reported.

--- a/UnitTests/relay/promptquarantinetest.cpp
+++ b/UnitTests/relay/promptquarantinetest.cpp
@@ -437,6 +437,23 @@
     }
 }
 
+// Guards against a message to all entries for each answer to a request that is sent often and was near to a crash once.
+TEST_CASE_METHOD(QuarantineFixture, "an answer is reported once for each crash that a request was near to", "[relay]")
+{
+    const RequestHash request(CallBase + 0xa);
+    std::size_t reports = 0;
+    for (int crash = 0; crash < 2; ++crash) {
+        breakAt(first, crash, 0xa, {});
+        (void)first.takeUpdate();
+        for (int answer = 0; answer < 50; ++answer) {
+            now += 100ms;
+            first.noteSound(request, {}, now);
+            reports += first.takeUpdate().sound.size();
+        }
+    }
+    CHECK(reports == 2);
+}
+
 // Guards against a request that is not tested since its prompt shares a part with others.
 TEST_CASE_METHOD(QuarantineFixture, "a request is tested when its shared parts are found to be sound", "[relay]")
 {
--- a/ibismast/relay/promptquarantine.cpp
+++ b/ibismast/relay/promptquarantine.cpp
@@ -80,14 +80,14 @@
     }
 }
 
-bool PromptQuarantine::isKnown(PromptPartId part) const
+bool PromptQuarantine::isSuspect(PromptPartId part) const
 {
-    const auto names = [part](const auto &item) {
-        return holdsAll(item, {part});
-    };
-    return std::ranges::any_of(m_evidence, names, &Evidence::parts)
-        || std::ranges::any_of(m_quarantines, names, [](const auto &entry) -> const PartSet & {
-               return entry.first;
+    return std::ranges::any_of(m_evidence,
+                               [this, part](const Evidence &evidence) {
+                                   return isSuspect(part, evidence);
+                               })
+        || std::ranges::any_of(m_quarantines, [part](const auto &entry) {
+               return holdsAll(entry.first, {part});
            });
 }
 
@@ -103,7 +103,7 @@
         }
     }
     // Most requests are sound and are not sent again, so only those are remembered that something speaks against.
-    if (request != RequestHash() && isKnown(ownPart(request))) {
+    if (request != RequestHash() && isSuspect(ownPart(request))) {
         markSound(ownPart(request), now, now);
         m_pending.sound.push_back({ownPart(request), {}});
     }
--- a/ibismast/relay/promptquarantine.h
+++ b/ibismast/relay/promptquarantine.h
@@ -198,8 +198,8 @@
     [[nodiscard]] bool answeredSince(PromptPartId part, TimePoint at) const;
     [[nodiscard]] bool isInForce(TimePoint lastBroken, TimePoint now) const;
     void markSound(PromptPartId part, TimePoint at, TimePoint now);
-    /// True if the evidence or a quarantine names @p part.
-    [[nodiscard]] bool isKnown(PromptPartId part) const;
+    /// True if evidence or a quarantine speaks against @p part.
+    [[nodiscard]] bool isSuspect(PromptPartId part) const;
     /// Records that attempts with @p parts last broke off at @p lastBroken, and logs a quarantine that begins by that.
     void quarantine(const PartSet &parts, TimePoint lastBroken, std::vector<LogField> details, TimePoint now);
     /// Makes room for a new quarantine: drops the one that broke off the longest time ago if there are too many.
