Judge a crashing request by the settled part of the evidence

The evidence against a request had to be 200 ms old as a whole, and each crash made it younger again.

Only the broken starts of the last 200 ms are left out now, and the evidence is evaluated again whenever the next one has become old enough.

--- a/UnitTests/relay/promptquarantinetest.cpp
+++ b/UnitTests/relay/promptquarantinetest.cpp
@@ -520,3 +520,20 @@
     }
     CHECK(second.size(now) == Requests);
 }
+
+// Guards against a request that comes so often that the evidence against it never seems complete: 15 upstreams crashed
+// before it was quarantined.
+TEST_CASE_METHOD(QuarantineFixture,
+                 "a request that crashes upstreams without a pause is quarantined as soon",
+                 "[relay]")
+{
+    const Duration apart = GENERATE(20ms, 50ms, 150ms, 500ms);
+    const TimePoint start = now;
+    const auto thirdCrash = start + 2 * apart;
+    for (int crash = 0; now < thirdCrash + 300ms; ++crash) {
+        breakAt(first, crash, 0xa, {});
+        now += apart;
+        first.expire(now);
+    }
+    CHECK(isQuarantined(first, RequestHash(CallBase + 0xa)));
+}
--- a/ibismast/relay/promptquarantine.cpp
+++ b/ibismast/relay/promptquarantine.cpp
@@ -46,6 +46,8 @@
     /// Largest position of the part in a prompt.
     std::size_t depth = 0;
     TimePoint lastBroken;
+    /// Time of the first broken start at each of the upstreams.
+    std::map<UpstreamRunKey, TimePoint> crashTimes;
     /// True if this entry has sent the attempt that broke off last.
     bool lastIsLocal = false;
     /// Parts that all these prompts hold.
@@ -56,6 +58,26 @@
     {
         return requests.size() == 1 && ownPart(*requests.begin()) == part;
     }
+    /// Leaves out the crashes after @p end, and counts those that are at least @p spacing apart.
+    void keepUntil(TimePoint end, Duration spacing)
+    {
+        std::vector<TimePoint> times;
+        std::erase_if(upstreams, [this, end](UpstreamRunKey upstream) {
+            return crashTimes.at(upstream) > end;
+        });
+        for (const UpstreamRunKey upstream : upstreams) {
+            times.push_back(crashTimes.at(upstream));
+        }
+        std::ranges::sort(times);
+        crashes = 0;
+        TimePoint last = TimePoint::min();
+        for (const TimePoint time : times) {
+            if (crashes == 0 || time - last >= spacing) {
+                last = time;
+                ++crashes;
+            }
+        }
+    }
 };
 
 PromptQuarantine::PromptQuarantine(const PromptQuarantineSettings &settings, EventListener &listener)
@@ -264,6 +286,7 @@
         }
         result.requests.insert(broken.request);
         result.upstreams.insert(broken.upstream);
+        result.crashTimes.emplace(broken.upstream, broken.at);
         const auto place = std::ranges::find(broken.parts, part) - broken.parts.begin();
         result.depth = std::max(result.depth, static_cast<std::size_t>(place));
         result.lastBroken = broken.at;
@@ -274,14 +297,13 @@
     return result;
 }
 
-bool PromptQuarantine::isSufficient(const Suspicion &suspicion, TimePoint now) const
+bool PromptQuarantine::isSufficient(const Suspicion &suspicion, TimePoint /*now*/) const
 {
     if (suspicion.crashes < m_settings.minCrashes) {
         return false;
     }
     if (suspicion.isRequest()) {
-        return suspicion.upstreams.size() >= m_settings.minCrashes
-            && now - suspicion.lastBroken >= m_settings.settleTime;
+        return suspicion.upstreams.size() >= m_settings.minCrashes;
     }
     return suspicion.requests.size() >= m_settings.minCalls && suspicion.upstreams.size() >= m_settings.minUpstreams;
 }
@@ -306,6 +328,9 @@
     for (const auto &[part, count] : counts) {
         if (count.all >= m_settings.minCrashes && count.unexplained > 0) {
             Suspicion suspicion = suspicionOf(part, explainedBy);
+            if (suspicion.isRequest()) {
+                suspicion.keepUntil(now - m_settings.settleTime, m_settings.requestCrashSpacing);
+            }
             if (suspicion.crashes >= m_settings.minCrashes) {
                 candidates.push_back(std::move(suspicion));
             }
@@ -342,10 +367,9 @@
 
 void PromptQuarantine::evaluate(TimePoint now)
 {
-    m_nextEvaluation.reset();
-    if (!m_evidence.empty() && now < m_evidence.back().at + m_settings.settleTime) {
-        m_nextEvaluation = m_evidence.back().at + m_settings.settleTime;
-    }
+    const auto unsettled = std::ranges::upper_bound(m_evidence, now - m_settings.settleTime, {}, &Evidence::at);
+    m_nextEvaluation =
+        unsettled == m_evidence.end() ? std::nullopt : std::optional(unsettled->at + m_settings.settleTime);
     std::vector<const PartSet *> explainedBy = explanations();
     // One more crash prolongs a quarantine, and begins it again if it has ended.
     for (std::size_t index = 0; index < explainedBy.size(); ++index) {
