--- a/review/standins/cases.cc
+++ b/review/standins/cases.cc
@@ -259,17 +259,23 @@
 /// Rule LOST: after one server has sent an event without end, the relay also throws away what a sound server sends.
 [[noreturn]] void overflow(bool trouble)
 {
-    constexpr double FaultBegin = 2.0;
-    constexpr double FaultEnd = 10.0;
-    constexpr double End = 12.0;
-    Runs runs;
-    std::atomic<int> answersOfFaulty {0};
-    std::atomic<int> spoilt {0};
-    const Handler model = [&](Server &server, Socket &socket, const Request &request) {
+    // The disruption comes three times, each time for 8 s and on one server.
+    constexpr double FaultSeconds = 8.0;
+    constexpr std::array FaultBegins {2.0, 12.0, 22.0};
+    constexpr double End = 31.0;
+    static Runs runs;
+    static std::atomic<int> answersOfFaulty {0};
+    static std::atomic<int> spoilt {0};
+    static std::mutex faultyMutex;
+    static std::string faultyServer;
+    const auto isFaulty = [](const std::string &server) {
+        const std::lock_guard<std::mutex> lock(faultyMutex);
+        return server == faultyServer;
+    };
+    const Handler model = [isFaulty](Server &server, Socket &socket, const Request &request) {
         runs.add(request.id(), server.id);
         // garble: one of six servers spoils one in twenty of its answers for 8 s.
-        const bool faulty = trouble && server.id == "model-0" && seconds() > FaultBegin && seconds() < FaultEnd
-            && ++answersOfFaulty % 20 == 0;
+        const bool faulty = isFaulty(server.id) && ++answersOfFaulty % 20 == 0;
         return stream(server, socket, request, 0.005, [&, faulty](int event) {
             if (faulty && event == 4) {
                 ++spoilt;
@@ -289,19 +295,44 @@
     Deployment &deployment = *new Deployment(model, 6, application, 3);
     deployment.waitReady();
     started = Clock::now();
-    LostByEntry lost {};
-    std::atomic<int> answered {0};
+    static LostByEntry lost {};
+    static std::atomic<int> answered {0};
     std::vector<std::thread> threads;
     for (std::size_t entry = 0; entry < deployment.entries.size(); ++entry) {
         // The share of connections for each entry is uneven.
         for (int number = 0; number < (entry == 0 ? 45 : 3); ++number) {
             threads.emplace_back([&, entry, number] {
-                streamRequester(deployment, entry, number, End, runs, [](const std::string &server) {
-                    return server != "model-0";
+                streamRequester(deployment, entry, number, End, runs, [isFaulty](const std::string &server) {
+                    return !isFaulty(server);
                 }, lost, answered);
             });
         }
     }
+    for (const double begin : FaultBegins) {
+        sleepFor(begin - seconds());
+        if (trouble) {
+            // The server that has run the most requests of late.
+            std::vector<int> before;
+            for (const auto &server : deployment.servers) {
+                before.push_back(server->runs);
+            }
+            sleepFor(0.5);
+            std::size_t busiest = 0;
+            for (std::size_t index = 0; index < 6; ++index) {
+                if (deployment.servers[index]->runs - before[index]
+                    > deployment.servers[busiest]->runs - before[busiest]) {
+                    busiest = index;
+                }
+            }
+            const std::lock_guard<std::mutex> lock(faultyMutex);
+            faultyServer = deployment.servers[busiest]->id;
+            record.line("from now on server %s spoils one in twenty of its answers", faultyServer.c_str());
+        }
+        sleepFor(begin + FaultSeconds - seconds());
+        const std::lock_guard<std::mutex> lock(faultyMutex);
+        faultyServer.clear();
+        record.line("no server spoils answers");
+    }
     for (std::thread &thread : threads) {
         thread.join();
     }
