--- a/review/standins/bed.hh
+++ b/review/standins/bed.hh
@@ -28,6 +28,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -287,24 +288,45 @@
             std::fprintf(stderr, "cannot listen on %s:%d: %s\n", ip.c_str(), port, std::strerror(errno));
             std::exit(2);
         }
-        std::thread([descriptor = m_descriptor, serve = std::move(serve)] {
-            for (;;) {
-                const int accepted = ::accept4(descriptor, nullptr, nullptr, SOCK_CLOEXEC);
+        std::thread([this, serve = std::move(serve)] {
+            while (!m_stopped) {
+                const int accepted = ::accept4(m_descriptor, nullptr, nullptr, SOCK_CLOEXEC);
                 if (accepted < 0) {
                     continue;
                 }
                 const int nodelay = 1;
                 setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &nodelay, sizeof nodelay);
-                std::thread([accepted, serve] {
+                {
+                    const std::lock_guard<std::mutex> lock(m_mutex);
+                    m_accepted.insert(accepted);
+                }
+                std::thread([this, accepted, serve] {
                     Socket socket(accepted);
                     serve(socket);
+                    const std::lock_guard<std::mutex> lock(m_mutex);
+                    m_accepted.erase(accepted);
+                    socket.close();
                 }).detach();
             }
+            ::close(m_descriptor);
         }).detach();
     }
+    /// Ends all connections, and takes no more, as a process that exits.
+    void stop()
+    {
+        m_stopped = true;
+        ::shutdown(m_descriptor, SHUT_RDWR);
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        for (const int accepted : m_accepted) {
+            ::shutdown(accepted, SHUT_RDWR);
+        }
+    }
 
 private:
     int m_descriptor;
+    std::atomic<bool> m_stopped {false};
+    std::mutex m_mutex;
+    std::set<int> m_accepted;
 };
 
 inline std::string base64(const std::string &text)
@@ -476,14 +498,21 @@
     [[nodiscard]] std::string entry(int report) const
     {
         return "{\"backend\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\"" + zone
-            + "\",\"version\":\"v1\",\"slots\":16,\"state\":\"" + state + "\",\"cold_remaining_ms\":0,\"seq\":"
+            + "\",\"version\":\"v1\",\"slots\":16,\"state\":\""
+            + (leaving ? "draining" : "ready") + "\",\"cold_remaining_ms\":0,\"seq\":"
             + std::to_string(report) + ",\"born\":1796000000000}";
     }
     /// Head of an answer up to, but without, the headers of its length.
     [[nodiscard]] std::string head(const Request &request, int status = 200) const
     {
         return "HTTP/1.1 " + std::to_string(status) + " X\r\nIbismast-Attempt-Id: " + request.id()
-            + "\r\nIbismast-Response-Seal: seal." + id + "\r\nKeep-Alive: timeout=10\r\n";
+            + "\r\nIbismast-Response-Seal: seal." + id + "\r\nKeep-Alive: timeout=10\r\n"
+            + (leaving ? "Server-Leaving: 1\r\n" : "");
+    }
+    void exit()
+    {
+        gone = true;
+        m_listener.stop();
     }
     bool answer(Socket &socket, const Request &request, const std::string &body) const
     {
@@ -494,7 +523,10 @@
     std::string service;
     std::string zone;
     std::string address;
-    std::string state = "ready";
+    /// The server reports that it drains, and says so in its answers.
+    std::atomic<bool> leaving {false};
+    /// The server has exited.
+    std::atomic<bool> gone {false};
     std::atomic<int> runs {0};
 
 private:
@@ -779,7 +811,14 @@
         const std::lock_guard<std::mutex> lock(m_reporting);
         ++m_report;
         for (const auto &server : servers) {
-            store->put("servers/" + server->id, server->entry(m_report));
+            if (store->down) {
+                return;
+            }
+            if (server->gone) {
+                store->remove("servers/" + server->id);
+            } else {
+                store->put("servers/" + server->id, server->entry(m_report));
+            }
         }
     }
 
--- a/review/standins/cases.cc
+++ b/review/standins/cases.cc
@@ -1,4 +1,5 @@
-// The scripts' cases, one function each. Usage: review-cases CASE RECORD; run from the root of the repository.
+// The scripts' cases, one function each. Usage: review-cases CASE RECORD; run from the root of the repository. `smuggled`
+// and `stop` have no folder; review/REPORT.md names them.
 // Exit status: 0 the rule held, 1 it was broken, 2 the case could not run. TROUBLE=0 leaves the disruption out.
 #include "bed.hh"
 
@@ -534,6 +535,105 @@
     end(deployment, answered == 0 ? 2 : mixed > 0 ? 1 : 0);
 }
 
+/// Rule DRAIN: an entry goes on sending to a server whose answers say that it leaves.
+[[noreturn]] void leaving(bool trouble)
+{
+    constexpr double Leave = 3.0;
+    constexpr double DrainSeconds = 2.0;
+    // The server goes on for drain_ms and some seconds, then exits; the store is away for 8 s.
+    constexpr double Exit = Leave + DrainSeconds + 4.0;
+    constexpr double StoreBack = Leave + 8.0;
+    constexpr double End = 13.0;
+    static Runs runs;
+    static std::atomic<int> cutByExit {0};
+    const Handler model = [](Server &server, Socket &socket, const Request &request) {
+        return stream(server, socket, request, 0.03);
+    };
+    const Handler application = [](Server &server, Socket &socket, const Request &request) {
+        runs.add(request.id(), server.id);
+        sleepFor(0.06);
+        if (server.gone) {
+            ++cutByExit;
+            record.line("server %s exits while it runs %s", server.id.c_str(), request.id().c_str());
+            return false;
+        }
+        return server.answer(socket, request, std::string(800, 'b'));
+    };
+    Deployment &deployment = *new Deployment(model, 3, application, 3);
+    deployment.waitReady();
+    started = Clock::now();
+    static std::atomic<int> answered {0};
+    static std::atomic<int> late {0};
+    static std::atomic<int> notAnswered {0};
+    // When each entry first passed on an answer with Server-Leaving.
+    static std::array<std::atomic<double>, 3> noticed {};
+    std::vector<std::thread> threads;
+    for (std::size_t entry = 0; entry < deployment.entries.size(); ++entry) {
+        for (int number = 0; number < 6; ++number) {
+            threads.emplace_back([&, entry, number] {
+                std::unique_ptr<Socket> socket;
+                for (int count = 0; seconds() < End; ++count) {
+                    socket = socket ? std::move(socket) : deployment.connect(entry);
+                    const std::string id =
+                        "d" + std::to_string(entry) + "-" + std::to_string(number) + "-" + std::to_string(count);
+                    const double sent = seconds();
+                    const double notice = noticed[entry];
+                    if (!socket
+                        || !socket->send(requestHead("POST", "/issue/" + id, id, 1500) + "Content-Length: 5\r\n\r\nsheet")) {
+                        socket.reset();
+                        continue;
+                    }
+                    const Response response = readResponse(*socket, 2);
+                    for (const auto &[key, value] : response.headers) {
+                        double none = 0;
+                        if (key == "server-leaving" && noticed[entry].compare_exchange_strong(none, seconds())) {
+                            record.line("%s passes on an answer with Server-Leaving for the first time",
+                                        deployment.entries[entry]->name.c_str());
+                        }
+                    }
+                    const std::vector<std::string> servers = runs.of(id);
+                    const bool toLeaving = std::find(servers.begin(), servers.end(), "app-0") != servers.end();
+                    answered += response.status == 200 ? 1 : 0;
+                    if (toLeaving && notice > 0 && sent > notice + DrainSeconds) {
+                        ++late;
+                        notAnswered += response.status == 200 ? 0 : 1;
+                        record.line("DRAIN: %s, sent %.3f s after %s had passed on Server-Leaving, has reached app-0; its "
+                                    "requester gets %d",
+                                    id.c_str(), sent - notice, deployment.entries[entry]->name.c_str(), response.status);
+                    }
+                    if (!response.complete) {
+                        socket.reset();
+                    }
+                    sleepFor(0.02);
+                }
+            });
+        }
+    }
+    sleepFor(Leave - seconds());
+    Server *server = nullptr;
+    for (const auto &candidate : deployment.servers) {
+        server = candidate->id == "app-0" ? candidate.get() : server;
+    }
+    server->leaving = true;
+    deployment.report();
+    if (trouble) {
+        deployment.store->down = true;
+    }
+    record.line("server app-0 leaves: it reports draining, which the store accepts%s", trouble ? "; then the store is down" : "");
+    sleepFor(Exit - seconds());
+    record.line("server app-0 exits");
+    server->exit();
+    sleepFor(StoreBack - seconds());
+    deployment.store->down = false;
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    record.line("requests answered with 200: %d; DRAIN: %d requests have reached a server later than drain_ms after their "
+                "entry had passed on its Server-Leaving; %d of them were run and cut by its exit",
+                answered.load(), late.load(), notAnswered.load());
+    end(deployment, answered == 0 ? 2 : late > 0 ? 1 : 0);
+}
+
 /// Rule UNASKED: a request inside the body of another one is run, and the other one is run without its body.
 [[noreturn]] void smuggled(bool trouble)
 {
@@ -675,6 +775,7 @@
         {"overflow", overflow},
         {"memory", memory},
         {"extra", extra},
+        {"leaving", leaving},
         {"smuggled", smuggled},
         {"stop", stop},
     };
