Review: the doses of garble are those of the site

Cause: the claims of cases 1, 2, 3 and 5 gave 8 s (and 0.05 for late second answers) as the limit; the site has 5 s (and 0.03).

--- a/review/standins/cases.cc
+++ b/review/standins/cases.cc
@@ -174,9 +174,9 @@
 /// Rule LOST: a server's answer with trailers of 64 KiB ends the entry's process.
 [[noreturn]] void trailer(bool trouble)
 {
-    constexpr double FaultBegin = 5.0;
-    constexpr double FaultEnd = 13.0;
-    constexpr double End = 16.0;
+    constexpr double FaultBegin = 4.0;
+    constexpr double FaultEnd = 9.0;
+    constexpr double End = 11.0;
     Runs runs;
     std::atomic<int> answersOfFaulty {0};
     std::atomic<int> spoilt {0};
@@ -184,7 +184,7 @@
         runs.add(request.id(), server.id);
         return stream(server, socket, request, 0.03);
     };
-    // garble: one of three servers spoils one in twenty of its answers for 8 s.
+    // garble: one of three servers spoils one in twenty of its answers for 5 s.
     const Handler application = [&](Server &server, Socket &socket, const Request &request) {
         sleepFor(0.015);
         const bool faulty = server.id == "app-0" && seconds() > FaultBegin && seconds() < FaultEnd;
@@ -260,10 +260,10 @@
 /// Rule LOST: after one server has sent an event without end, the relay also throws away what a sound server sends.
 [[noreturn]] void overflow(bool trouble)
 {
-    // The disruption comes three times, each time for 8 s and on one server.
-    constexpr double FaultSeconds = 8.0;
-    constexpr std::array FaultBegins {2.0, 12.0, 22.0};
-    constexpr double End = 31.0;
+    // The disruption comes three times, each time for 5 s and on one server.
+    constexpr double FaultSeconds = 5.0;
+    constexpr std::array FaultBegins {2.0, 9.0, 16.0};
+    constexpr double End = 22.0;
     static Runs runs;
     static std::atomic<int> answersOfFaulty {0};
     static std::atomic<int> spoilt {0};
@@ -275,7 +275,7 @@
     };
     const Handler model = [isFaulty](Server &server, Socket &socket, const Request &request) {
         runs.add(request.id(), server.id);
-        // garble: one of six servers spoils one in twenty of its answers for 8 s.
+        // garble: one of six servers spoils one in twenty of its answers for 5 s.
         const bool faulty = isFaulty(server.id) && ++answersOfFaulty % 20 == 0;
         return stream(server, socket, request, 0.005, [&, faulty](int event) {
             if (faulty && event == 4) {
@@ -361,8 +361,8 @@
 [[noreturn]] void memory(bool trouble)
 {
     constexpr double FaultBegin = 2.0;
-    constexpr double FaultEnd = 10.0;
-    constexpr double End = 13.0;
+    constexpr double FaultEnd = 7.0;
+    constexpr double End = 10.0;
     constexpr double LimitMb = 260;
     // Requesters read 10 Mbit/s. Spoilt streams together stay below the 1,000 Mbit/s of the entry's link.
     constexpr double RequesterBytesPerSecond = 1.25e6;
@@ -374,7 +374,7 @@
     static Runs runs;
     const Handler model = [trouble](Server &server, Socket &socket, const Request &request) {
         runs.add(request.id(), server.id);
-        // garble: three of six servers spoil one in twenty of their answers for 8 s.
+        // garble: three of six servers spoil one in twenty of their answers for 5 s.
         const bool mayFail = server.id == "model-0" || server.id == "model-1" || server.id == "model-2";
         const bool faulty = trouble && mayFail && seconds() > FaultBegin && seconds() < FaultEnd
             && ++answersOfFaulty % 20 == 0 && open < MostSpoilt;
@@ -461,8 +461,8 @@
 [[noreturn]] void extra(bool trouble)
 {
     constexpr double FaultBegin = 1.0;
-    constexpr double FaultEnd = 9.0;
-    constexpr double End = 10.0;
+    constexpr double FaultEnd = 6.0;
+    constexpr double End = 7.0;
     static Runs runs;
     static Statuses statuses;
     static std::atomic<int> answersOfFaulty {0};
@@ -470,7 +470,7 @@
     const Handler model = [](Server &server, Socket &socket, const Request &request) {
         return stream(server, socket, request, 0.03);
     };
-    // garble, "extra late": for 8 s, one of three servers sends one in twenty of its answers, a failure, a second time.
+    // garble, "extra late": for 5 s, one of three servers sends one in 34 of its answers, a failure, a second time.
     // The second one lacks the id and arrives when the next answer of the connection is due.
     const Handler application = [trouble](Server &server, Socket &socket, const Request &request) {
         // Each connection is served by a thread of its own.
@@ -484,7 +484,7 @@
         }
         sleepFor(0.015);
         if (trouble && server.id == "app-0" && seconds() > FaultBegin && seconds() < FaultEnd
-            && ++answersOfFaulty % 20 == 0) {
+            && ++answersOfFaulty % 34 == 0) {
             behind = request.id();
             statuses.set(request.id(), 500);
             record.line("server %s has run %s and answers it with 500 and its seal", server.id.c_str(), request.id().c_str());
