Turn exceptions of the HTTP library into errors of the message

Callers lost all requests that an entry had open when one answer of a faulty upstream ended the entry's process: a trailer of 65,534 bytes or more.

Cause: Boost.Beast throws std::length_error for a name or value above 65,533 bytes; nothing caught it. Limits kept such heads away, but trailers were checked only after the library had parsed the read that completed them, and a large max_header_bytes lets callers' heads through.

Change: HttpMessageParser runs each step of the library where an exception becomes an error of the message. Trailers and chunk extensions keep to the limit of the head however they are split.

--- a/UnitTests/adapters/httpfronttest.cpp
+++ b/UnitTests/adapters/httpfronttest.cpp
@@ -289,6 +289,27 @@
     CHECK(next.waitFor("ready\n"));
 }
 
+// Guards against a caller that ends the process by a header or trailer of 64 KiB (review case 1). The trailer comes in
+// two parts, of which the first keeps to the limit of the head.
+TEST_CASE("a head or trailer that the library cannot hold is a bad request", "[adapters]")
+{
+    const std::string head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\n";
+    const std::string fill(65'000, 'y');
+    const auto [start, rest] = GENERATE_COPY(table<std::string, std::string>({
+        {head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: " + std::string(10'000, 'y'), fill + "\r\n\r\n"},
+        {head + "X: ", fill + "\r\n\r\n"},
+    }));
+    Front front;
+    RawClient client(front.front.port());
+    client.send(start);
+    (void)runUntil([rounds = 0]() mutable {
+        return ++rounds > 20;
+    });
+    client.send(rest);
+    REQUIRE(client.waitFor(R"({"error": {"code": 1001)"));
+    CHECK(front.port.replies.empty());
+}
+
 // Guards against a second request whose answer would be mixed with the stream of the first.
 TEST_CASE("a pipelined request is refused after the first answer", "[adapters]")
 {
--- a/UnitTests/adapters/relay/callerconnectiontest.cpp
+++ b/UnitTests/adapters/relay/callerconnectiontest.cpp
@@ -28,9 +28,10 @@
     }
     RelayLimits limits() const override
     {
-        return {1'024, 2'048, std::chrono::seconds(3), std::chrono::seconds(15)};
+        return {maxHeadBytes, 2'048, std::chrono::seconds(3), std::chrono::seconds(15)};
     }
 
+    std::uint32_t maxHeadBytes = 1'024;
     int requests = 0;
     int gone = 0;
     std::string lastBody;
@@ -138,6 +139,21 @@
     CHECK(handler.requests == 0);
 }
 
+// Guards against a caller that ends the process by a header or trailer of 64 KiB, where the configuration allows such a
+// head (review case 1).
+TEST_CASE_METHOD(ServerFixture, "a relayed request that the library cannot hold is a bad request", "[relay]")
+{
+    const std::string fill(70'000, 'y');
+    const std::string request =
+        GENERATE_COPY("GET / HTTP/1.1\r\nHost: h\r\nX: " + fill + "\r\n\r\n",
+                      "GET / HTTP/1.1\r\nHost: h\r\n" + fill + ": x\r\n\r\n",
+                      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + fill + "\r\n\r\n");
+    handler.maxHeadBytes = 1'024 * 1'024;
+    caller.write(request);
+    CHECK(awaitReceived(" 400 "));
+    CHECK(handler.requests == 0);
+}
+
 // Guards against answers that come out of order or are lost when a caller sends ahead.
 TEST_CASE_METHOD(ServerFixture, "requests that are sent ahead are answered in turn", "[relay]")
 {
--- a/UnitTests/adapters/upstreamclientstest.cpp
+++ b/UnitTests/adapters/upstreamclientstest.cpp
@@ -384,3 +384,28 @@
     CHECK_FALSE(std::get<ServiceFailure>(events[3]).mayHaveRun);
     CHECK(server.requests.size() == 3);
 }
+
+// Guards against a service that ends the process by a trailer of 64 KiB in its answer (review case 1).
+TEST_CASE("an answer that the library cannot hold is a failure of the service", "[adapters]")
+{
+    ScriptedServer server;
+    server.answer("POST /long",
+                  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: "
+                      + std::string(GENERATE(65'600, 100'000), 'y') + "\r\n\r\n");
+    std::vector<ServiceEvent> events;
+    ServiceClient client(server.endpoint(), [&events](const ServiceEvent &event) {
+        events.push_back(event);
+    });
+    client.invoke({Operation,
+                   CustomerId("c"),
+                   "POST",
+                   "/long",
+                   "text/plain",
+                   std::make_shared<const std::string>("data"),
+                   std::chrono::seconds(10)});
+    REQUIRE(runUntil([&events] {
+        return !events.empty();
+    }));
+    CHECK(std::get<ServiceFailure>(events[0]).mayHaveRun);
+    CHECK(std::get<ServiceFailure>(events[0]).error.code == ResultCode::ServiceFailed);
+}
--- a/UnitTests/platform/platformstoretest.cpp
+++ b/UnitTests/platform/platformstoretest.cpp
@@ -81,6 +81,26 @@
     CHECK(config->revision.era == StoreEra(second));
 }
 
+// Guards against an answer of the store that ends the process by a trailer of 64 KiB (review case 1). Orders, reports
+// and copies are read by the same requester.
+TEST_CASE_METHOD(StoreFixture, "an answer that the library cannot hold is no answer", "[platform]")
+{
+    const std::size_t size = GENERATE(as<std::size_t>(), 65'534, 65'600, 73'000);
+    std::optional<bool> failed;
+    store.readConfig(5s, [&failed](const Result<StoredConfig> &result) {
+        failed = errorOf(result) != nullptr;
+    });
+    REQUIRE(runUntil(loop, [this] {
+        return peer.received.find("\r\n\r\n") != std::string::npos;
+    }));
+    peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX: " + std::string(size, 'y')
+               + "\r\n\r\n");
+    REQUIRE(runUntil(loop, [&failed] {
+        return failed.has_value();
+    }));
+    CHECK(*failed);
+}
+
 // Guards against a list that is joined from pages of two histories, which may name an upstream twice or not at all.
 TEST_CASE_METHOD(StoreFixture, "a list is read within one era of the store", "[platform]")
 {
--- a/adapters/plumbing/httpmessage.cpp
+++ b/adapters/plumbing/httpmessage.cpp
@@ -29,6 +29,30 @@
     return {ResultCode::MalformedRequest, "malformed HTTP message: " + code.message(), std::nullopt};
 }
 
+Error longLine(const HttpMessageLimits &limits)
+{
+    return {ResultCode::MalformedRequest,
+            "a line exceeds the limit of " + std::to_string(limits.maxHeadBytes) + " bytes",
+            std::nullopt};
+}
+
+/// Runs @p step of the library, which reports most faults of a message by an error code but throws for some, such as a
+/// header or trailer of 64 KiB. No message may end the process, so an exception becomes an error too.
+template<typename Step> std::optional<Error> runGuarded(const Step &step, const HttpMessageLimits &limits)
+{
+    boost::beast::error_code code;
+    try {
+        step(code);
+    } catch (const std::exception &exception) {
+        return Error {
+            ResultCode::MalformedRequest, std::string("malformed HTTP message: ") + exception.what(), std::nullopt};
+    }
+    if (code && code != http::error::need_more) {
+        return refusal(code, limits);
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::string_view HttpHead::header(std::string_view name) const
@@ -145,29 +169,31 @@
     }
     std::size_t used = 0;
     while (!m_private->done() && used < input.size()) {
-        boost::beast::error_code code;
-        const std::size_t step = m_private->put(boost::asio::buffer(input.data() + used, input.size() - used), code);
-        used += step;
-        if (code == http::error::need_more) {
-            if (step == 0) {
-                break;
-            }
-        } else if (code) {
-            return refusal(code, m_private->limits);
+        // The library neither limits chunk extensions nor trailers, so the limit of the head holds for each step.
+        const std::size_t size = std::min<std::size_t>(input.size() - used, m_private->limits.maxHeadBytes);
+        std::size_t parsed = 0;
+        const std::optional<Error> error = runGuarded(
+            [&](boost::beast::error_code &code) {
+                parsed = m_private->put(boost::asio::buffer(input.data() + used, size), code);
+            },
+            m_private->limits);
+        if (error) {
+            return *error;
+        }
+        used += parsed;
+        if (parsed == 0 && size == m_private->limits.maxHeadBytes) {
+            return m_private->headDone() ? longLine(m_private->limits)
+                                         : refusal(http::error::header_limit, m_private->limits);
+        }
+        if (parsed == 0) {
+            break;
         }
     }
     if (m_private->done()) {
         m_private->pending.clear();
         return used - kept;
     }
-    std::string rest(input.substr(used));
-    if (rest.size() > m_private->limits.maxHeadBytes) {
-        // The library limits the head, but neither the extensions of a chunk nor the trailers.
-        return Error {ResultCode::MalformedRequest,
-                      "a line exceeds the limit of " + std::to_string(m_private->limits.maxHeadBytes) + " bytes",
-                      std::nullopt};
-    }
-    m_private->pending = std::move(rest);
+    m_private->pending = std::string(input.substr(used));
     return bytes.size();
 }
 
@@ -176,12 +202,12 @@
     if (m_private->done()) {
         return Success {};
     }
-    boost::beast::error_code code;
-    m_private->putEnd(code);
-    if (code) {
-        return refusal(code, m_private->limits);
-    }
-    return Success {};
+    const std::optional<Error> error = runGuarded(
+        [this](boost::beast::error_code &code) {
+            m_private->putEnd(code);
+        },
+        m_private->limits);
+    return error ? Result<Success>(*error) : Result<Success>(Success {});
 }
 
 bool HttpMessageParser::started() const
