Refuse lists that claim more elements than their datagram has bytes

Thrift allocates a list before it reads its elements, and only the largest message size, 16 MiB, bounded the claim.

Change: the number of elements is limited by the bytes of the message, messages above the limit are refused before they are copied, and every exception of the decoder is an error of the message, in calls of operators too.

--- a/UnitTests/wire/relaycodectest.cpp
+++ b/UnitTests/wire/relaycodectest.cpp
@@ -58,6 +58,19 @@
     CHECK(decoded.load.refused == news.load.refused);
 }
 
+// Guards against a datagram of some bytes that claims millions of elements, for which the process would allocate more
+// than its memory limit before it finds them missing.
+TEST_CASE("a list with more elements than bytes is refused before it is allocated", "[wire]")
+{
+    // Compact protocol: field number and type, size and type of the elements, and the number of elements as a varint.
+    const std::string count = GENERATE(as<std::string>(), "\x80\x08", "\xff\xff\x7f", "\xff\xff\xff\xff\x07");
+    const std::string field = GENERATE(as<std::string>(), "\x79\xfc", "\x89\xf6", "\x49\xf8");
+    const Result<EntryNews> news = decodeEntryNews(field + count);
+    REQUIRE(errorOf(news) != nullptr);
+    CHECK(errorOf(news)->code == ResultCode::ProtocolError);
+    CHECK(errorOf(news)->message.find("size limit") != std::string::npos);
+}
+
 // Guards against an age that overflows where it is subtracted from a time.
 TEST_CASE("an age beyond an hour is left out", "[wire]")
 {
--- a/wire/operatorcodec.cpp
+++ b/wire/operatorcodec.cpp
@@ -276,7 +276,7 @@
         }
         call.request = std::move(*request);
         return call;
-    } catch (const apache::thrift::TException &exception) {
+    } catch (const std::exception &exception) {
         return Error {
             ResultCode::ProtocolError, std::string("malformed operator call: ") + exception.what(), std::nullopt};
     }
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -38,16 +38,23 @@
 
 template<typename Message> Result<Message> decode(std::string_view bytes)
 {
+    if (bytes.size() > LargestMessage) {
+        return Error {ResultCode::ProtocolError,
+                      "the message exceeds the limit of " + std::to_string(LargestMessage) + " bytes",
+                      std::nullopt};
+    }
     std::string copy(bytes);
     const auto memory = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t *>(copy.data()),
                                                         static_cast<std::uint32_t>(copy.size()),
                                                         TMemoryBuffer::OBSERVE,
                                                         std::make_shared<TConfiguration>(LargestMessage));
-    TCompactProtocolT<TMemoryBuffer> protocol(memory);
+    // Thrift allocates a list before it reads the elements. Each of these takes a byte or more, so a list that claims
+    // more elements than the message has bytes is cut off.
+    TCompactProtocolT<TMemoryBuffer> protocol(memory, 0, static_cast<std::int32_t>(copy.size()));
     Message message;
     try {
         message.read(&protocol);
-    } catch (const apache::thrift::TException &error) {
+    } catch (const std::exception &error) {
         return Error {ResultCode::ProtocolError, std::string("undecodable message: ") + error.what(), std::nullopt};
     }
     return message;
