Keep the state of an attempt in one object

A resumable stream whose first upstream sent an event without end got the beginning of the stream only, or 502 if the event came first, although a sound upstream had gone on with it; that upstream counted as failed.

Cause: CallFlow kept the state of the current attempt in members beside that of the call, and EventScanner's overflow flag was reset by no way out of an attempt, so each later attempt was given up with its first bytes.

Change: CallFlow::Attempt holds plan, times, head, buffers and scanner of an attempt and is created and destroyed with it; the call keeps the id of the last event that was sent. The scanner judges the event that it holds. Buffers of an ended attempt no longer count while its stream waits for an upstream.

--- a/UnitTests/relay/callflowfixture.h
+++ b/UnitTests/relay/callflowfixture.h
@@ -95,7 +95,10 @@
         return progress;
     }
     void upstreamSucceeded(const InstanceId & /*upstream*/) override { }
-    void upstreamFailed(const InstanceId & /*upstream*/, TimePoint /*now*/) override { }
+    void upstreamFailed(const InstanceId &upstream, TimePoint /*now*/) override
+    {
+        failed.push_back(upstream.value());
+    }
     void upstreamDeclined(const InstanceId &upstream, TimePoint /*now*/) override
     {
         full.push_back(upstream.value());
@@ -106,6 +109,8 @@
     }
 
     std::vector<std::string> upstreams {"a", "b", "c"};
+    /// Upstreams at which an attempt has failed.
+    std::vector<std::string> failed;
     /// Upstreams that have declined a call.
     std::vector<std::string> full;
     /// Upstream whose plans are out of date; empty for none.
--- a/UnitTests/relay/callflowresponsestest.cpp
+++ b/UnitTests/relay/callflowresponsestest.cpp
@@ -112,6 +112,55 @@
     CHECK(sent == ": a\n\nid: 1\ndata: x\n\n: b\n\n: c\n\nid: 2\ndata: y\n\n: d\n\n");
 }
 
+// Guards against a sound upstream whose events are discarded because the upstream before it has sent an event or
+// comment without end (review case 3).
+TEST_CASE_METHOD(FlowFixture, "a response that is given up leaves nothing behind for the next attempt", "[relay]")
+{
+    struct Row
+    {
+        std::string start;
+        /// What the first upstream repeats without end.
+        std::string piece;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"", std::string(8192, 'z')},
+        {"id:2\n", "data:xxxxxxxxxxxxxxxx\n"},
+        {"", ": comment\n"},
+        {"", ": comment\n\n"},
+        {": comment\n\n", ": comment\n"},
+        {": comment\n\nid:2\ndata:y", std::string(8192, 'z')},
+    }));
+    const bool begun = GENERATE(false, true);
+    CAPTURE(row.start, row.piece.substr(0, 20), begun);
+    begin(CallKind::ResumableStream, 2);
+    head(1, 200);
+    if (begun) {
+        event(1, 1);
+    }
+    flow().bodyReceived(1, row.start, now, actions);
+    (void)done();
+    std::string piece = row.piece;
+    while (piece.size() < 8192) {
+        piece += row.piece;
+    }
+    std::string seen;
+    for (std::size_t received = 0; seen.empty() && received < std::size_t {4} << 20; received += piece.size()) {
+        flow().bodyReceived(1, piece, now, actions);
+        seen = done();
+    }
+    REQUIRE(seen == (begun ? "abort, start b behind 1" : "abort, start b"));
+    CHECK(environment.buffered == 0);
+    CHECK(environment.failed == std::vector<std::string> {"a"});
+    head(2, 200);
+    for (int id = begun ? 2 : 1; id <= 3; ++id) {
+        event(2, id);
+    }
+    flow().responseCompleted(2, now, actions);
+    CHECK(done() == (begun ? "body 1, body 1, end" : "head, body 1, body 1, body 1, end"));
+    CHECK(environment.failed == std::vector<std::string> {"a"});
+    CHECK(environment.buffered == 0);
+}
+
 // Guards against upstreams in trouble that fill the memory: each of many bodies stays below its own limit.
 TEST_CASE_METHOD(FlowFixture, "a response without end is given up and leaves no buffer behind", "[relay]")
 {
--- a/UnitTests/relay/eventscannertest.cpp
+++ b/UnitTests/relay/eventscannertest.cpp
@@ -41,4 +41,9 @@
     CHECK_FALSE(scanner.overflowed());
     (void)scanner.append("0123456789");
     CHECK(scanner.overflowed());
+    // The limit concerns one event; the ones after it are sound.
+    (void)scanner.takeIncomplete();
+    CHECK_FALSE(scanner.overflowed());
+    CHECK(scanner.append("data: 1\n\n") == "data: 1\n\n");
+    CHECK_FALSE(scanner.overflowed());
 }
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -33,14 +33,39 @@
                    const CallFlowSettings &settings,
                    CallEnvironment &environment,
                    EventListener &listener)
-    : m_call(std::move(call))
-    , m_settings(settings)
-    , m_environment(&environment)
-    , m_listener(&listener)
-    , m_scanner(settings.maxEventBytes)
+    : m_call(std::move(call)), m_settings(settings), m_environment(&environment), m_listener(&listener)
 {
 }
 
+CallFlow::Attempt::Attempt(AttemptPlan attemptPlan, std::size_t maxEventBytes, TimePoint now)
+    : plan(std::move(attemptPlan)), scanner(maxEventBytes), lastProgress(now)
+{
+}
+
+std::vector<AttemptHelper> CallFlow::Attempt::holders() const
+{
+    std::vector<AttemptHelper> result;
+    std::ranges::copy_if(plan.helpers, std::back_inserter(result), [](const AttemptHelper &helper) {
+        return !helper.reservationId.empty();
+    });
+    return result;
+}
+
+bool CallFlow::Attempt::succeeded() const
+{
+    return head && isSuccess(head->status);
+}
+
+std::size_t CallFlow::Attempt::bufferedBytes() const
+{
+    return body.size() + comments.size() + scanner.pendingBytes();
+}
+
+bool CallFlow::isCurrent(int attempt) const
+{
+    return !m_ended && m_current && attempt == m_attempt;
+}
+
 // Events of a call and the response to its caller. Planning and sending of attempts is in callflowattempts.cpp.
 
 std::string CallFlow::inMs(Duration duration)
@@ -78,11 +103,14 @@
 void CallFlow::attemptFailed(
     int attempt, AttemptFailure failure, std::string_view reason, TimePoint now, CallActions &actions)
 {
-    if (m_ended || !m_plan || attempt != m_attempt) {
+    if (!isCurrent(attempt)) {
         return;
     }
-    const UpstreamRecord record = m_plan->upstream;
+    const UpstreamRecord record = m_current->plan.upstream;
     const InstanceId &upstream = record.id;
+    const std::optional<ResponseHead> head = m_current->head;
+    const bool begun = m_current->succeeded();
+    const bool hasEvents = m_current->hasEvents;
     m_environment->upstreamFailed(upstream, now);
     closeAttempt(now, actions);
     if (failure == AttemptFailure::NotSent) {
@@ -104,12 +132,11 @@
                          {"attempt", std::to_string(attempt)},
                          {"upstream", upstream.value()},
                          {"reason", std::string(reason)},
-                         {"head", m_headReceived ? std::to_string(m_responseHead.status) : std::string("none")},
-                         {"began", m_attemptHasEvents ? "true" : "false"},
+                         {"head", head ? std::to_string(head->status) : std::string("none")},
+                         {"began", hasEvents ? "true" : "false"},
                          {"request_hash", toString(m_call.requestHash)},
                          {"parts", toText(m_call.promptParts)}});
-    const bool begun = m_headReceived && isSuccess(m_responseHead.status);
-    if (failure == AttemptFailure::Broken && !m_headSent && (begun || !m_headReceived)) {
+    if (failure == AttemptFailure::Broken && !m_headSent && (begun || !head)) {
         m_environment->startBroken(m_call, record, begun, now);
     }
     ++m_ranAttempts;
@@ -119,23 +146,22 @@
 
 void CallFlow::headReceived(int attempt, const ResponseHead &head, TimePoint now, CallActions &actions)
 {
-    if (m_ended || !m_plan || attempt != m_attempt) {
+    if (!isCurrent(attempt)) {
         return;
     }
-    m_lastProgress = now;
-    m_responseHead = head;
-    m_headReceived = true;
+    m_current->lastProgress = now;
+    m_current->head = head;
     if (head.status != MisdirectedStatus) {
-        m_environment->rateLimitNamed(m_plan->upstream, head.rateLimit, now);
+        m_environment->rateLimitNamed(m_current->plan.upstream, head.rateLimit, now);
     }
     if (head.pause) {
         m_listener->onEvent("upstream_refused",
                             {{"request", m_call.requestId},
                              {"attempt", std::to_string(attempt)},
-                             {"upstream", m_plan->upstream.id.value()},
+                             {"upstream", m_current->plan.upstream.id.value()},
                              {"status", std::to_string(head.status)},
                              {"pause_ms", inMs(*head.pause)}});
-        m_environment->pauseRequested(m_plan->upstream, *head.pause, now);
+        m_environment->pauseRequested(m_current->plan.upstream, *head.pause, now);
     }
     if (!head.failedUpstream.empty()) {
         if (const std::optional<InstanceId> reportedUpstream =
@@ -145,9 +171,9 @@
     }
     if (head.notRun) {
         ++m_declinedAttempts;
-        m_declinedBy.insert(m_plan->upstream.id);
+        m_declinedBy.insert(m_current->plan.upstream.id);
         if (head.failedUpstream.empty()) {
-            m_environment->upstreamDeclined(m_plan->upstream.id, now);
+            m_environment->upstreamDeclined(m_current->plan.upstream.id, now);
         }
         actions.emplace_back(AbortAttempt {attempt});
         closeAttempt(now, actions);
@@ -171,7 +197,7 @@
         return;
     }
     ++m_ranAttempts;
-    m_environment->upstreamFailed(m_plan->upstream.id, now);
+    m_environment->upstreamFailed(m_current->plan.upstream.id, now);
     actions.emplace_back(AbortAttempt {attempt});
     closeAttempt(now, actions);
     retryOrEnd("upstream failed with " + std::to_string(head.status), ResultCode::UpstreamFailed, now, actions);
@@ -179,22 +205,22 @@
 
 void CallFlow::bodyReceived(int attempt, std::string_view bytes, TimePoint now, CallActions &actions)
 {
-    if (m_ended || !m_plan || attempt != m_attempt) {
+    if (!isCurrent(attempt)) {
         return;
     }
-    if (isStream() && isSuccess(m_responseHead.status)) {
+    if (isStream() && m_current->succeeded()) {
         eventsReceived(attempt, bytes, now, actions);
     } else {
-        m_lastProgress = now;
-        m_environment->upstreamProgressed(m_plan->upstream.id, now);
-        m_responseBody.append(bytes);
-        if (m_responseBody.size() > m_settings.maxResponseBytes) {
+        m_current->lastProgress = now;
+        m_environment->upstreamProgressed(m_current->plan.upstream.id, now);
+        m_current->body.append(bytes);
+        if (m_current->body.size() > m_settings.maxResponseBytes) {
             actions.emplace_back(AbortAttempt {attempt});
             attemptFailed(attempt, AttemptFailure::GivenUp, "response body exceeds the size limit", now, actions);
             return;
         }
     }
-    if (!m_ended && m_plan && attempt == m_attempt && !accountBuffers()) {
+    if (isCurrent(attempt) && !accountBuffers()) {
         actions.emplace_back(AbortAttempt {attempt});
         attemptFailed(attempt, AttemptFailure::GivenUp, "the response buffers are full", now, actions);
     }
@@ -202,12 +228,12 @@
 
 void CallFlow::eventsReceived(int attempt, std::string_view bytes, TimePoint now, CallActions &actions)
 {
-    std::string events = m_scanner.append(bytes);
-    if (!m_scanner.hasProgressed()) {
-        m_comments += events;
+    std::string events = m_current->scanner.append(bytes);
+    if (!m_current->scanner.hasProgressed()) {
+        m_current->comments += events;
         events.clear();
     }
-    if (m_scanner.overflowed() || m_comments.size() > m_settings.maxEventBytes) {
+    if (m_current->scanner.overflowed() || m_current->comments.size() > m_settings.maxEventBytes) {
         actions.emplace_back(AbortAttempt {attempt});
         attemptFailed(attempt, AttemptFailure::GivenUp, "stream event exceeds the size limit", now, actions);
         return;
@@ -216,13 +242,16 @@
         return;
     }
     // Comments, blank lines and parts of an event are no progress: a stalled upstream may send them without end.
-    m_lastProgress = now;
-    m_environment->upstreamProgressed(m_plan->upstream.id, now);
-    if (!m_attemptHasEvents) {
-        m_attemptHasEvents = true;
-        m_nextIdleCheck.reset();
+    m_current->lastProgress = now;
+    m_environment->upstreamProgressed(m_current->plan.upstream.id, now);
+    if (!m_current->hasEvents) {
+        m_current->hasEvents = true;
+        m_current->nextIdleCheck.reset();
         m_environment->firstEventReceived(m_call, now);
     }
+    if (!m_current->scanner.lastId().empty()) {
+        m_lastEventId = m_current->scanner.lastId();
+    }
     if (!m_headSent) {
         m_headSent = true;
         m_firstEvent = now;
@@ -233,12 +262,12 @@
     }
     m_lastEvent = now;
     ++m_eventBatchesSent;
-    actions.emplace_back(SendBody {std::exchange(m_comments, {}) + events});
+    actions.emplace_back(SendBody {std::exchange(m_current->comments, {}) + events});
 }
 
 bool CallFlow::accountBuffers()
 {
-    const auto bytes = static_cast<std::int64_t>(m_responseBody.size() + m_comments.size() + m_scanner.pendingBytes());
+    const auto bytes = static_cast<std::int64_t>(m_current ? m_current->bufferedBytes() : 0);
     if (!m_environment->changeBuffered(bytes - m_bufferedBytes)) {
         return false;
     }
@@ -246,24 +275,15 @@
     return true;
 }
 
-void CallFlow::clearBuffers()
-{
-    m_responseBody.clear();
-    m_comments.clear();
-    // The next upstream resumes after the last complete event, so the incomplete one is discarded.
-    (void)m_scanner.takeIncomplete();
-    (void)accountBuffers();
-}
-
 void CallFlow::responseCompleted(int attempt, TimePoint now, CallActions &actions)
 {
-    if (m_ended || !m_plan || attempt != m_attempt) {
+    if (!isCurrent(attempt)) {
         return;
     }
-    if (isStream() && isSuccess(m_responseHead.status)) {
+    if (isStream() && m_current->succeeded()) {
         // A response without a length ends with its connection, also when its upstream crashes.
-        const bool empty = !m_headSent && m_comments.empty() && m_call.lastEventId.empty();
-        if (m_scanner.insideEvent() || empty) {
+        const bool empty = !m_headSent && m_current->comments.empty() && m_call.lastEventId.empty();
+        if (m_current->scanner.insideEvent() || empty) {
             const std::string_view reason =
                 empty ? "the stream ended without an event" : "the stream ended inside an event";
             attemptFailed(attempt, AttemptFailure::Broken, reason, now, actions);
@@ -271,18 +291,19 @@
         }
     }
     ++m_ranAttempts;
-    if (m_responseHead.status < FirstServerError) {
-        m_environment->upstreamSucceeded(m_plan->upstream.id);
+    const int status = m_current->head ? m_current->head->status : 0;
+    if (status < FirstServerError) {
+        m_environment->upstreamSucceeded(m_current->plan.upstream.id);
     } else {
-        m_environment->upstreamFailed(m_plan->upstream.id, now);
+        m_environment->upstreamFailed(m_current->plan.upstream.id, now);
     }
-    const std::string outcome = std::to_string(m_responseHead.status);
-    if (isStream() && isSuccess(m_responseHead.status)) {
+    const std::string outcome = std::to_string(status);
+    if (isStream() && m_current->succeeded()) {
         if (!m_headSent) {
             m_headSent = true;
             actions.emplace_back(SendHead {attempt});
         }
-        std::string rest = std::exchange(m_comments, {}) + m_scanner.takeIncomplete();
+        std::string rest = std::exchange(m_current->comments, {}) + m_current->scanner.takeIncomplete();
         if (!rest.empty()) {
             actions.emplace_back(SendBody {std::move(rest)});
         }
@@ -290,10 +311,10 @@
         actions.emplace_back(EndBody {});
         return;
     }
-    if (m_responseHead.status < FirstServerError) {
+    if (status < FirstServerError) {
         m_environment->firstEventReceived(m_call, now);
     }
-    std::string body = std::move(m_responseBody);
+    std::string body = std::move(m_current->body);
     finish("answered", outcome, now, actions);
     actions.emplace_back(SendFullResponse {attempt, std::move(body)});
 }
@@ -303,7 +324,7 @@
     if (m_ended) {
         return;
     }
-    if (m_plan) {
+    if (m_current) {
         actions.emplace_back(AbortAttempt {m_attempt});
     }
     finish("caller_gone", "caller closed its connection", now, actions);
@@ -315,17 +336,20 @@
     if (m_waitingUntil) {
         return std::min(due, *m_waitingUntil);
     }
-    if (m_plan && m_sendDue) {
-        return std::min(due, *m_sendDue);
+    if (!m_current) {
+        return due;
+    }
+    if (m_current->sendDue) {
+        return std::min(due, *m_current->sendDue);
     }
-    if (m_plan && m_nextIdleCheck) {
-        due = std::min(due, *m_nextIdleCheck);
+    if (m_current->nextIdleCheck) {
+        due = std::min(due, *m_current->nextIdleCheck);
     }
-    if (m_plan && m_nextRenewal) {
-        due = std::min(due, *m_nextRenewal);
+    if (m_current->nextRenewal) {
+        due = std::min(due, *m_current->nextRenewal);
     }
-    if (m_plan && !m_reserving && m_ranAttempts + 1 < m_call.route.maxAttempts && mayRepeat()) {
-        due = std::min(due, std::max(stallDeadline(), m_nextStallCheck));
+    if (!m_current->reserving && m_ranAttempts + 1 < m_call.route.maxAttempts && mayRepeat()) {
+        due = std::min(due, std::max(stallDeadline(), m_current->nextStallCheck));
     }
     return due;
 }
@@ -339,26 +363,26 @@
         retryAfterWait(now, actions);
         return;
     }
-    if (m_plan && m_sendDue && now < m_call.deadline) {
+    if (m_current && m_current->sendDue && now < m_call.deadline) {
         if (!replanIfOutdated(now, actions)) {
             reserveOrSend(now, actions);
         }
         return;
     }
-    if (m_plan && m_nextIdleCheck && now >= *m_nextIdleCheck && now < m_call.deadline) {
+    if (m_current && m_current->nextIdleCheck && now >= *m_current->nextIdleCheck && now < m_call.deadline) {
         checkIdleReservation(now, actions);
         return;
     }
-    if (m_plan && m_nextRenewal && now >= *m_nextRenewal && now < m_call.deadline) {
-        m_nextRenewal = now + m_settings.reservationRenewInterval;
-        actions.emplace_back(ReserveEngineMemory {m_attempt, holders(), m_settings.reservationTtl, true});
+    if (m_current && m_current->nextRenewal && now >= *m_current->nextRenewal && now < m_call.deadline) {
+        m_current->nextRenewal = now + m_settings.reservationRenewInterval;
+        actions.emplace_back(ReserveEngineMemory {m_attempt, m_current->holders(), m_settings.reservationTtl, true});
         return;
     }
     if (now < m_call.deadline) {
         failOverIfFaster(now, actions);
         return;
     }
-    if (m_plan) {
+    if (m_current) {
         actions.emplace_back(AbortAttempt {m_attempt});
     }
     refuse(ResultCode::DeadlineExceeded, "the call's time is over", now, actions);
@@ -392,10 +416,9 @@
 void CallFlow::finish(std::string_view outcome, std::string_view reason, TimePoint now, CallActions &actions)
 {
     assert(!m_ended);
-    const std::string upstream = m_plan ? m_plan->upstream.id.value() : std::string("none");
+    const std::string upstream = m_current ? m_current->plan.upstream.id.value() : std::string("none");
     closeAttempt(now, actions);
     m_waitingUntil.reset();
-    clearBuffers();
     m_ended = true;
     m_listener->onEvent("call_ended",
                         {{"request", m_call.requestId},
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -342,6 +342,48 @@
     }
 
 private:
+    /// State of one attempt. It is created for each attempt and destroyed as a whole, so that nothing of an attempt
+    /// affects the next one.
+    struct Attempt
+    {
+        /// @p maxEventBytes is `CallFlowSettings::maxEventBytes`.
+        Attempt(AttemptPlan attemptPlan, std::size_t maxEventBytes, TimePoint now);
+
+        AttemptPlan plan;
+        /// True while the memory for the attempt is being reserved.
+        bool reserving = false;
+        /// Time at which the memory reservations are renewed; empty if there are none.
+        std::optional<TimePoint> nextRenewal;
+        /// Time until which sending is delayed; empty if it is not delayed.
+        std::optional<TimePoint> sendDue;
+        /// Time at which the memory was requested.
+        TimePoint reservedAt;
+        /// Time of the next check whether the reserved memory is used; empty if none is needed.
+        std::optional<TimePoint> nextIdleCheck;
+        /// Head of the response; empty until it has arrived.
+        std::optional<ResponseHead> head;
+        /// True once an event has been delivered.
+        bool hasEvents = false;
+        /// Buffered body of a response that is not streamed.
+        std::string body;
+        EventScanner scanner;
+        /// Comments of a stream, which are sent to the caller with the event that follows them.
+        std::string comments;
+        /// Time before which the attempt, which has stalled, is not checked again.
+        TimePoint nextStallCheck = TimePoint::min();
+        /// Time at which the attempt was started or sent, or last received a head, a whole event, or bytes of a body
+        /// that is no stream.
+        TimePoint lastProgress;
+
+        /// Returns the helpers that hold a part of the prompt in reserved KV memory.
+        [[nodiscard]] std::vector<AttemptHelper> holders() const;
+        /// True if the head is that of a success.
+        [[nodiscard]] bool succeeded() const;
+        [[nodiscard]] std::size_t bufferedBytes() const;
+    };
+
+    /// True if @p attempt is the current one. Reports of others are ignored.
+    [[nodiscard]] bool isCurrent(int attempt) const;
     /// Formats @p duration in whole milliseconds for a field of a log event.
     [[nodiscard]] static std::string inMs(Duration duration);
     [[nodiscard]] bool isStream() const;
@@ -376,15 +418,11 @@
     void eventsReceived(int attempt, std::string_view bytes, TimePoint now, CallActions &actions);
     /// Reports the bytes that this call buffers to the environment. Returns false if they exceed the process's limit.
     [[nodiscard]] bool accountBuffers();
-    /// Discards what was buffered of the response of an attempt.
-    void clearBuffers();
     /// Ends the current attempt, if any, and releases the memory reserved for it.
     void closeAttempt(TimePoint now, CallActions &actions);
     void sendAttempt(TimePoint now, CallActions &actions);
     /// Sends the attempt, or first requests the memory reservations it needs.
     void reserveOrSend(TimePoint now, CallActions &actions);
-    /// Returns the helpers of the current attempt that hold a part of the prompt in reserved KV memory.
-    [[nodiscard]] std::vector<AttemptHelper> holders() const;
     /// Starts another attempt if the call's kind, its limits and the retry budget allow it, otherwise refuses the call.
     void retryOrEnd(std::string_view reason, ResultCode code, TimePoint now, CallActions &actions);
     /// Ends the call with an error response, or by closing the connection if a stream has already been started.
@@ -399,25 +437,14 @@
     CallFlowSettings m_settings;
     CallEnvironment *m_environment;
     EventListener *m_listener;
-    EventScanner m_scanner;
     /// Upstreams that are not tried again: those of earlier attempts and those that a response reported as failed.
     std::set<InstanceId> m_tried;
-    /// Plan of the current attempt; empty if there is none.
-    std::optional<AttemptPlan> m_plan;
+    /// Current attempt; empty if there is none.
+    std::optional<Attempt> m_current;
     /// Number of the current attempt or of the last one, counted from 1.
     int m_attempt = 0;
-    /// True while the memory for the current attempt is being reserved.
-    bool m_reserving = false;
-    /// Time at which the memory reservations are renewed; empty if there are none.
-    std::optional<TimePoint> m_nextRenewal;
-    /// Time until which sending of the current attempt is delayed; empty if it is not delayed.
-    std::optional<TimePoint> m_sendDue;
     /// Time at which a stream that waits for an upstream looks for one again; empty if it does not wait.
     std::optional<TimePoint> m_waitingUntil;
-    /// Time at which the memory of the current attempt was requested.
-    TimePoint m_reservedAt;
-    /// Time of the next check whether the reserved memory is used; empty if none is needed.
-    std::optional<TimePoint> m_nextIdleCheck;
     /// Ended attempts that an upstream may have executed. They count towards `maxAttempts` of the route.
     int m_ranAttempts = 0;
     /// Attempts that an upstream has declined.
@@ -430,29 +457,18 @@
     int m_replans = 0;
     /// True once an upstream may have executed the call.
     bool m_mayHaveRun = false;
-    bool m_headReceived = false;
-    /// True once the current attempt has delivered an event.
-    bool m_attemptHasEvents = false;
-    ResponseHead m_responseHead;
-    /// Buffered body of a response that is not streamed.
-    std::string m_responseBody;
-    /// Comments of a stream, which are sent to the caller with the event that follows them.
-    std::string m_comments;
     /// Bytes in the buffers of this call as last reported to the environment.
     std::int64_t m_bufferedBytes = 0;
     /// True once the head of a stream has been sent to the caller.
     bool m_headSent = false;
+    /// Id of the last event that was sent to the caller; empty if it had none.
+    std::string m_lastEventId;
     /// Number of sends to the caller, each of one or more complete events.
     std::uint64_t m_eventBatchesSent = 0;
     std::optional<TimePoint> m_firstEvent;
     TimePoint m_lastEvent;
     /// Longest pause between two of these sends.
     Duration m_longestPause {};
-    /// Time before which a stalled call is not checked again.
-    TimePoint m_nextStallCheck = TimePoint::min();
-    /// Time at which the current attempt was started or sent, or last received a head, a whole event, or bytes of a
-    /// body that is no stream.
-    TimePoint m_lastProgress;
     bool m_ended = false;
 };
 
--- a/ibismast/relay/callflowattempts.cpp
+++ b/ibismast/relay/callflowattempts.cpp
@@ -50,7 +50,7 @@
                             {{"request", m_call.requestId},
                              {"attempt", std::to_string(m_attempt)},
                              {"reason", std::string(reason)},
-                             {"behind_event", m_scanner.lastId()},
+                             {"behind_event", m_lastEventId},
                              {"left_ms", inMs(m_call.deadline - now)}});
     }
     for (const InstanceId &upstream : m_declinedBy) {
@@ -83,7 +83,7 @@
     if (refuseForPrompt(now, actions)) {
         return true;
     }
-    const std::optional<PlanFault> fault = m_environment->planFault(m_call, *m_plan, now);
+    const std::optional<PlanFault> fault = m_environment->planFault(m_call, m_current->plan, now);
     if (!fault || (!fault->unusable && m_replans >= m_settings.maxReplans)) {
         return false;
     }
@@ -91,10 +91,10 @@
     m_listener->onEvent("attempt_replanned",
                         {{"request", m_call.requestId},
                          {"attempt", std::to_string(m_attempt)},
-                         {"upstream", m_plan->upstream.id.value()},
+                         {"upstream", m_current->plan.upstream.id.value()},
                          {"reason", fault->reason}});
     // Nothing was sent, so the new plan may use the same upstream again.
-    m_tried.erase(m_plan->upstream.id);
+    m_tried.erase(m_current->plan.upstream.id);
     closeAttempt(now, actions);
     startNextAttempt(now, actions);
     return true;
@@ -102,24 +102,24 @@
 
 void CallFlow::checkIdleReservation(TimePoint now, CallActions &actions)
 {
-    if (now - m_reservedAt >= m_settings.maxIdleReservation - m_settings.idleCheckInterval) {
+    if (now - m_current->reservedAt >= m_settings.maxIdleReservation - m_settings.idleCheckInterval) {
         endIdleAttempt(now, actions);
         return;
     }
-    m_nextIdleCheck = now + m_settings.idleCheckInterval;
-    actions.emplace_back(InspectEngineMemory {m_attempt, holders().front()});
+    m_current->nextIdleCheck = now + m_settings.idleCheckInterval;
+    actions.emplace_back(InspectEngineMemory {m_attempt, m_current->holders().front()});
 }
 
 void CallFlow::reservationInspected(int attempt, ReservationState state, TimePoint now, CallActions &actions)
 {
-    if (m_ended || !m_plan || attempt != m_attempt || !m_nextIdleCheck) {
+    if (!isCurrent(attempt) || !m_current->nextIdleCheck) {
         return;
     }
     switch (state) {
     case ReservationState::Unknown:
         return;
     case ReservationState::Used:
-        m_nextIdleCheck.reset();
+        m_current->nextIdleCheck.reset();
         return;
     case ReservationState::Unused:
         endIdleAttempt(now, actions);
@@ -129,7 +129,7 @@
 
 void CallFlow::endIdleAttempt(TimePoint now, CallActions &actions)
 {
-    m_environment->upstreamFailed(m_plan->upstream.id, now);
+    m_environment->upstreamFailed(m_current->plan.upstream.id, now);
     actions.emplace_back(AbortAttempt {m_attempt});
     closeAttempt(now, actions);
     ++m_ranAttempts;
@@ -140,20 +140,20 @@
 void CallFlow::failOverIfFaster(TimePoint now, CallActions &actions)
 {
     std::optional<AttemptPlan> plan = m_environment->planAttempt(m_call, m_tried, now);
-    const Duration silentTime = now - m_lastProgress;
+    const Duration silentTime = now - m_current->lastProgress;
     const bool better = plan && (m_headSent || !m_environment->checkPrompt(m_call, now))
         && toSeconds(plan->timeToFirstEvent) <= toSeconds(silentTime) * m_settings.failoverTimeRatio;
     if (!better || !m_environment->takeRetry(m_call.service, now)) {
-        m_nextStallCheck = now + m_settings.stallRecheckInterval;
+        m_current->nextStallCheck = now + m_settings.stallRecheckInterval;
         return;
     }
     m_listener->onEvent("attempt_moved",
                         {{"request", m_call.requestId},
                          {"attempt", std::to_string(m_attempt)},
-                         {"upstream", m_plan->upstream.id.value()},
+                         {"upstream", m_current->plan.upstream.id.value()},
                          {"silent_ms", inMs(silentTime)}});
     actions.emplace_back(AbortAttempt {m_attempt});
-    m_environment->upstreamFailed(m_plan->upstream.id, now);
+    m_environment->upstreamFailed(m_current->plan.upstream.id, now);
     closeAttempt(now, actions);
     ++m_ranAttempts;
     m_mayHaveRun = true;
@@ -162,37 +162,32 @@
 
 void CallFlow::startPlannedAttempt(AttemptPlan plan, TimePoint now, CallActions &actions)
 {
-    m_plan = std::move(plan);
-    m_nextStallCheck = TimePoint::min();
     ++m_attempt;
-    m_headReceived = false;
-    m_attemptHasEvents = false;
-    clearBuffers();
-    m_lastProgress = now;
-    m_tried.insert(m_plan->upstream.id);
+    m_current.emplace(std::move(plan), m_settings.maxEventBytes, now);
+    m_tried.insert(m_current->plan.upstream.id);
     int reservationCount = 0;
     std::string helpers;
-    for (AttemptHelper &helper : m_plan->helpers) {
+    for (AttemptHelper &helper : m_current->plan.helpers) {
         helpers += (helpers.empty() ? "" : ",") + helper.upstream.id.value();
         if (helper.reserved.value() > 0) {
             helper.reservationId =
                 m_call.requestId + "." + std::to_string(m_attempt) + "." + std::to_string(++reservationCount);
         }
     }
-    m_environment->attemptStarted(m_call, *m_plan, now);
+    m_environment->attemptStarted(m_call, m_current->plan, now);
     m_listener->onEvent("attempt_started",
                         {{"request", m_call.requestId},
                          {"attempt", std::to_string(m_attempt)},
-                         {"upstream", m_plan->upstream.id.value()},
+                         {"upstream", m_current->plan.upstream.id.value()},
                          {"helpers", helpers.empty() ? std::string("none") : helpers},
-                         {"part_ms", inMs(m_plan->prefillTime)},
-                         {"predicted_ms", inMs(m_plan->timeToFirstEvent)},
+                         {"part_ms", inMs(m_current->plan.prefillTime)},
+                         {"predicted_ms", inMs(m_current->plan.timeToFirstEvent)},
                          {"holders", std::to_string(reservationCount)},
-                         {"behind_event", m_scanner.lastId()},
-                         {"delay_ms", inMs(m_plan->delay)},
+                         {"behind_event", m_lastEventId},
+                         {"delay_ms", inMs(m_current->plan.delay)},
                          {"left_ms", inMs(m_call.deadline - now)}});
-    if (m_plan->delay > Duration::zero()) {
-        m_sendDue = now + std::min(m_plan->delay, m_settings.maxSendDelay);
+    if (m_current->plan.delay > Duration::zero()) {
+        m_current->sendDue = now + std::min(m_current->plan.delay, m_settings.maxSendDelay);
         return;
     }
     reserveOrSend(now, actions);
@@ -200,13 +195,14 @@
 
 void CallFlow::reserveOrSend(TimePoint now, CallActions &actions)
 {
-    m_sendDue.reset();
-    if (!holders().empty()) {
-        m_reserving = true;
-        m_reservedAt = now;
-        m_nextRenewal = now + m_settings.reservationRenewInterval;
-        m_nextIdleCheck = now + fromSeconds(toSeconds(m_settings.maxIdleReservation) * m_settings.idleCheckShare);
-        actions.emplace_back(ReserveEngineMemory {m_attempt, holders(), m_settings.reservationTtl, false});
+    m_current->sendDue.reset();
+    if (!m_current->holders().empty()) {
+        m_current->reserving = true;
+        m_current->reservedAt = now;
+        m_current->nextRenewal = now + m_settings.reservationRenewInterval;
+        m_current->nextIdleCheck =
+            now + fromSeconds(toSeconds(m_settings.maxIdleReservation) * m_settings.idleCheckShare);
+        actions.emplace_back(ReserveEngineMemory {m_attempt, m_current->holders(), m_settings.reservationTtl, false});
         return;
     }
     sendAttempt(now, actions);
@@ -214,26 +210,17 @@
 
 void CallFlow::sendAttempt(TimePoint now, CallActions &actions)
 {
-    m_lastProgress = now;
-    const std::string &lastEventId = m_eventBatchesSent > 0 ? m_scanner.lastId() : m_call.lastEventId;
-    actions.emplace_back(StartAttempt {m_attempt, *m_plan, lastEventId, m_call.deadline - now});
-}
-
-std::vector<AttemptHelper> CallFlow::holders() const
-{
-    std::vector<AttemptHelper> result;
-    std::ranges::copy_if(m_plan->helpers, std::back_inserter(result), [](const AttemptHelper &helper) {
-        return !helper.reservationId.empty();
-    });
-    return result;
+    m_current->lastProgress = now;
+    const std::string &lastEventId = m_eventBatchesSent > 0 ? m_lastEventId : m_call.lastEventId;
+    actions.emplace_back(StartAttempt {m_attempt, m_current->plan, lastEventId, m_call.deadline - now});
 }
 
 void CallFlow::memoryReserved(int attempt, bool granted, TimePoint now, CallActions &actions)
 {
-    if (m_ended || !m_plan || attempt != m_attempt || !m_reserving) {
+    if (!isCurrent(attempt) || !m_current->reserving) {
         return;
     }
-    m_reserving = false;
+    m_current->reserving = false;
     if (granted) {
         if (!replanIfOutdated(now, actions)) {
             sendAttempt(now, actions);
@@ -257,36 +244,36 @@
 
 void CallFlow::closeAttempt(TimePoint now, CallActions &actions)
 {
-    if (!m_plan) {
+    if (!m_current) {
         return;
     }
-    std::vector<AttemptHelper> held = holders();
-    if (!held.empty() && !m_sendDue) {
+    std::vector<AttemptHelper> held = m_current->holders();
+    if (!held.empty() && !m_current->sendDue) {
         actions.emplace_back(ReleaseEngineMemory {std::move(held)});
     }
-    m_reserving = false;
-    m_sendDue.reset();
-    m_nextRenewal.reset();
-    m_nextIdleCheck.reset();
-    m_environment->attemptEnded(m_call, *m_plan, now);
-    m_plan.reset();
+    m_environment->attemptEnded(m_call, m_current->plan, now);
+    m_current.reset();
+    (void)accountBuffers();
 }
 
 TimePoint CallFlow::stallDeadline() const
 {
     if (m_call.route.kind == CallKind::Idempotent) {
-        return m_lastProgress + fromSeconds(toSeconds(m_call.route.objective) * m_settings.responseTimeoutFactor);
+        return m_current->lastProgress
+            + fromSeconds(toSeconds(m_call.route.objective) * m_settings.responseTimeoutFactor);
     }
     const double silenceLimit = toSeconds(callerSilence());
-    if (!m_attemptHasEvents) {
+    if (!m_current->hasEvents) {
         // On busy engines prefill takes longer than predicted, and a second attempt would repeat the whole prefill.
-        const double predicted = toSeconds(m_plan->timeToFirstEvent) * m_settings.predictionFactor;
-        return m_lastProgress + fromSeconds(std::max(silenceLimit * m_settings.busyEngineStallRatio, predicted));
+        const double predicted = toSeconds(m_current->plan.timeToFirstEvent) * m_settings.predictionFactor;
+        return m_current->lastProgress
+            + fromSeconds(std::max(silenceLimit * m_settings.busyEngineStallRatio, predicted));
     }
     const double silent = silenceLimit * m_settings.silentEngineStallRatio;
     const double busy = silenceLimit * m_settings.busyEngineStallRatio;
-    const TimePoint engineStalled = m_environment->lastProgress(m_plan->upstream.id) + fromSeconds(silent);
-    return std::min(std::max(m_lastProgress + fromSeconds(silent), engineStalled), m_lastProgress + fromSeconds(busy));
+    const TimePoint engineStalled = m_environment->lastProgress(m_current->plan.upstream.id) + fromSeconds(silent);
+    return std::min(std::max(m_current->lastProgress + fromSeconds(silent), engineStalled),
+                    m_current->lastProgress + fromSeconds(busy));
 }
 
 void CallFlow::retryOrEnd(std::string_view reason, ResultCode code, TimePoint now, CallActions &actions)
--- a/ibismast/relay/eventscanner.cpp
+++ b/ibismast/relay/eventscanner.cpp
@@ -25,7 +25,6 @@
     std::string whole = m_pending.substr(0, wholeEnd);
     m_pending.erase(0, wholeEnd);
     m_lineStart -= wholeEnd;
-    m_overflowed = m_overflowed || m_pending.size() > m_maxEventBytes;
     return whole;
 }
 
--- a/ibismast/relay/eventscanner.h
+++ b/ibismast/relay/eventscanner.h
@@ -35,10 +35,10 @@
     {
         return m_lastId;
     }
-    /// True once an incomplete event has exceeded the size limit.
+    /// True if the incomplete event exceeds the size limit.
     [[nodiscard]] bool overflowed() const
     {
-        return m_overflowed;
+        return m_pending.size() > m_maxEventBytes;
     }
 
 private:
@@ -52,7 +52,6 @@
     std::size_t m_lineStart = 0;
     std::string m_lastId;
     bool m_progressed = false;
-    bool m_overflowed = false;
 };
 
 } // namespace ibismast
