Send nothing new to an upstream whose answers announce its shutdown

While the store was away, entries went on sending to an upstream that said in every answer that it was leaving; its exit cut some of the calls.

Cause: the header was not read. The platform's list was the only source of a leave, and its last state stays in force while the store is down.

Change: UpstreamNotice (leave, rate limit, pause) is decoded once from every answer, also from those to orders and reports. UpstreamDirectory keeps the leave with the run of the upstream; no list undoes it, and a new run does not inherit it.

--- a/UnitTests/adapters/relay/relayprocesstest.cpp
+++ b/UnitTests/adapters/relay/relayprocesstest.cpp
@@ -119,9 +119,19 @@
     {
         UpstreamRecord engine;
         engine.id = id;
-        reportPause(engine, time);
+        reportNotice(engine, {.pause = time});
+    }
+    /// Reports that the engine @p id has announced its leave.
+    void leave(const InstanceId &id)
+    {
+        UpstreamRecord engine;
+        engine.id = id;
+        engine.address = address;
+        reportNotice(engine, {.leaving = true});
     }
 
+    /// Address of all engines.
+    UpstreamAddress address;
     std::set<std::string> reserved;
     /// Engines at which memory is reserved.
     std::set<InstanceId> holders;
@@ -144,6 +154,13 @@
         connection = std::make_shared<CallerConnection>(callerAcceptor.accept(), process);
         connection->start();
         caller.read();
+        orders.address = UpstreamAddress("127.0.0.1:" + std::to_string(upstreamAcceptor.local_endpoint().port()));
+        acceptUpstream();
+    }
+    /// Accepts the next connection to the engines in place of the present one.
+    void acceptUpstream()
+    {
+        upstream.socket.close();
         upstreamAcceptor.async_accept(upstream.socket, [this](const boost::system::error_code &error) {
             if (!error) {
                 upstream.read();
@@ -265,3 +282,53 @@
     }));
     CHECK(orders.releaseOrders[paused] == 1);
 }
+
+// Guards against requests to an upstream whose last answer said that it is leaving while the store still lists it
+// (review case 4): the header is read from each answer, whatever the call, and also from answers to orders.
+TEST_CASE_METHOD(ProcessFixture,
+                 "an engine that has announced its leave in an answer gets no further request",
+                 "[relay]")
+{
+    const std::string status = GENERATE(as<std::string>(), "200 OK", "500 Error");
+    const bool inOrder = GENERATE(false, true);
+    REQUIRE(await([this] {
+        return store.listRead && process.limits().maxBodyBytes == MaxBodyBytes;
+    }));
+    const std::string head = " HTTP/1.1\r\nHost: h\r\nIbismast-Token-Counts: 1000,100\r\nContent-Length: 2\r\n";
+    const auto engineOf = [this] {
+        constexpr std::string_view Header = "Ibismast-Expect-Instance: ";
+        const std::size_t start = upstream.received.rfind(Header);
+        REQUIRE(start != std::string::npos);
+        return upstream.received.substr(start + Header.size(), 2);
+    };
+    std::set<std::string> leaving;
+    for (int number = 1; number <= 3; ++number) {
+        const std::string id = "r" + std::to_string(number);
+        upstream.received.clear();
+        caller.received.clear();
+        caller.write("POST /a" + head + "Ibismast-Attempt-Id: " + id + "\r\n\r\n{}");
+        REQUIRE(await([this] {
+            return upstream.received.find("{}") != std::string::npos;
+        }));
+        const std::string engine = engineOf();
+        CHECK_FALSE(leaving.contains(engine));
+        leaving.insert(engine);
+        if (inOrder) {
+            orders.leave(InstanceId(engine));
+        }
+        upstream.write(
+            "HTTP/1.1 " + status + "\r\nIbismast-Attempt-Id: " + id + "\r\nIbismast-Response-Seal: s\r\n"
+            + (inOrder ? "" : "Server-Leaving: 1\r\n")
+            + "Connection: close\r\nContent-Type: text/event-stream\r\nContent-Length: 13\r\n\r\nid:1\ndata:x\n\n");
+        REQUIRE(await([this] {
+            return caller.received.find("data:x") != std::string::npos;
+        }));
+        acceptUpstream();
+    }
+    // All three engines are leaving.
+    caller.received.clear();
+    caller.write("POST /a" + head + "Ibismast-Attempt-Id: r4\r\n\r\n{}");
+    CHECK(await([this] {
+        return caller.received.find("HTTP/1.1 503") != std::string::npos;
+    }));
+}
--- a/UnitTests/platform/platformtest.cpp
+++ b/UnitTests/platform/platformtest.cpp
@@ -191,7 +191,37 @@
     HttpHead head;
     head.status = 200;
     head.headers = {{"Ibismast-Attempt-Id", "r1"}, {"Ibismast-Response-Seal", "s"}, {"Server-Limit", text}};
-    CHECK(PlatformProtocol().decodeAnswer(head, "r1").head.rateLimit == limit);
+    CHECK(PlatformProtocol().decodeAnswer(head, "r1").head.notice.rateLimit == limit);
+}
+
+// Guards against a leave that an upstream announces and that is overlooked, and against one that is read from another
+// value or from an instance that was not asked.
+TEST_CASE("an upstream that leaves says so with the value 1", "[platform]")
+{
+    using Values = std::vector<std::string>;
+    const auto [status, values, leaving] = GENERATE(table<int, Values, bool>({
+        {200, {"1"}, true},
+        {500, {"1"}, true},
+        {503, {"1"}, true},
+        {429, {"1"}, true},
+        {200, {"1", "1"}, true},
+        {200, {}, false},
+        {200, {""}, false},
+        {200, {"0"}, false},
+        {200, {"true"}, false},
+        {421, {"1"}, false},
+    }));
+    HttpHead head;
+    head.status = status;
+    head.headers = {{"Ibismast-Attempt-Id", "r1"}, {"Ibismast-Response-Seal", "s"}};
+    for (const std::string &value : values) {
+        head.headers.emplace_back("server-leaving", value);
+    }
+    CHECK(PlatformProtocol().decodeAnswer(head, "r1").head.notice.leaving == leaving);
+    // A response to another call is not passed on, but its upstream is leaving all the same.
+    const DecodedAnswer foreign = PlatformProtocol().decodeAnswer(head, "r2");
+    CHECK(foreign.foreign);
+    CHECK(foreign.head.notice.leaving == leaving);
 }
 
 // Guards against a pause that an upstream asks for and that is overlooked, and against one that is read from a
@@ -224,7 +254,7 @@
     for (const std::string &value : values) {
         head.headers.emplace_back("Retry-After", value);
     }
-    CHECK(PlatformProtocol().decodeAnswer(head, "r1").head.pause == pause);
+    CHECK(PlatformProtocol().decodeAnswer(head, "r1").head.notice.pause == pause);
 }
 
 // Guards against answers that reach the wrong caller or lack the upstream's signature.
--- a/UnitTests/relay/callflowfixture.h
+++ b/UnitTests/relay/callflowfixture.h
@@ -73,14 +73,11 @@
         buffered += change;
         return true;
     }
-    void
-    rateLimitNamed(const UpstreamRecord & /*upstream*/, std::optional<RequestRate> limit, TimePoint /*now*/) override
+    void noticeReceived(const UpstreamRecord & /*upstream*/, const UpstreamNotice &received, TimePoint /*now*/) override
     {
-        rateLimit = limit;
-    }
-    void pauseRequested(const UpstreamRecord & /*upstream*/, Duration time, TimePoint /*now*/) override
-    {
-        pause = time;
+        rateLimit = received.rateLimit;
+        pause = received.pause ? received.pause : pause;
+        leaving = leaving || received.leaving;
     }
     std::optional<Duration> retryDelay(const RelayCall & /*call*/, TimePoint /*now*/) const override
     {
@@ -118,6 +115,8 @@
     bool faultIsFatal = true;
     /// Error with which the current configuration refuses the call.
     std::optional<Error> revoked;
+    /// True once a response has said that its upstream is leaving.
+    bool leaving = false;
     /// Limit that the last response has named.
     std::optional<RequestRate> rateLimit;
     /// Pause that an upstream has asked for last; the call may return after it.
--- a/UnitTests/relay/upstreamdirectorytest.cpp
+++ b/UnitTests/relay/upstreamdirectorytest.cpp
@@ -242,3 +242,73 @@
     REQUIRE(directory.candidates(Pool, now).suspected.size() == 1);
     CHECK(directory.candidates(Pool, now).suspected.front()->record.id == InstanceId("b"));
 }
+
+// Guards against calls to an upstream whose responses say that it is leaving while the list, which may be of before,
+// does not (review case 4), and against a new process that inherits the notice of the one before it.
+TEST_CASE_METHOD(DirectoryFixture, "a leave that a response has announced holds for the run of the upstream", "[relay]")
+{
+    /// Changes to the record of the upstream in the list that follows the notice.
+    struct Row
+    {
+        std::string name;
+        std::uint64_t incarnation;
+        /// Incarnation in the list after the notice.
+        std::uint64_t listedIncarnation;
+        std::uint64_t listedReport;
+        std::string listedAddress;
+        /// True if a list without the upstream comes first.
+        bool missing;
+        std::string usable;
+    };
+    const std::string address = "10.0.0.1:80";
+    const auto row = GENERATE_COPY(values<Row>({
+        {"the same record", 1, 1, 5, address, false, "b"},
+        {"a newer report of the run", 1, 1, 9, address, false, "b"},
+        {"listed again after it was missing", 1, 1, 5, address, true, "b"},
+        {"a newer report after it was missing", 1, 1, 9, address, true, "b"},
+        {"a new run", 1, 2, 1, address, false, "ab"},
+        {"a new run after it was missing", 1, 2, 1, address, true, "ab"},
+        {"the same id at another address", 1, 1, 6, "10.0.0.1:81", false, "ab"},
+        {"unknown incarnation, a newer report", 0, 0, 6, address, false, "b"},
+        {"unknown incarnation, reports counted anew", 0, 0, 1, address, false, "ab"},
+        {"unknown incarnation, a newer report after it was missing", 0, 0, 6, address, true, "b"},
+        {"unknown incarnation, counted anew after it was missing", 0, 0, 1, address, true, "ab"},
+    }));
+    CAPTURE(row.name);
+    UpstreamRecord left = record("a", 5);
+    left.incarnation = Incarnation(row.incarnation);
+    directory.apply({{left, record("b")}, 1}, now);
+    REQUIRE(usable() == "ab");
+    CHECK(directory.noteLeaving(left, now));
+    CHECK_FALSE(directory.noteLeaving(left, now + 1s));
+    CHECK(usable() == "b");
+    now += 1s;
+    if (row.missing) {
+        directory.apply({{record("b")}, 2}, now);
+        now += 1s;
+    }
+    UpstreamRecord listed = left;
+    listed.incarnation = Incarnation(row.listedIncarnation);
+    listed.reportNumber = row.listedReport;
+    listed.address = UpstreamAddress(row.listedAddress);
+    directory.apply({{listed, record("b")}, 3}, now);
+    CHECK(usable() == row.usable);
+    // A response of the former run that is late does not concern the new one.
+    CHECK_FALSE(directory.noteLeaving(left, now));
+    CHECK(usable() == row.usable);
+}
+
+// Guards against a late response of a run that has ended, and against a list that names an upstream again while it
+// completes its last calls.
+TEST_CASE_METHOD(DirectoryFixture,
+                 "a leave that is announced after the removal holds when it is listed again",
+                 "[relay]")
+{
+    apply({"a", "b"});
+    apply({"b"});
+    REQUIRE(usable() == "b");
+    CHECK(directory.noteLeaving(record("a"), now));
+    apply({"a", "b"});
+    CHECK(usable() == "b");
+    CHECK_FALSE(directory.noteLeaving(record("unknown"), now));
+}
--- a/UnitTests/relay/upstreampausestest.cpp
+++ b/UnitTests/relay/upstreampausestest.cpp
@@ -424,7 +424,7 @@
     }
     for (const UpstreamRecord &record : list.records) {
         if (record.id.value() == paused) {
-            core.pauseRequested(record, 5s, now);
+            core.sideNoticeReceived(record, {.pause = 5s}, now);
         }
     }
     for (UpstreamRecord &record : list.records) {
--- a/UnitTests/relay/upstreamratelimitstest.cpp
+++ b/UnitTests/relay/upstreamratelimitstest.cpp
@@ -121,7 +121,7 @@
             const int attempt = start->attempt;
             const CallNumber number = actions[next].call;
             RelayActions answers;
-            ResponseHead head {200, false, true, {}, limited ? limit : std::nullopt};
+            ResponseHead head {200, false, true, {}, {false, limited ? limit : std::nullopt, {}}};
             entry.headReceived(number, attempt, head, m_now, answers);
             entry.bodyReceived(number, attempt, "id: 1\ndata: x\n\n", m_now, answers);
             entry.responseCompleted(number, attempt, m_now, answers);
@@ -319,7 +319,7 @@
     plan.upstream.id = InstanceId("e1");
     plan.upstream.service = call.service;
     plan.upstream.domain = FailureDomain(domain);
-    core.rateLimitNamed(plan.upstream, RequestRate {2.0}, now);
+    core.noticeReceived(plan.upstream, {.rateLimit = RequestRate {2.0}}, now);
     CHECK(core.takeFleetRateReports().size() == (inCell ? 1 : 0));
     CHECK(core.takeLoadUpdate().rateLimits.size() == 1);
     core.attemptStarted(call, plan, now);
--- a/adapters/relay/engineorders.h
+++ b/adapters/relay/engineorders.h
@@ -15,14 +15,14 @@
     using ReleaseHandler = std::function<void(bool answered)>;
     using StateHandler = std::function<void(ReservationState state)>;
 
-    /// Called when an engine has refused an order and wants no requests from this entry for @p pause.
-    using PauseHandler = std::function<void(const UpstreamRecord &engine, Duration pause)>;
+    /// Called with what the answer to an order or question says of its engine, if it says anything.
+    using NoticeHandler = std::function<void(const UpstreamRecord &engine, const UpstreamNotice &notice)>;
 
     virtual ~EngineOrders() = default;
 
-    void setPauseHandler(PauseHandler handler)
+    void setNoticeHandler(NoticeHandler handler)
     {
-        m_pauseHandler = std::move(handler);
+        m_noticeHandler = std::move(handler);
     }
 
     /// Reserves memory on @p holder for @p hold, or extends the reservation of the same name. @p handler is called
@@ -36,15 +36,15 @@
     virtual void release(const AttemptHelper &holder, ReleaseHandler handler) = 0;
 
 protected:
-    void reportPause(const UpstreamRecord &engine, Duration pause) const
+    void reportNotice(const UpstreamRecord &engine, const UpstreamNotice &notice) const
     {
-        if (m_pauseHandler) {
-            m_pauseHandler(engine, pause);
+        if (m_noticeHandler && notice != UpstreamNotice()) {
+            m_noticeHandler(engine, notice);
         }
     }
 
 private:
-    PauseHandler m_pauseHandler;
+    NoticeHandler m_noticeHandler;
 };
 
 } // namespace ibismast
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -29,7 +29,7 @@
     std::string requestId;
     std::string body;
     int attempt = 0;
-    InstanceId upstream;
+    UpstreamRecord upstream;
     std::shared_ptr<UpstreamConnection> connection;
     /// Head of the answer of the present attempt.
     HttpHead answer;
@@ -60,14 +60,14 @@
               })
     , m_timer(loop)
 {
-    m_platform.orders->setPauseHandler([this](const UpstreamRecord &engine, Duration pause) {
-        m_core.pauseRequested(engine, pause, processNow());
+    m_platform.orders->setNoticeHandler([this](const UpstreamRecord &engine, const UpstreamNotice &notice) {
+        m_core.sideNoticeReceived(engine, notice, processNow());
     });
 }
 
 RelayProcess::~RelayProcess()
 {
-    m_platform.orders->setPauseHandler(nullptr);
+    m_platform.orders->setNoticeHandler(nullptr);
 }
 
 void RelayProcess::requestReceived(const std::shared_ptr<CallerConnection> &connection, std::string body)
@@ -260,7 +260,7 @@
 {
     const UpstreamRecord &upstream = start.plan.upstream;
     exchange.attempt = start.attempt;
-    exchange.upstream = upstream.id;
+    exchange.upstream = upstream;
     const auto endpoint = parseTcpEndpoint(upstream.address.value());
     if (!endpoint) {
         boost::asio::post(*m_loop, [this, number, attempt = start.attempt] {
@@ -373,8 +373,10 @@
         if (decoded.foreign) {
             m_listener->onEvent("foreign_answer_skipped",
                                 {{"request", found->second->requestId},
-                                 {"upstream", found->second->upstream.value()},
+                                 {"upstream", found->second->upstream.id.value()},
                                  {"status", std::to_string(head.status)}});
+            // A late response may be of any age, but a shutdown is not taken back.
+            m_core.sideNoticeReceived(found->second->upstream, {.leaving = decoded.head.notice.leaving}, processNow());
             return false;
         }
         found->second->answer = head;
@@ -391,7 +393,7 @@
     handler.onEnd = [this, number, attempt, step] {
         const auto found = m_exchanges.find(number);
         if (found != m_exchanges.end() && found->second->connection) {
-            m_pool.giveBack(found->second->upstream, found->second->connection);
+            m_pool.giveBack(found->second->upstream.id, found->second->connection);
             found->second->connection.reset();
         }
         step([&](RelayActions &actions) {
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -152,16 +152,15 @@
     m_current->lastProgress = now;
     m_current->head = head;
     if (head.status != MisdirectedStatus) {
-        m_environment->rateLimitNamed(m_current->plan.upstream, head.rateLimit, now);
+        m_environment->noticeReceived(m_current->plan.upstream, head.notice, now);
     }
-    if (head.pause) {
+    if (head.notice.pause) {
         m_listener->onEvent("upstream_refused",
                             {{"request", m_call.requestId},
                              {"attempt", std::to_string(attempt)},
                              {"upstream", m_current->plan.upstream.id.value()},
                              {"status", std::to_string(head.status)},
-                             {"pause_ms", inMs(*head.pause)}});
-        m_environment->pauseRequested(m_current->plan.upstream, *head.pause, now);
+                             {"pause_ms", inMs(*head.notice.pause)}});
     }
     if (!head.failedUpstream.empty()) {
         if (const std::optional<InstanceId> reportedUpstream =
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -3,6 +3,7 @@
 #include "ibismast/core/result.h"
 #include "ibismast/relay/engineplanner.h"
 #include "ibismast/relay/eventscanner.h"
+#include "ibismast/relay/upstreamnotice.h"
 
 #include <set>
 
@@ -161,10 +162,8 @@
     bool valid = true;
     /// Address of another upstream that caused the failure according to this response; empty if none is named.
     UpstreamAddress failedUpstream;
-    /// Rate of requests that the upstream takes from all entries together at present; empty if it names none.
-    std::optional<RequestRate> rateLimit {};
-    /// Time for which the upstream wants no requests from this entry; empty if it names none.
-    std::optional<Duration> pause {};
+    /// What the response says of its upstream.
+    UpstreamNotice notice {};
 };
 
 /// Reason why an attempt ended without a complete response.
@@ -228,10 +227,9 @@
     /// The bytes buffered for all calls change by @p change. Returns false, and counts nothing, if they would exceed
     /// the limit of the process.
     [[nodiscard]] virtual bool changeBuffered(std::int64_t change) = 0;
-    /// A response of @p upstream names @p limit as the rate of requests that it takes, or no limit if that is empty.
-    virtual void rateLimitNamed(const UpstreamRecord &upstream, std::optional<RequestRate> limit, TimePoint now) = 0;
-    /// @p upstream has refused a call and wants no requests from this entry for @p pause.
-    virtual void pauseRequested(const UpstreamRecord &upstream, Duration pause, TimePoint now) = 0;
+    /// A response of @p upstream to a call says @p notice of the upstream. A rate limit that it does not name has
+    /// ended.
+    virtual void noticeReceived(const UpstreamRecord &upstream, const UpstreamNotice &notice, TimePoint now) = 0;
     /// Returns the time after which @p call may find an upstream; empty if that is not known.
     [[nodiscard]] virtual std::optional<Duration> retryDelay(const RelayCall &call, TimePoint now) const = 0;
     /// A part of a response was received from @p upstream: a whole event of a stream, or bytes of another body.
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -37,6 +37,7 @@
     , m_quarantine(m_settings.quarantine, listener)
     , m_rateLimits(m_settings.rateLimits)
     , m_pauses(m_settings.pauses)
+    , m_admission(m_directory, m_rateLimits, m_pauses)
     , m_cells(m_settings.cells, m_settings.domain)
 {
 }
@@ -367,8 +368,7 @@
     Duration backlog {};
     for (const auto &[id, member] : m_directory.members()) {
         const RelayService *target = service(member.record.service);
-        if (target == nullptr || !target->engine || member.record.leaving
-            || member.record.domain != m_settings.domain) {
+        if (target == nullptr || !target->engine || member.leaving() || member.record.domain != m_settings.domain) {
             continue;
         }
         const EngineWorkload &load = m_loads.load(id);
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -6,6 +6,7 @@
 #include "ibismast/relay/memberview.h"
 #include "ibismast/relay/promptquarantine.h"
 #include "ibismast/relay/routetable.h"
+#include "ibismast/relay/upstreamadmission.h"
 #include "ibismast/relay/upstreampauses.h"
 #include "ibismast/relay/upstreamratelimits.h"
 #include "ibismast/retry/retrybudget.h"
@@ -192,6 +193,9 @@
     [[nodiscard]] std::vector<RateLimitReport> takeFleetRateReports();
     /// Returns reports on up to @p count rate limits for a heartbeat, on other ones with each call.
     [[nodiscard]] std::vector<RateLimitReport> nextRateReports(std::size_t count, TimePoint now);
+    /// Applies what a response to something else than a call of this entry says of @p upstream, such as a response to
+    /// an order. A rate limit that it does not name stays in force.
+    void sideNoticeReceived(const UpstreamRecord &upstream, const UpstreamNotice &notice, TimePoint now);
     /// Returns the end of the time in which @p upstream wants no requests from this entry; empty if it takes requests.
     [[nodiscard]] std::optional<TimePoint> pauseEnd(const UpstreamRecord &upstream, TimePoint now) const;
     /// Returns whether @p order may be sent to @p upstream now, and counts it. See `UpstreamPauses`.
@@ -239,8 +243,7 @@
     void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
     void callRefused(const RelayCall &call, TimePoint now) override;
     [[nodiscard]] bool changeBuffered(std::int64_t change) override;
-    void rateLimitNamed(const UpstreamRecord &upstream, std::optional<RequestRate> limit, TimePoint now) override;
-    void pauseRequested(const UpstreamRecord &upstream, Duration pause, TimePoint now) override;
+    void noticeReceived(const UpstreamRecord &upstream, const UpstreamNotice &notice, TimePoint now) override;
     [[nodiscard]] std::optional<Duration> retryDelay(const RelayCall &call, TimePoint now) const override;
     void upstreamProgressed(const InstanceId &upstream, TimePoint now) override;
     [[nodiscard]] TimePoint lastProgress(const InstanceId &upstream) const override;
@@ -265,7 +268,8 @@
     admit(const std::string &host, const std::string &path, const std::string &key) const;
     /// Returns the hash that identifies @p incoming when it is sent again for @p customer.
     [[nodiscard]] static RequestHash requestHash(const IncomingCall &incoming, const CustomerId &customer);
-    [[nodiscard]] static UpstreamRunKey runKey(const UpstreamRecord &upstream);
+    void noteRateLimit(const UpstreamRecord &upstream, std::optional<RequestRate> limit, TimePoint now);
+    void notePause(const UpstreamRecord &upstream, Duration pause, TimePoint now);
     /// Tells the other entries of a change of an upstream's rate limit, or of a request to a limited upstream. The
     /// entries of other cells learn of it if @p fleetWide is true.
     void announceRate(UpstreamRunKey upstream, bool fleetWide, TimePoint now);
@@ -349,6 +353,7 @@
     PromptQuarantine m_quarantine;
     UpstreamRateLimits m_rateLimits;
     UpstreamPauses m_pauses;
+    UpstreamAdmission m_admission;
     std::vector<RateLimitReport> m_fleetRateReports;
     CellView m_cells;
     bool m_inCell = false;
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -33,20 +33,18 @@
     const RelayService *target = service(call.service);
     const bool generation = target != nullptr && target->engine && call.size.prompt.value() > 0;
     const UpstreamDirectory::Candidates candidates = m_directory.candidates(call.service, now);
-    std::size_t limited = 0;
-    std::size_t paused = 0;
+    std::map<Admission::State, std::size_t> kept;
     for (const auto *upstreams : {&candidates.trusted, &candidates.suspected}) {
         std::vector<const UpstreamDirectory::Member *> untried;
         for (const UpstreamDirectory::Member *member : *upstreams) {
             if (tried.contains(member->record.id)) {
                 continue;
             }
-            if (pauseEnd(member->record, now)) {
-                ++paused;
-            } else if (m_rateLimits.allows(runKey(member->record), now)) {
+            const Admission admission = m_admission.decide(*member, now);
+            if (admission.usable()) {
                 untried.push_back(member);
             } else {
-                ++limited;
+                ++kept[admission.state];
             }
         }
         if (untried.empty()) {
@@ -63,13 +61,14 @@
             return plan;
         }
     }
-    if (limited > 0 || paused > 0) {
+    if (!kept.empty() || candidates.leaving > 0) {
         m_listener->onEvent("no_plan",
                             {{"request", call.requestId},
                              {"service", call.service.value()},
                              {"trusted", std::to_string(candidates.trusted.size())},
-                             {"rate_limited", std::to_string(limited)},
-                             {"paused", std::to_string(paused)}});
+                             {"leaving", std::to_string(candidates.leaving)},
+                             {"rate_limited", std::to_string(kept[Admission::State::RateLimited])},
+                             {"paused", std::to_string(kept[Admission::State::Paused])}});
     }
     return std::nullopt;
 }
@@ -85,23 +84,18 @@
     }
     std::optional<PlanFault> suspect;
     for (const UpstreamRecord *record : records) {
-        const UpstreamDirectory::Member *member = m_directory.find(record->id);
-        const std::string name = "upstream " + record->id.value();
-        if (member == nullptr) {
-            return PlanFault {name + " is not listed any more"};
-        }
-        if (member->record.leaving) {
-            return PlanFault {name + " is leaving"};
-        }
-        if (member->record.incarnation != record->incarnation || member->record.address != record->address) {
-            return PlanFault {name + " has restarted"};
-        }
-        if (pauseEnd(*record, now)) {
-            return PlanFault {name + " wants no requests for a time"};
+        const Admission admission = m_admission.decidePlanned(*record, now);
+        if (admission.state == Admission::State::Admitted) {
+            continue;
         }
-        if (!suspect && m_directory.suspected(*member, now)) {
-            suspect = PlanFault {name + " is suspected", false};
+        const std::string age = admission.age ? std::to_string(toSeconds(*admission.age)) + " s ago" : "age unknown";
+        PlanFault fault {"upstream " + record->id.value() + " is " + std::string(toText(admission.state)) + " by "
+                             + std::string(admission.source) + ", " + age,
+                         !admission.usable()};
+        if (fault.unusable) {
+            return fault;
         }
+        suspect = suspect ? suspect : std::move(fault);
     }
     return suspect;
 }
--- a/ibismast/relay/relaycorereports.cpp
+++ b/ibismast/relay/relaycorereports.cpp
@@ -104,12 +104,28 @@
     return m_quarantine.size(now);
 }
 
-UpstreamRunKey RelayCore::runKey(const UpstreamRecord &upstream)
+void RelayCore::noticeReceived(const UpstreamRecord &upstream, const UpstreamNotice &notice, TimePoint now)
 {
-    return UpstreamRunKey(combineHashes(stableHash(upstream.id.value()), upstream.incarnation.value()));
+    noteRateLimit(upstream, notice.rateLimit, now);
+    sideNoticeReceived(upstream, {notice.leaving, std::nullopt, notice.pause}, now);
 }
 
-void RelayCore::rateLimitNamed(const UpstreamRecord &upstream, std::optional<RequestRate> limit, TimePoint now)
+void RelayCore::sideNoticeReceived(const UpstreamRecord &upstream, const UpstreamNotice &notice, TimePoint now)
+{
+    if (notice.leaving && m_directory.noteLeaving(upstream, now)) {
+        m_listener->onEvent(
+            "upstream_leaving",
+            {{"upstream", upstream.id.value()}, {"run", toHexText(runKey(upstream))}, {"source", "response"}});
+    }
+    if (notice.rateLimit) {
+        noteRateLimit(upstream, notice.rateLimit, now);
+    }
+    if (notice.pause) {
+        notePause(upstream, *notice.pause, now);
+    }
+}
+
+void RelayCore::noteRateLimit(const UpstreamRecord &upstream, std::optional<RequestRate> limit, TimePoint now)
 {
     const UpstreamRunKey key = runKey(upstream);
     const std::optional<RequestRate> previous = m_rateLimits.limitOf(key);
@@ -124,7 +140,7 @@
     }
 }
 
-void RelayCore::pauseRequested(const UpstreamRecord &upstream, Duration pause, TimePoint now)
+void RelayCore::notePause(const UpstreamRecord &upstream, Duration pause, TimePoint now)
 {
     if (m_pauses.begin(runKey(upstream), pause, now)) {
         m_listener->onEvent("upstream_paused", {{"upstream", upstream.id.value()}, {"seconds", secondsText(pause)}});
--- a/ibismast/relay/upstreamdirectory.cpp
+++ b/ibismast/relay/upstreamdirectory.cpp
@@ -1,11 +1,30 @@
 #include "ibismast/relay/upstreamdirectory.h"
 
+#include "ibismast/core/stablehash.h"
+
 #include <algorithm>
 #include <set>
 
 namespace ibismast
 {
 
+namespace
+{
+
+/// True if @p record continues a run of its upstream whose last record had @p incarnation and @p reportNumber. Where
+/// the incarnation is unknown, the reports of a new run are counted anew.
+bool continuesRun(const UpstreamRecord &record, Incarnation incarnation, std::uint64_t reportNumber)
+{
+    return record.incarnation == incarnation && (incarnation != Incarnation() || record.reportNumber >= reportNumber);
+}
+
+} // namespace
+
+UpstreamRunKey runKey(const UpstreamRecord &record)
+{
+    return UpstreamRunKey(combineHashes(stableHash(record.id.value()), record.incarnation.value()));
+}
+
 UpstreamDirectory::UpstreamDirectory(const UpstreamDirectorySettings &settings, EventListener &listener)
     : m_settings(settings), m_listener(&listener), m_health(settings.breaker, {})
 {
@@ -35,7 +54,7 @@
     const bool massLoss = isMassLoss(missing.size());
     for (const InstanceId &id : missing) {
         Member &member = m_members.at(id);
-        const bool mayReturn = (outage || massLoss) && !member.record.leaving;
+        const bool mayReturn = (outage || massLoss) && !member.leaving();
         m_listener->onEvent("upstream_missing",
                             {{"upstream", id.value()},
                              {"revision", std::to_string(list.revision.number)},
@@ -81,8 +100,10 @@
 void UpstreamDirectory::remove(const InstanceId &id, TimePoint now)
 {
     const auto found = m_members.find(id);
-    m_removed.insert_or_assign(id,
-                               RemovedRun {found->second.record.incarnation, found->second.record.reportNumber, now});
+    m_removed.insert_or_assign(
+        id,
+        RemovedRun {
+            found->second.record.incarnation, found->second.record.reportNumber, now, found->second.leaveNoticedAt});
     m_members.erase(found);
     if (m_removed.size() > m_settings.maxRemoved) {
         m_removed.erase(std::ranges::min_element(m_removed, {}, [](const auto &entry) {
@@ -132,6 +153,15 @@
                              {"leaving", record.leaving ? "true" : "false"},
                              {"restarted", restarted ? "true" : "false"}});
     }
+    if (const auto removed = m_removed.find(record.id); added && removed != m_removed.end()
+        && continuesRun(record, removed->second.incarnation, removed->second.reportNumber)) {
+        member.leaveNoticedAt = removed->second.leaveNoticedAt;
+    }
+    if (!added
+        && (member.record.address != record.address
+            || !continuesRun(record, member.record.incarnation, member.record.reportNumber))) {
+        member.leaveNoticedAt.reset();
+    }
     if (restarted) {
         m_health.noteSuccess(record.id);
         member.avoidedUntil.reset();
@@ -200,7 +230,11 @@
 {
     Candidates result;
     for (const auto &[id, member] : m_members) {
-        if (member.record.service != service || member.record.leaving) {
+        if (member.record.service != service) {
+            continue;
+        }
+        if (member.leaving()) {
+            ++result.leaving;
             continue;
         }
         (suspected(member, now) ? result.suspected : result.trusted).push_back(&member);
@@ -208,6 +242,27 @@
     return result;
 }
 
+bool UpstreamDirectory::noteLeaving(const UpstreamRecord &upstream, TimePoint now)
+{
+    if (const auto found = m_members.find(upstream.id); found != m_members.end()) {
+        Member &member = found->second;
+        if (member.leaveNoticedAt || member.record.address != upstream.address
+            || !continuesRun(member.record, upstream.incarnation, upstream.reportNumber)) {
+            return false;
+        }
+        member.leaveNoticedAt = now;
+        return true;
+    }
+    // A list may name the upstream again while it completes its last calls.
+    const auto removed = m_removed.find(upstream.id);
+    if (removed == m_removed.end() || removed->second.leaveNoticedAt
+        || removed->second.incarnation != upstream.incarnation) {
+        return false;
+    }
+    removed->second.leaveNoticedAt = now;
+    return true;
+}
+
 void UpstreamDirectory::noteDispatch(const InstanceId &id, TimePoint now)
 {
     m_health.noteDispatch(id, now);
--- a/ibismast/relay/upstreamdirectory.h
+++ b/ibismast/relay/upstreamdirectory.h
@@ -4,6 +4,7 @@
 #include "ibismast/entry/upstreamhealth.h"
 #include "ibismast/relay/recordrevision.h"
 #include "ibismast/relay/relayconfig.h"
+#include "ibismast/relay/upstreamrunkey.h"
 
 #include <map>
 
@@ -30,6 +31,9 @@
     bool operator==(const UpstreamRecord &) const = default;
 };
 
+/// Returns the key of the run of an upstream that @p record describes.
+[[nodiscard]] UpstreamRunKey runKey(const UpstreamRecord &record);
+
 /// The platform's list of upstreams at one revision of the store.
 struct UpstreamList
 {
@@ -79,11 +83,20 @@
         std::optional<TimePoint> avoidedUntil;
         /// End of the time for which the upstream counts as full because it has declined a call.
         std::optional<TimePoint> fullUntil;
+        /// Time at which a response first said that this run of the upstream is leaving. Lists do not undo it, since
+        /// they may be older, and an upstream that has announced its shutdown does not take it back.
+        std::optional<TimePoint> leaveNoticedAt;
         /// Time at which this process saw the upstream's latest report.
         TimePoint reportedAt;
         /// True if the report timeout had passed when the last list was applied, and too few upstreams were affected
         /// for a delay of all reports.
         bool silent = false;
+
+        /// True if the upstream has announced its shutdown, in the list or in a response.
+        [[nodiscard]] bool leaving() const
+        {
+            return record.leaving || leaveNoticedAt.has_value();
+        }
     };
 
     UpstreamDirectory(const UpstreamDirectorySettings &settings, EventListener &listener);
@@ -118,10 +131,15 @@
         /// Upstreams that have failed or declined a call recently, are missing from the list or do not report. They are
         /// used if no trusted one has room.
         std::vector<const Member *> suspected;
+        /// Number of upstreams that are left out since they are leaving.
+        std::size_t leaving = 0;
     };
     /// Returns the upstreams of @p service, without those that are leaving.
     [[nodiscard]] Candidates candidates(const ServiceName &service, TimePoint now) const;
 
+    /// Records that a response says that the run of an upstream that @p upstream describes is leaving. Returns true if
+    /// no response has said so before.
+    bool noteLeaving(const UpstreamRecord &upstream, TimePoint now);
     void noteDispatch(const InstanceId &id, TimePoint now);
     void noteSuccess(const InstanceId &id);
     void noteFailure(const InstanceId &id, TimePoint now);
@@ -140,6 +158,8 @@
         Incarnation incarnation;
         std::uint64_t reportNumber = 0;
         TimePoint removedAt;
+        /// See `Member::leaveNoticedAt`.
+        std::optional<TimePoint> leaveNoticedAt;
     };
 
     void applyRecord(const UpstreamRecord &record, TimePoint now);
--- a/ibismast/relay/upstreampauses.cpp
+++ b/ibismast/relay/upstreampauses.cpp
@@ -16,8 +16,9 @@
     const bool wasPaused = endOf(upstream, now).has_value();
     Pause &pause = m_pauses[upstream];
     if (!wasPaused) {
-        pause = {end, {}};
+        pause = {now, end, {}};
     }
+    pause.askedAt = now;
     pause.end = std::max(pause.end, end);
     if (m_pauses.size() > m_settings.maxUpstreams) {
         m_pauses.erase(std::ranges::min_element(m_pauses, {}, [](const auto &entry) {
@@ -33,6 +34,13 @@
     return found == m_pauses.end() || now >= found->second.end ? std::nullopt : std::optional(found->second.end);
 }
 
+std::optional<Duration> UpstreamPauses::ageOf(UpstreamRunKey upstream, TimePoint now) const
+{
+    const auto found = m_pauses.find(upstream);
+    return found == m_pauses.end() || now >= found->second.end ? std::nullopt
+                                                               : std::optional(now - found->second.askedAt);
+}
+
 bool UpstreamPauses::takeOrder(UpstreamRunKey upstream, PausedOrder order, TimePoint now)
 {
     const auto found = m_pauses.find(upstream);
--- a/ibismast/relay/upstreampauses.h
+++ b/ibismast/relay/upstreampauses.h
@@ -38,6 +38,8 @@
     bool begin(UpstreamRunKey upstream, Duration time, TimePoint now);
     /// Returns the end of the pause of @p upstream; empty if it is not paused.
     [[nodiscard]] std::optional<TimePoint> endOf(UpstreamRunKey upstream, TimePoint now) const;
+    /// Returns the time since @p upstream last asked for its pause; empty if it is not paused.
+    [[nodiscard]] std::optional<Duration> ageOf(UpstreamRunKey upstream, TimePoint now) const;
     /// Returns whether @p order may be sent to @p upstream, and counts it: a paused upstream gets one order of each
     /// kind.
     [[nodiscard]] bool takeOrder(UpstreamRunKey upstream, PausedOrder order, TimePoint now);
@@ -52,6 +54,7 @@
 private:
     struct Pause
     {
+        TimePoint askedAt;
         TimePoint end;
         std::set<PausedOrder> sentOrders;
     };
--- a/ibismast/relay/upstreamratelimits.cpp
+++ b/ibismast/relay/upstreamratelimits.cpp
@@ -69,6 +69,12 @@
     return found == m_upstreams.end() ? std::nullopt : found->second.limit;
 }
 
+std::optional<Duration> UpstreamRateLimits::ageOf(UpstreamRunKey upstream, TimePoint now) const
+{
+    const auto found = m_upstreams.find(upstream);
+    return found == m_upstreams.end() ? std::nullopt : std::optional(now - found->second.saidAt);
+}
+
 bool UpstreamRateLimits::allows(UpstreamRunKey upstream, TimePoint now) const
 {
     const auto found = m_upstreams.find(upstream);
--- a/ibismast/relay/upstreamratelimits.h
+++ b/ibismast/relay/upstreamratelimits.h
@@ -56,6 +56,8 @@
     bool noteResponse(UpstreamRunKey upstream, std::optional<RequestRate> limit, TimePoint now);
     /// Returns the limit of @p upstream; empty if it has none.
     [[nodiscard]] std::optional<RequestRate> limitOf(UpstreamRunKey upstream) const;
+    /// Returns the time since a response last named or ended the limit of @p upstream; empty if none has.
+    [[nodiscard]] std::optional<Duration> ageOf(UpstreamRunKey upstream, TimePoint now) const;
     /// True if a request may be sent to @p upstream.
     [[nodiscard]] bool allows(UpstreamRunKey upstream, TimePoint now) const;
     /// Records a request of this entry. Returns true if @p upstream has a limit, so that the other entries must learn
