Read a stream only while its caller takes the bytes

About 15 streams without end took an entry over its memory; it was ended with all requests that it had open.

Cause: a slow caller did not slow its upstream down, unsent bytes were limited to 16 MiB and as much again for each connection, and the limit of all buffers left out what waits for callers. Where that limit was reached, whichever call asked next was given up and its upstream blamed.

Change: a stream's response is not read while more than 64 KiB wait for its caller, and its upstream does not count as stalled meanwhile; the kernel holds 128 KiB of it. One limit of 64 MiB covers incomplete responses and unsent bytes. Beyond it the largest incomplete response is given up, without blame; 64 KiB are each call's own. The next request of a connection waits while its earlier answers are unread.

--- a/UnitTests/adapters/relay/callerconnectiontest.cpp
+++ b/UnitTests/adapters/relay/callerconnectiontest.cpp
@@ -32,6 +32,12 @@
     }
 
     std::uint32_t maxHeadBytes = 1'024;
+    void unsentBytesChanged(std::int64_t change) override
+    {
+        unsent += change;
+    }
+
+    std::int64_t unsent = 0;
     int requests = 0;
     int gone = 0;
     std::string lastBody;
@@ -167,6 +173,38 @@
     CHECK(caller.received.find("first") < caller.received.find("second"));
 }
 
+// Guards against a caller that sends requests ahead and reads no answer, whose answers fill the memory, and against
+// unsent bytes that stay counted.
+TEST_CASE_METHOD(ServerFixture, "the next request waits until the caller has read its answers", "[relay]")
+{
+    constexpr std::size_t AnswerBytes = std::size_t {6} << 20;
+    caller.socket.set_option(boost::asio::socket_base::receive_buffer_size(64 * 1024));
+    caller.pause();
+    const bool leaves = GENERATE(false, true);
+    caller.write(Get + Get);
+    awaitRequests(1);
+    handler.last->answer(HttpHeadBuilder::response(200), std::string(AnswerBytes, 'x'));
+    CHECK(handler.unsent > 0);
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(200));
+    CHECK(handler.requests == 1);
+    CHECK(handler.unsent > 0);
+    if (leaves) {
+        caller.reset();
+        CHECK(runUntil(loop, [this] {
+            return handler.unsent == 0;
+        }));
+        return;
+    }
+    caller.resume();
+    awaitRequests(2);
+    handler.last->answer(HttpHeadBuilder::response(200), "second");
+    CHECK(awaitReceived("second"));
+    CHECK(runUntil(loop, [this] {
+        return handler.unsent == 0;
+    }));
+}
+
 // Guards against work for a caller that has left.
 TEST_CASE_METHOD(ServerFixture, "a caller that leaves is noticed while its answer is due", "[relay]")
 {
--- a/UnitTests/adapters/relay/loopbackpeer.h
+++ b/UnitTests/adapters/relay/loopbackpeer.h
@@ -30,16 +30,30 @@
 
     void read()
     {
+        m_reading = true;
         socket.async_read_some(boost::asio::buffer(m_buffer),
                                [this](const boost::system::error_code &error, std::size_t size) {
+                                   m_reading = false;
                                    received.append(m_buffer.data(), size);
                                    if (error) {
                                        ended = true;
-                                   } else {
+                                   } else if (!m_paused) {
                                        read();
                                    }
                                });
     }
+    /// Stops reading, after at most one further piece.
+    void pause()
+    {
+        m_paused = true;
+    }
+    void resume()
+    {
+        m_paused = false;
+        if (!m_reading) {
+            read();
+        }
+    }
     void write(const std::string &bytes)
     {
         boost::asio::write(socket, boost::asio::buffer(bytes));
@@ -57,6 +71,8 @@
 
 private:
     std::array<char, 4096> m_buffer {};
+    bool m_reading = false;
+    bool m_paused = false;
 };
 
 } // namespace ibismast
--- a/UnitTests/adapters/relay/relayprocesstest.cpp
+++ b/UnitTests/adapters/relay/relayprocesstest.cpp
@@ -332,3 +332,59 @@
         return caller.received.find("HTTP/1.1 503") != std::string::npos;
     }));
 }
+
+// Guards against events without end, or a fast upstream, that fill the memory of an entry whose callers read slowly
+// (reports of other operators, issue 40).
+TEST_CASE_METHOD(ProcessFixture, "an engine is held back while the caller of its stream does not read", "[relay]")
+{
+    // Buffers of the kernel on both connections and those of the process, far below the memory of an entry.
+    constexpr std::size_t MostTaken = std::size_t {8} << 20;
+    REQUIRE(await([this] {
+        return store.listRead && process.limits().maxBodyBytes == MaxBodyBytes;
+    }));
+    caller.socket.set_option(boost::asio::socket_base::receive_buffer_size(64 * 1024));
+    caller.write("POST /a HTTP/1.1\r\nHost: h\r\nIbismast-Attempt-Id: r1\r\nIbismast-Token-Counts: 1000,100\r\n"
+                 "Content-Length: 2\r\n\r\n{}");
+    REQUIRE(await([this] {
+        return upstream.received.find("{}") != std::string::npos;
+    }));
+    caller.pause();
+    upstream.socket.set_option(boost::asio::socket_base::send_buffer_size(64 * 1024));
+    upstream.write("HTTP/1.1 200 OK\r\nIbismast-Attempt-Id: r1\r\nIbismast-Response-Seal: s\r\n"
+                   "Content-Type: text/event-stream\r\n\r\n");
+    const std::string event = "id:1\ndata:" + std::string(980, 'x') + "\n\n";
+    std::string events;
+    while (events.size() < std::size_t {64} << 10) {
+        events += event;
+    }
+    std::size_t taken = 0;
+    bool upstreamCut = false;
+    const std::function<void()> send = [&] {
+        boost::asio::async_write(upstream.socket,
+                                 boost::asio::buffer(events),
+                                 [&](const boost::system::error_code &error, std::size_t size) {
+                                     taken += size;
+                                     upstreamCut = upstreamCut || error;
+                                     if (!error && taken < 8 * MostTaken) {
+                                         send();
+                                     }
+                                 });
+    };
+    send();
+    loop.restart();
+    loop.run_for(1s);
+    CHECK(taken <= MostTaken);
+    CHECK_FALSE(upstreamCut);
+    CHECK(connection->isOpen());
+    CHECK(connection->unsentBytes() <= 128 * 1024);
+    // The stream goes on as soon as the caller reads.
+    const std::size_t before = taken;
+    caller.resume();
+    CHECK(await([&] {
+        return taken > before + MostTaken / 2;
+    }));
+    CHECK_FALSE(upstreamCut);
+    upstream.socket.close();
+    loop.restart();
+    loop.run_for(50ms);
+}
--- a/UnitTests/adapters/relay/upstreamconnectiontest.cpp
+++ b/UnitTests/adapters/relay/upstreamconnectiontest.cpp
@@ -239,6 +239,45 @@
     CHECK_FALSE(connection->isIdle());
 }
 
+// Guards against an answer that is read on although its caller is slow, so that the bytes fill the memory of the
+// process or, if the kernel may hold any number of them, that of the machine.
+TEST_CASE_METHOD(ConnectionFixture, "a paused answer holds its upstream back", "[relay]")
+{
+    constexpr std::size_t BodyBytes = std::size_t {8} << 20;
+    send();
+    const std::string answer = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: " + std::to_string(BodyBytes)
+        + "\r\n\r\n" + std::string(BodyBytes, 'x');
+    boost::system::error_code error;
+    upstream.socket.set_option(boost::asio::socket_base::send_buffer_size(64 * 1024), error);
+    bool written = false;
+    std::size_t sent = 0;
+    boost::asio::async_write(
+        upstream.socket, boost::asio::buffer(answer), [&](const boost::system::error_code &code, std::size_t size) {
+            written = !code;
+            sent = size;
+        });
+    REQUIRE(runUntil(loop, [this] {
+        return !body.empty();
+    }));
+    connection->setPaused(true);
+    const std::size_t atPause = body.size();
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(200));
+    CHECK_FALSE(written);
+    CHECK(body.size() <= atPause + 8192);
+    CHECK(outcome.empty());
+    connection->setPaused(false);
+    await();
+    CHECK(outcome == "complete");
+    CHECK(body.size() == BodyBytes);
+    CHECK(connection->isIdle());
+    // The idle connection still notices its end.
+    upstream.socket.close();
+    CHECK(runUntil(loop, [this] {
+        return !connection->isIdle();
+    }));
+}
+
 // Guards against a chunk whose size overflows, which would make the bytes after it part of the body or of an answer.
 TEST_CASE_METHOD(ConnectionFixture, "a chunk size out of range ends the answer", "[relay]")
 {
--- a/UnitTests/relay/callflowfixture.h
+++ b/UnitTests/relay/callflowfixture.h
@@ -65,7 +65,7 @@
     {
         ++refused;
     }
-    bool changeBuffered(std::int64_t change) override
+    bool changeBuffered(const RelayCall & /*call*/, std::int64_t change) override
     {
         if (change > 0 && buffered + change > bufferLimit) {
             return false;
@@ -151,6 +151,9 @@
                                   [](const InspectEngineMemory & /*inspect*/) {
                                       return std::string("inspect");
                                   },
+                                  [](const SetResponsePaused &pause) {
+                                      return std::string(pause.paused ? "pause" : "resume");
+                                  },
                                   [](const AbortAttempt & /*abort*/) {
                                       return std::string("abort");
                                   },
--- a/UnitTests/relay/callflowresponsestest.cpp
+++ b/UnitTests/relay/callflowresponsestest.cpp
@@ -161,6 +161,72 @@
     CHECK(environment.buffered == 0);
 }
 
+// Guards against a stream whose unread bytes fill the memory because its upstream is faster than its caller, and
+// against an upstream that is blamed for the silence while it is not read.
+TEST_CASE_METHOD(FlowFixture, "a stream is not read while its caller is slow", "[relay]")
+{
+    constexpr std::size_t Much = 100'000;
+    constexpr std::size_t Little = 1'000;
+    const Duration slow = GENERATE(as<Duration>(), 100ms, 3s, 20s);
+    const bool resumable = GENERATE(false, true);
+    begin(resumable ? CallKind::ResumableStream : CallKind::Stream, 2);
+    head(1, 200);
+    event(1, 1);
+    (void)done();
+    flow().callerBacklogChanged(Little, now, actions);
+    CHECK(done().empty());
+    flow().callerBacklogChanged(Much, now, actions);
+    CHECK(done() == "pause");
+    flow().callerBacklogChanged(Much, now, actions);
+    CHECK(done().empty());
+    const TimePoint end = std::min(now + slow, flow().call().deadline);
+    while (now < end) {
+        now += 50ms;
+        flow().timerExpired(now, actions);
+    }
+    if (flow().ended()) {
+        CHECK(done() == "abort, cut");
+        return;
+    }
+    CHECK(done().empty());
+    flow().callerBacklogChanged(Little, now, actions);
+    CHECK(done() == "resume");
+    CHECK(environment.failed.empty());
+    // The silence of the upstream counts from now on.
+    const TimePoint resumed = now;
+    CHECK(flow().nextDue() > now);
+    if (resumable) {
+        wait();
+        CHECK(done() == "abort, start b behind 1");
+        CHECK(now - resumed >= 500ms);
+        CHECK(now - resumed <= 2s);
+        // The next response is read until its own bytes wait for the caller.
+        head(2, 200);
+        event(2, 2);
+        flow().callerBacklogChanged(Much, now, actions);
+        CHECK(done() == "body 1, pause");
+    }
+}
+
+// Guards against an upstream that counts as failed because the buffers of all calls together are full.
+TEST_CASE_METHOD(FlowFixture, "a response that is given up for lack of memory says nothing of its upstream", "[relay]")
+{
+    const bool ownGrowth = GENERATE(false, true);
+    begin(CallKind::Idempotent, 2);
+    head(1, 200);
+    (void)done();
+    flow().bodyReceived(1, "some", now, actions);
+    if (ownGrowth) {
+        environment.bufferLimit = 5;
+        flow().bodyReceived(1, "more", now, actions);
+    } else {
+        flow().giveUpResponse(now, actions);
+    }
+    CHECK(done() == "abort, start b");
+    CHECK(environment.failed.empty());
+    CHECK(environment.buffered == 0);
+}
+
 // Guards against upstreams in trouble that fill the memory: each of many bodies stays below its own limit.
 TEST_CASE_METHOD(FlowFixture, "a response without end is given up and leaves no buffer behind", "[relay]")
 {
--- a/adapters/relay/callerconnection.cpp
+++ b/adapters/relay/callerconnection.cpp
@@ -16,6 +16,10 @@
 constexpr std::size_t MaxPendingBytes = std::size_t {64} * 1024;
 /// Bytes that wait for a caller that does not read.
 constexpr std::size_t MaxUnsentBytes = std::size_t {16} * 1024 * 1024;
+/// Unsent bytes above which the next request of the connection waits.
+constexpr std::size_t MaxBacklogBytes = std::size_t {64} * 1024;
+/// Buffers above this size are freed after use, so that one large answer does not hold memory for ever.
+constexpr std::size_t KeptBufferBytes = std::size_t {64} * 1024;
 /// A caller that acknowledges nothing for this long is gone.
 constexpr Duration CallerSilence = std::chrono::seconds(4);
 
@@ -68,16 +72,24 @@
         return;
     }
     m_pending.append(bytes);
-    if (m_answering) {
+    if (m_answering || hasWaitingRequest()) {
         if (m_pending.size() > MaxPendingBytes) {
+            const bool waiting = m_answering;
             close();
-            m_handler->callerGone(shared_from_this());
+            if (waiting) {
+                m_handler->callerGone(shared_from_this());
+            }
         }
         return;
     }
     parse();
 }
 
+bool CallerConnection::hasWaitingRequest() const
+{
+    return m_parser && m_parser->done();
+}
+
 void CallerConnection::parse()
 {
     if (m_pending.empty()) {
@@ -101,7 +113,12 @@
         m_continueSent = true;
         write("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    if (!m_parser->done()) {
+    dispatch();
+}
+
+void CallerConnection::dispatch()
+{
+    if (!hasWaitingRequest() || unsentBytes() > MaxBacklogBytes) {
         return;
     }
     m_request = m_parser->head();
@@ -128,9 +145,7 @@
 {
     head.header("Content-Length", std::to_string(body.size()));
     announceClose(head);
-    std::string bytes = head.build();
-    bytes.append(body);
-    write(bytes);
+    write(head.build(), body);
     answerEnded();
 }
 
@@ -182,12 +197,13 @@
     }
 }
 
-void CallerConnection::write(std::string_view bytes)
+void CallerConnection::write(std::string_view bytes, std::string_view moreBytes)
 {
     if (!m_open) {
         return;
     }
-    if (m_out.size() + bytes.size() > MaxUnsentBytes) {
+    const std::size_t size = m_out.size() + bytes.size() + moreBytes.size();
+    if (size > MaxUnsentBytes) {
         const bool waiting = m_answering;
         close();
         if (waiting) {
@@ -195,10 +211,24 @@
         }
         return;
     }
+    if (size > KeptBufferBytes) {
+        m_out.reserve(size);
+    }
     m_out.append(bytes);
+    m_out.append(moreBytes);
+    reportUnsent();
     flush();
 }
 
+void CallerConnection::reportUnsent()
+{
+    const std::size_t unsent = m_open ? unsentBytes() : 0;
+    const std::size_t reported = std::exchange(m_reportedUnsent, unsent);
+    if (unsent != reported) {
+        m_handler->unsentBytesChanged(static_cast<std::int64_t>(unsent) - static_cast<std::int64_t>(reported));
+    }
+}
+
 void CallerConnection::flush()
 {
     if (!m_open || !m_writing.empty()) {
@@ -218,8 +248,20 @@
     boost::asio::async_write(
         m_socket, boost::asio::buffer(m_writing), [self](const ErrorCode &error, std::size_t /*size*/) {
             self->m_writing.clear();
-            if (!error) {
-                self->flush();
+            if (self->m_writing.capacity() > KeptBufferBytes) {
+                std::string().swap(self->m_writing);
+            }
+            if (!self->m_open) {
+                return;
+            }
+            self->reportUnsent();
+            if (error) {
+                return;
+            }
+            self->flush();
+            self->m_handler->outputSent(self);
+            if (self->m_open && !self->m_answering) {
+                self->dispatch();
             }
         });
 }
@@ -252,6 +294,7 @@
 void CallerConnection::close()
 {
     m_open = false;
+    reportUnsent();
     ErrorCode ignored;
     m_socket.close(ignored);
 }
--- a/adapters/relay/callerconnection.h
+++ b/adapters/relay/callerconnection.h
@@ -21,6 +21,10 @@
     virtual void requestReceived(const std::shared_ptr<CallerConnection> &connection, std::string body) = 0;
     /// The caller has closed the connection before its answer ended.
     virtual void callerGone(const std::shared_ptr<CallerConnection> &connection) = 0;
+    /// Bytes of answers have been handed to the kernel; see `CallerConnection::unsentBytes`.
+    virtual void outputSent(const std::shared_ptr<CallerConnection> & /*connection*/) { }
+    /// The unsent bytes of one connection change by @p change.
+    virtual void unsentBytesChanged(std::int64_t /*change*/) { }
     /// Limits for the next request.
     [[nodiscard]] virtual RelayLimits limits() const = 0;
 };
@@ -53,6 +57,11 @@
     {
         m_closing = true;
     }
+    /// Bytes of answers that wait for the caller to read.
+    [[nodiscard]] std::size_t unsentBytes() const
+    {
+        return m_out.size() + m_writing.size();
+    }
     /// True while no request is being read or answered.
     [[nodiscard]] bool isIdle() const;
     /// Closes the connection if reading a request or the pause before it has taken too long.
@@ -67,7 +76,12 @@
     void received(std::string_view bytes);
     void parse();
     void refuse(const Error &error);
-    void write(std::string_view bytes);
+    /// Passes the request that has been read to the handler.
+    void dispatch();
+    /// True if a request has been read that waits until the answers before it have been sent.
+    [[nodiscard]] bool hasWaitingRequest() const;
+    void write(std::string_view bytes, std::string_view moreBytes = {});
+    void reportUnsent();
     void flush();
     void announceClose(HttpHeadBuilder &head);
     void answerEnded();
@@ -82,6 +96,8 @@
     HttpHead m_request;
     std::string m_out;
     std::string m_writing;
+    /// Unsent bytes that the handler knows of.
+    std::size_t m_reportedUnsent = 0;
     bool m_open = true;
     bool m_answering = false;
     bool m_continueSent = false;
--- a/adapters/relay/relayprocess.h
+++ b/adapters/relay/relayprocess.h
@@ -49,6 +49,8 @@
 
     void requestReceived(const std::shared_ptr<CallerConnection> &connection, std::string body) override;
     void callerGone(const std::shared_ptr<CallerConnection> &connection) override;
+    void outputSent(const std::shared_ptr<CallerConnection> &connection) override;
+    void unsentBytesChanged(std::int64_t change) override;
     [[nodiscard]] RelayLimits limits() const override;
 
 private:
@@ -61,6 +63,8 @@
     /// Sends the releases of engine memory that are due.
     void sendReleases();
     void inspectMemory(CallNumber number, const InspectEngineMemory &inspect);
+    /// Tells the core how much the caller of an open call has not read yet, if that matters.
+    void reportBacklog(CallNumber number, const CallerConnection &caller);
     [[nodiscard]] AnswerHandler answerHandler(CallNumber number, int attempt);
     void headArrived(CallNumber number, int attempt, const HttpHead &head);
     void refuse(CallerConnection &connection, const std::string &requestId, const Error &error);
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -31,6 +31,8 @@
     int attempt = 0;
     UpstreamRecord upstream;
     std::shared_ptr<UpstreamConnection> connection;
+    /// True while the answer is not read since the caller is slow.
+    bool paused = false;
     /// Head of the answer of the present attempt.
     HttpHead answer;
 };
@@ -196,9 +198,18 @@
     {
         m_exchange->caller->beginBody(m_process->answerHead(*m_exchange));
     }
+    void operator()(const SetResponsePaused &pause)
+    {
+        m_exchange->paused = pause.paused;
+        if (m_exchange->connection) {
+            m_exchange->connection->setPaused(pause.paused);
+        }
+    }
     void operator()(const SendBody &send)
     {
-        m_exchange->caller->sendBody(send.bytes);
+        const std::shared_ptr<CallerConnection> caller = m_exchange->caller;
+        caller->sendBody(send.bytes);
+        m_process->reportBacklog(m_number, *caller);
     }
     void operator()(const EndBody & /*end*/)
     {
@@ -239,6 +250,34 @@
     Exchange *m_exchange;
 };
 
+void RelayProcess::reportBacklog(CallNumber number, const CallerConnection &caller)
+{
+    const auto found = m_exchanges.find(number);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    const std::size_t unsent = caller.unsentBytes();
+    if (!found->second->paused && unsent <= m_settings.core.call.maxCallerBacklog) {
+        return;
+    }
+    RelayActions actions;
+    m_core.callerBacklogChanged(number, unsent, processNow(), actions);
+    perform(actions);
+    armTimer();
+}
+
+void RelayProcess::outputSent(const std::shared_ptr<CallerConnection> &connection)
+{
+    if (const auto call = m_callOf.find(connection.get()); call != m_callOf.end()) {
+        reportBacklog(call->second, *connection);
+    }
+}
+
+void RelayProcess::unsentBytesChanged(std::int64_t change)
+{
+    m_core.unsentBytesChanged(change);
+}
+
 void RelayProcess::perform(const RelayActions &actions)
 {
     for (const RelayAction &action : actions) {
@@ -260,6 +299,7 @@
 {
     const UpstreamRecord &upstream = start.plan.upstream;
     exchange.attempt = start.attempt;
+    exchange.paused = false;
     exchange.upstream = upstream;
     const auto endpoint = parseTcpEndpoint(upstream.address.value());
     if (!endpoint) {
--- a/adapters/relay/upstreamconnection.cpp
+++ b/adapters/relay/upstreamconnection.cpp
@@ -57,6 +57,7 @@
     m_skippedResponses = 0;
     m_skippedBytes = 0;
     m_reusable = false;
+    m_paused = false;
     if (m_state == State::New) {
         connect();
     } else {
@@ -74,6 +75,9 @@
             self->fail(AttemptFailure::NotSent, "connecting took too long");
         }
     });
+    ErrorCode ignored;
+    m_socket.open(m_endpoint.protocol(), ignored);
+    m_socket.set_option(boost::asio::socket_base::receive_buffer_size(m_settings.receiveBufferBytes), ignored);
     m_socket.async_connect(m_endpoint, [self](const ErrorCode &error) {
         if (self->m_state != State::Connecting) {
             return;
@@ -107,7 +111,9 @@
 void UpstreamConnection::read()
 {
     const std::shared_ptr<UpstreamConnection> self = shared_from_this();
+    m_reading = true;
     m_socket.async_read_some(boost::asio::buffer(m_buffer), [self](const ErrorCode &error, std::size_t size) {
+        self->m_reading = false;
         if (self->m_state != State::Open) {
             return;
         }
@@ -116,12 +122,20 @@
             return;
         }
         self->received(std::string_view(self->m_buffer.data(), size));
-        if (self->m_state == State::Open) {
+        if (self->m_state == State::Open && !self->m_paused && !self->m_reading) {
             self->read();
         }
     });
 }
 
+void UpstreamConnection::setPaused(bool paused)
+{
+    m_paused = paused && m_handler;
+    if (m_state == State::Open && !m_paused && !m_reading) {
+        read();
+    }
+}
+
 void UpstreamConnection::received(std::string_view bytes)
 {
     if (!m_handler) {
@@ -199,6 +213,7 @@
 {
     // An answer that came before the whole request was read leaves the connection in an unknown state.
     m_reusable = m_reusable && !m_writing;
+    m_paused = false;
     const std::shared_ptr<const AnswerHandler> handler = std::exchange(m_handler, nullptr);
     if (!m_reusable) {
         close();
--- a/adapters/relay/upstreamconnection.h
+++ b/adapters/relay/upstreamconnection.h
@@ -38,6 +38,8 @@
     int maxSkippedResponses = 8;
     std::size_t maxSkippedBytes = std::size_t {256} * 1024;
     HttpMessageLimits limits {64 * 1024, std::uint64_t {64} * 1024 * 1024};
+    /// Bytes that the kernel may hold of an answer that is not read. They count as memory of the process.
+    int receiveBufferBytes = 128 * 1024;
 };
 
 /// One HTTP/1.1 connection to an upstream; it carries one request at a time.
@@ -53,6 +55,9 @@
 
     /// Sends @p request, connecting first if need be.
     void send(std::string request, AnswerHandler handler);
+    /// Stops or resumes reading the answer under way, so that TCP holds the upstream back. Nothing is noticed of the
+    /// upstream meanwhile.
+    void setPaused(bool paused);
     /// Closes the connection without a report.
     void close();
     /// True if another request may be sent.
@@ -92,6 +97,8 @@
     std::array<char, 8192> m_buffer {};
     std::string m_request;
     bool m_writing = false;
+    bool m_reading = false;
+    bool m_paused = false;
     /// Shared, since a handler may close the connection while it runs.
     std::shared_ptr<const AnswerHandler> m_handler;
     std::unique_ptr<HttpMessageParser> m_parser;
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -111,7 +111,9 @@
     const std::optional<ResponseHead> head = m_current->head;
     const bool begun = m_current->succeeded();
     const bool hasEvents = m_current->hasEvents;
-    m_environment->upstreamFailed(upstream, now);
+    if (failure != AttemptFailure::BuffersFull) {
+        m_environment->upstreamFailed(upstream, now);
+    }
     closeAttempt(now, actions);
     if (failure == AttemptFailure::NotSent) {
         ++m_unsentAttempts;
@@ -220,9 +222,46 @@
         }
     }
     if (isCurrent(attempt) && !accountBuffers()) {
-        actions.emplace_back(AbortAttempt {attempt});
-        attemptFailed(attempt, AttemptFailure::GivenUp, "the response buffers are full", now, actions);
+        giveUpResponse(now, actions);
+    }
+}
+
+void CallFlow::giveUpResponse(TimePoint now, CallActions &actions)
+{
+    if (m_ended || !m_current) {
+        return;
+    }
+    actions.emplace_back(AbortAttempt {m_attempt});
+    attemptFailed(m_attempt, AttemptFailure::BuffersFull, "the response buffers are full", now, actions);
+}
+
+void CallFlow::callerBacklogChanged(std::size_t bytes, TimePoint now, CallActions &actions)
+{
+    if (m_ended || !m_current) {
+        return;
+    }
+    const bool paused = m_current->pausedAt.has_value();
+    const std::size_t limit = paused ? m_settings.resumeCallerBacklog : m_settings.maxCallerBacklog;
+    if ((bytes > limit) == paused) {
+        return;
+    }
+    if (paused) {
+        m_pausedTime += now - *m_current->pausedAt;
+        m_current->pausedAt.reset();
+        // The upstream could not send, and the caller has received bytes until now.
+        m_current->lastProgress = now;
+        m_lastEvent = now;
+    } else {
+        if (m_pausedTime == Duration::zero()) {
+            m_listener->onEvent("response_paused",
+                                {{"request", m_call.requestId},
+                                 {"attempt", std::to_string(m_attempt)},
+                                 {"upstream", m_current->plan.upstream.id.value()},
+                                 {"unsent_bytes", std::to_string(bytes)}});
+        }
+        m_current->pausedAt = now;
     }
+    actions.emplace_back(SetResponsePaused {m_attempt, !paused});
 }
 
 void CallFlow::eventsReceived(int attempt, std::string_view bytes, TimePoint now, CallActions &actions)
@@ -267,7 +306,7 @@
 bool CallFlow::accountBuffers()
 {
     const auto bytes = static_cast<std::int64_t>(m_current ? m_current->bufferedBytes() : 0);
-    if (!m_environment->changeBuffered(bytes - m_bufferedBytes)) {
+    if (!m_environment->changeBuffered(m_call, bytes - m_bufferedBytes)) {
         return false;
     }
     m_bufferedBytes = bytes;
@@ -347,7 +386,7 @@
     if (m_current->nextRenewal) {
         due = std::min(due, *m_current->nextRenewal);
     }
-    if (!m_current->reserving && m_ranAttempts + 1 < m_call.route.maxAttempts && mayRepeat()) {
+    if (!m_current->reserving && !m_current->pausedAt && m_ranAttempts + 1 < m_call.route.maxAttempts && mayRepeat()) {
         due = std::min(due, std::max(stallDeadline(), m_current->nextStallCheck));
     }
     return due;
@@ -435,6 +474,7 @@
                          {"replanned", std::to_string(m_replans)},
                          {"first_event_ms", m_firstEvent ? inMs(*m_firstEvent - m_call.arrived) : "none"},
                          {"longest_pause_ms", inMs(m_longestPause)},
+                         {"caller_slow_ms", inMs(m_pausedTime)},
                          {"total_ms", inMs(now - m_call.arrived)}});
 }
 
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -101,6 +101,12 @@
     int attempt = 0;
     AttemptHelper holder;
 };
+/// Action: stops or resumes reading the response of an attempt, so that TCP holds its upstream back.
+struct SetResponsePaused
+{
+    int attempt = 0;
+    bool paused = false;
+};
 /// Action: closes the upstream connection of an attempt, which cancels the attempt at the upstream.
 struct AbortAttempt
 {
@@ -142,6 +148,7 @@
                                 ReserveEngineMemory,
                                 ReleaseEngineMemory,
                                 InspectEngineMemory,
+                                SetResponsePaused,
                                 AbortAttempt,
                                 SendHead,
                                 SendBody,
@@ -174,6 +181,9 @@
     Broken,
     /// The relay gave the response up, since it exceeded a limit.
     GivenUp,
+    /// The relay gave the response up, since the buffers of all calls together are full. This says nothing of the
+    /// upstream.
+    BuffersFull,
 };
 
 /// State of a memory reservation as reported by its engine.
@@ -224,9 +234,9 @@
     virtual void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) = 0;
     /// The call is refused with a status that declares it as not executed, so its caller may send it again.
     virtual void callRefused(const RelayCall &call, TimePoint now) = 0;
-    /// The bytes buffered for all calls change by @p change. Returns false, and counts nothing, if they would exceed
-    /// the limit of the process.
-    [[nodiscard]] virtual bool changeBuffered(std::int64_t change) = 0;
+    /// The bytes buffered for @p call change by @p change. Returns false, and counts nothing, if the buffers of all
+    /// calls are full and @p call must give its response up.
+    [[nodiscard]] virtual bool changeBuffered(const RelayCall &call, std::int64_t change) = 0;
     /// A response of @p upstream to a call says @p notice of the upstream. A rate limit that it does not name has
     /// ended.
     virtual void noticeReceived(const UpstreamRecord &upstream, const UpstreamNotice &notice, TimePoint now) = 0;
@@ -288,6 +298,10 @@
     std::size_t maxEventBytes = std::size_t {1} << 20;
     /// Maximum size of a response that is buffered until it is complete.
     std::size_t maxResponseBytes = std::size_t {8} << 20;
+    /// Bytes waiting to be sent to the caller above which a stream's response is no longer read, and at which it is
+    /// read again.
+    std::size_t maxCallerBacklog = std::size_t {64} << 10;
+    std::size_t resumeCallerBacklog = std::size_t {16} << 10;
     /// Lifetime of a memory reservation without renewal, which limits how long memory stays reserved after a crash of
     /// this process.
     Duration reservationTtl = std::chrono::milliseconds(3500);
@@ -323,6 +337,11 @@
     void bodyReceived(int attempt, std::string_view bytes, TimePoint now, CallActions &actions);
     /// The response of an attempt is complete.
     void responseCompleted(int attempt, TimePoint now, CallActions &actions);
+    /// @p bytes of the response wait to be sent to the caller. While they are too many, the response is not read, and
+    /// the upstream does not count as stalled.
+    void callerBacklogChanged(std::size_t bytes, TimePoint now, CallActions &actions);
+    /// Gives the response of the current attempt up, since the buffers of all calls together are full.
+    void giveUpResponse(TimePoint now, CallActions &actions);
     /// The caller has closed its connection.
     void callerDisconnected(TimePoint now, CallActions &actions);
     /// Handles what is due at @p now; does nothing before `nextDue`.
@@ -367,6 +386,8 @@
         EventScanner scanner;
         /// Comments of a stream, which are sent to the caller with the event that follows them.
         std::string comments;
+        /// Time since which the response is not read because the caller is slow; empty if it is read.
+        std::optional<TimePoint> pausedAt;
         /// Time before which the attempt, which has stalled, is not checked again.
         TimePoint nextStallCheck = TimePoint::min();
         /// Time at which the attempt was started or sent, or last received a head, a whole event, or bytes of a body
@@ -465,6 +486,8 @@
     std::uint64_t m_eventBatchesSent = 0;
     std::optional<TimePoint> m_firstEvent;
     TimePoint m_lastEvent;
+    /// Time for which responses were not read because the caller was slow.
+    Duration m_pausedTime {};
     /// Longest pause between two of these sends.
     Duration m_longestPause {};
     bool m_ended = false;
--- a/ibismast/relay/callflowattempts.cpp
+++ b/ibismast/relay/callflowattempts.cpp
@@ -252,6 +252,9 @@
         actions.emplace_back(ReleaseEngineMemory {std::move(held)});
     }
     m_environment->attemptEnded(m_call, m_current->plan, now);
+    if (m_current->pausedAt) {
+        m_pausedTime += now - *m_current->pausedAt;
+    }
     m_current.reset();
     (void)accountBuffers();
 }
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -256,6 +256,29 @@
             flow.bodyReceived(attempt, bytes, now, flowActions);
         },
         actions);
+    for (const CallNumber &largest : std::exchange(m_overLimit, {})) {
+        run(
+            largest,
+            [now](CallFlow &flow, CallActions &flowActions) {
+                flow.giveUpResponse(now, flowActions);
+            },
+            actions);
+    }
+}
+
+void RelayCore::callerBacklogChanged(CallNumber call, std::size_t bytes, TimePoint now, RelayActions &actions)
+{
+    run(
+        call,
+        [bytes, now](CallFlow &flow, CallActions &flowActions) {
+            flow.callerBacklogChanged(bytes, now, flowActions);
+        },
+        actions);
+}
+
+void RelayCore::unsentBytesChanged(std::int64_t change)
+{
+    m_unsentBytes += change;
 }
 
 void RelayCore::responseCompleted(CallNumber call, int attempt, TimePoint now, RelayActions &actions)
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -89,8 +89,12 @@
     Duration stopRetryAfter = std::chrono::milliseconds(100);
     /// Time for which the fingerprint of a refused call is kept; callers retry within a third of their timeout.
     Duration refusalRetention = std::chrono::seconds(6);
-    /// Maximum number of bytes of incomplete responses and events that are buffered for all calls together.
-    std::int64_t maxBufferedBytes = std::int64_t {32} << 20;
+    /// Maximum number of bytes of responses that are held for all calls together: those of incomplete responses and
+    /// events, and those that wait to be sent to callers. When it is exceeded, the largest incomplete response is given
+    /// up, so that small ones are not affected by upstreams that send without end.
+    std::int64_t maxBufferedBytes = std::int64_t {64} << 20;
+    /// Bytes of an incomplete response that a call may always hold.
+    std::int64_t guaranteedBufferBytes = std::int64_t {64} << 10;
     /// Maximum number of fingerprints that are kept.
     std::size_t maxRefusals = 4096;
 };
@@ -167,6 +171,19 @@
     void headReceived(CallNumber call, int attempt, const ResponseHead &head, TimePoint now, RelayActions &actions);
     void bodyReceived(CallNumber call, int attempt, std::string_view bytes, TimePoint now, RelayActions &actions);
     void responseCompleted(CallNumber call, int attempt, TimePoint now, RelayActions &actions);
+    /// @p bytes of the call's response wait to be sent to its caller.
+    void callerBacklogChanged(CallNumber call, std::size_t bytes, TimePoint now, RelayActions &actions);
+    /// The bytes that wait to be sent to all callers, also those of calls that have ended, change by @p change.
+    void unsentBytesChanged(std::int64_t change);
+    /// Bytes of incomplete responses of all calls, and bytes that wait to be sent to callers.
+    [[nodiscard]] std::int64_t bufferedBytes() const
+    {
+        return m_bufferedBytes;
+    }
+    [[nodiscard]] std::int64_t unsentBytes() const
+    {
+        return m_unsentBytes;
+    }
     /// The caller has closed its connection.
     void callerDisconnected(CallNumber call, TimePoint now, RelayActions &actions);
     /// Handles the timeouts of calls that are due at @p now and drops expired state.
@@ -242,7 +259,7 @@
     void firstEventReceived(const RelayCall &call, TimePoint now) override;
     void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
     void callRefused(const RelayCall &call, TimePoint now) override;
-    [[nodiscard]] bool changeBuffered(std::int64_t change) override;
+    [[nodiscard]] bool changeBuffered(const RelayCall &call, std::int64_t change) override;
     void noticeReceived(const UpstreamRecord &upstream, const UpstreamNotice &notice, TimePoint now) override;
     [[nodiscard]] std::optional<Duration> retryDelay(const RelayCall &call, TimePoint now) const override;
     void upstreamProgressed(const InstanceId &upstream, TimePoint now) override;
@@ -347,8 +364,12 @@
     std::map<std::uint64_t, TimePoint> m_refused;
     /// Load changes that have not been announced to the other entries yet.
     LoadUpdate m_pendingUpdate;
-    /// Bytes of incomplete responses and events of all calls.
+    /// Bytes of incomplete responses and events: of all calls together, and of each call that holds any.
     std::int64_t m_bufferedBytes = 0;
+    std::map<CallNumber, std::int64_t> m_buffered;
+    std::int64_t m_unsentBytes = 0;
+    /// Calls whose response is given up after the current step, since the buffers are full.
+    std::set<CallNumber> m_overLimit;
     std::map<FailureDomain, LoadUpdate> m_remoteUpdates;
     PromptQuarantine m_quarantine;
     UpstreamRateLimits m_rateLimits;
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -288,12 +288,37 @@
     }
 }
 
-bool RelayCore::changeBuffered(std::int64_t change)
+bool RelayCore::changeBuffered(const RelayCall &call, std::int64_t change)
 {
-    if (change > 0 && m_bufferedBytes + change > m_settings.maxBufferedBytes) {
-        return false;
-    }
+    std::int64_t &own = m_buffered[call.number];
+    own += change;
     m_bufferedBytes += change;
+    std::int64_t held = m_bufferedBytes + m_unsentBytes;
+    for (const CallNumber &other : m_overLimit) {
+        held -= m_buffered[other];
+    }
+    while (change > 0 && held > m_settings.maxBufferedBytes) {
+        auto largest = m_buffered.end();
+        for (auto entry = m_buffered.begin(); entry != m_buffered.end(); ++entry) {
+            if (!m_overLimit.contains(entry->first)
+                && (largest == m_buffered.end() || entry->second > largest->second)) {
+                largest = entry;
+            }
+        }
+        if (largest == m_buffered.end() || largest->second <= m_settings.guaranteedBufferBytes) {
+            break;
+        }
+        if (largest->first == call.number) {
+            own -= change;
+            m_bufferedBytes -= change;
+            return false;
+        }
+        held -= largest->second;
+        m_overLimit.insert(largest->first);
+    }
+    if (own == 0) {
+        m_buffered.erase(call.number);
+    }
     return true;
 }
 
