Reserve no memory for the length that a message claims

The library's text body reserves the claimed length of a message before its bytes arrive, up to the body limit: 64 MiB at the relay, 1 TiB in entry and agent, where the failed reservation threw.

Change: the parser's body grows with the bytes that arrive.

--- a/UnitTests/adapters/plumbing/httpmessagetest.cpp
+++ b/UnitTests/adapters/plumbing/httpmessagetest.cpp
@@ -85,3 +85,22 @@
     CHECK(outcome.failed == fails);
     CHECK(outcome.done != fails);
 }
+
+// Guards against a process that ends, or reserves more than its memory, because a message claims a very large body.
+TEST_CASE("a claimed length reserves no memory", "[adapters]")
+{
+    constexpr std::uint64_t Terabyte = std::uint64_t {1} << 40U;
+    const std::uint64_t length = GENERATE(as<std::uint64_t>(), 1'000, std::uint64_t {1} << 33U, Terabyte - 1);
+    const bool request = GENERATE(false, true);
+    const std::string body(500, 'x');
+    HttpMessageParser parser(request ? HttpMessageKind::Request : HttpMessageKind::Response, {16 * 1024, Terabyte});
+    const std::string bytes = std::string(request ? "POST / HTTP/1.1\r\nHost: h" : "HTTP/1.1 200 OK")
+        + "\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n" + body;
+    const Result<std::size_t> used = parser.consume(bytes);
+    REQUIRE(errorOf(used) == nullptr);
+    CHECK(std::get<std::size_t>(used) == bytes.size());
+    const std::string received = parser.takeBody();
+    CHECK(received == body);
+    CHECK(received.capacity() < 64 * 1024);
+    CHECK_FALSE(parser.done());
+}
--- a/adapters/plumbing/httpmessage.cpp
+++ b/adapters/plumbing/httpmessage.cpp
@@ -1,8 +1,8 @@
 #include "adapters/plumbing/httpmessage.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 
@@ -14,6 +14,46 @@
 namespace
 {
 
+/// Body that grows with the bytes that arrive. The library's own text body reserves the length that a message claims,
+/// which may be larger than the memory of the process.
+struct GrowingBody
+{
+    // The names are given by the library.
+    // NOLINTBEGIN(readability-identifier-naming)
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template<bool IsRequest, typename Fields>
+        reader(http::header<IsRequest, Fields> & /*head*/, value_type &body) : m_body(&body)
+        {
+        }
+        void init(const boost::optional<std::uint64_t> & /*length*/, boost::beast::error_code &code)
+        {
+            code = {};
+        }
+        template<typename Buffers> std::size_t put(const Buffers &buffers, boost::beast::error_code &code)
+        {
+            code = {};
+            std::size_t size = 0;
+            for (const boost::asio::const_buffer buffer : boost::beast::buffers_range_ref(buffers)) {
+                m_body->append(static_cast<const char *>(buffer.data()), buffer.size());
+                size += buffer.size();
+            }
+            return size;
+        }
+        void finish(boost::beast::error_code &code)
+        {
+            code = {};
+        }
+
+    private:
+        value_type *m_body;
+    };
+    // NOLINTEND(readability-identifier-naming)
+};
+
 Error refusal(const boost::beast::error_code &code, const HttpMessageLimits &limits)
 {
     if (code == http::error::body_limit) {
@@ -139,7 +179,7 @@
     }
 
 private:
-    http::parser<IsRequest, http::string_body> m_parser;
+    http::parser<IsRequest, GrowingBody> m_parser;
 };
 
 } // namespace
