--- a/UnitTests/adapters/upstreamclientstest.cpp
+++ b/UnitTests/adapters/upstreamclientstest.cpp
@@ -385,6 +385,35 @@
     CHECK(server.requests.size() == 3);
 }
 
+// Guards against a service or engine whose answer never ends and fills the memory (reports of other operators, issue
+// 40).
+TEST_CASE("an answer without end is given up at a limit", "[adapters]")
+{
+    ScriptedServer server;
+    const std::string megabyte(std::size_t {1} << 20, 'x');
+    std::string body;
+    for (int count = 0; count < 40; ++count) {
+        body += megabyte;
+    }
+    server.answer("POST /long", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n" + body, false);
+    std::vector<ServiceEvent> events;
+    ServiceClient client(server.endpoint(), [&events](const ServiceEvent &event) {
+        events.push_back(event);
+    });
+    client.invoke({Operation,
+                   CustomerId("c"),
+                   "POST",
+                   "/long",
+                   "text/plain",
+                   std::make_shared<const std::string>("data"),
+                   std::chrono::seconds(60)});
+    REQUIRE(runUntil([&events] {
+        return !events.empty();
+    }));
+    CHECK(std::get<ServiceFailure>(events[0]).mayHaveRun);
+    CHECK(std::get<ServiceFailure>(events[0]).error.message.find("size limit") != std::string::npos);
+}
+
 // Guards against a service that ends the process by a trailer of 64 KiB in its answer (review case 1).
 TEST_CASE("an answer that the library cannot hold is a failure of the service", "[adapters]")
 {
--- a/adapters/engineclient.cpp
+++ b/adapters/engineclient.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+constexpr std::size_t MaxRefusalBytes = std::size_t {64} * 1024;
+
 bool succeeded(const CallEnd &end)
 {
     return !end.error && end.head.status == 200;
@@ -126,7 +128,8 @@
     }
     Stream &stream = found->second;
     if (head.status != 200) {
-        stream.refusal += part;
+        // A refusal is one JSON object; what an engine sends beyond the limit is not kept.
+        stream.refusal.append(part, 0, MaxRefusalBytes - std::min(MaxRefusalBytes, stream.refusal.size()));
         return;
     }
     for (const std::string &line : stream.reader.append(part)) {
--- a/adapters/outgoingcall.cpp
+++ b/adapters/outgoingcall.cpp
@@ -11,6 +11,8 @@
 constexpr std::chrono::seconds ConnectTimeout {2};
 constexpr qint64 ReadBytes = qint64 {256} * 1024;
 /// A stream of answers may last long; only one line or chunk of it is held at a time.
+/// Largest body that is collected where no handler takes its parts.
+constexpr std::size_t MaxCollectedBytes = std::size_t {16} * 1024 * 1024;
 constexpr HttpMessageLimits AnswerLimits {16 * 1024, std::uint64_t {1} << 40U};
 
 } // namespace
@@ -134,11 +136,16 @@
             m_parser = std::make_unique<HttpMessageParser>(HttpMessageKind::Response, AnswerLimits);
             continue;
         }
-        if (m_bodyHandler) {
-            std::string part = m_parser->takeBody();
-            if (!part.empty()) {
-                m_bodyHandler(head, std::move(part));
+        std::string part = m_parser->takeBody();
+        if (!m_bodyHandler) {
+            m_collected += part;
+            if (m_collected.size() > MaxCollectedBytes) {
+                m_collected.clear();
+                end(Error {ResultCode::UpstreamFailed, "the answer exceeds the size limit", std::nullopt});
+                return;
             }
+        } else if (!part.empty()) {
+            m_bodyHandler(head, std::move(part));
         }
         if (m_parser->done()) {
             end(std::nullopt);
@@ -174,7 +181,7 @@
     result.mayHaveBeenSent = m_connected;
     if (m_parser->headDone()) {
         result.head = m_parser->head();
-        result.body = m_parser->takeBody();
+        result.body = std::move(m_collected) + m_parser->takeBody();
     }
     m_socket.abort();
     deleteLater();
--- a/adapters/outgoingcall.h
+++ b/adapters/outgoingcall.h
@@ -68,6 +68,8 @@
     QTimer m_timer;
     std::optional<Duration> m_timeout;
     std::unique_ptr<HttpMessageParser> m_parser;
+    /// Body so far, if there is no body handler.
+    std::string m_collected;
     EndHandler m_endHandler;
     BodyHandler m_bodyHandler;
     bool m_connected = false;
--- a/adapters/relay/httprequester.cpp
+++ b/adapters/relay/httprequester.cpp
@@ -8,9 +8,12 @@
 namespace ibismast
 {
 
-HttpRequester::HttpRequester(boost::asio::io_context &loop, const boost::asio::ip::tcp::endpoint &endpoint)
+HttpRequester::HttpRequester(boost::asio::io_context &loop,
+                             const boost::asio::ip::tcp::endpoint &endpoint,
+                             std::uint64_t maxBodyBytes)
     : m_loop(&loop), m_endpoint(endpoint), m_timer(loop)
 {
+    m_connectionSettings.limits.maxBodyBytes = maxBodyBytes;
 }
 
 HttpRequester::~HttpRequester()
@@ -48,7 +51,7 @@
         if (m_connection) {
             m_connection->close();
         }
-        m_connection = std::make_shared<UpstreamConnection>(*m_loop, m_endpoint, UpstreamConnectionSettings());
+        m_connection = std::make_shared<UpstreamConnection>(*m_loop, m_endpoint, m_connectionSettings);
     }
     m_timer.expires_after(timeout);
     m_timer.async_wait([this](const boost::system::error_code &error) {
--- a/adapters/relay/httprequester.h
+++ b/adapters/relay/httprequester.h
@@ -21,7 +21,10 @@
 public:
     using Handler = std::function<void(Result<HttpAnswer> result)>;
 
-    HttpRequester(boost::asio::io_context &loop, const boost::asio::ip::tcp::endpoint &endpoint);
+    /// @p maxBodyBytes limits the body of an answer. A larger one ends the connection and counts as no answer.
+    HttpRequester(boost::asio::io_context &loop,
+                  const boost::asio::ip::tcp::endpoint &endpoint,
+                  std::uint64_t maxBodyBytes);
     ~HttpRequester();
     HttpRequester(const HttpRequester &) = delete;
     HttpRequester &operator=(const HttpRequester &) = delete;
@@ -39,6 +42,7 @@
 
     boost::asio::io_context *m_loop;
     boost::asio::ip::tcp::endpoint m_endpoint;
+    UpstreamConnectionSettings m_connectionSettings;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<UpstreamConnection> m_connection;
     Handler m_handler;
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -13,6 +13,8 @@
 /// Path at which entries hand out their copies of the platform's records.
 constexpr const char *CopyPath = "/copy";
 constexpr const char *MetricsPath = "/metrics";
+/// Largest copy of the records of a large fleet with a large configuration.
+constexpr std::uint64_t MaxCopyBytes = std::uint64_t {16} * 1024 * 1024;
 /// Entries greet each other this often; it carries what must not be missed.
 constexpr Duration GreetingInterval = std::chrono::milliseconds(500);
 constexpr Duration HousekeepingInterval = std::chrono::seconds(1);
@@ -99,7 +101,7 @@
             processNow());
         return;
     }
-    m_copyRequester = std::make_unique<HttpRequester>(*m_loop, *endpoint);
+    m_copyRequester = std::make_unique<HttpRequester>(*m_loop, *endpoint, MaxCopyBytes);
     m_copyRequester->get(CopyPath, ask.timeout, [this](const Result<HttpAnswer> &result) {
         if (const Error *error = errorOf(result)) {
             m_watch.copyReceived(*error, processNow());
