--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -327,6 +327,11 @@
     [[nodiscard]] std::optional<AttemptPlan>
     planPlainCall(const std::vector<const UpstreamDirectory::Member *> &upstreams);
     void recordRefusal(std::uint64_t fingerprint, TimePoint now);
+    /// Returns the bytes of responses that are held, without those of the calls in `m_overLimit`.
+    [[nodiscard]] std::int64_t heldBytes() const;
+    /// Returns the call with the largest incomplete response, without those in `m_overLimit`; empty if none holds more
+    /// than it may always hold.
+    [[nodiscard]] std::optional<CallNumber> largestBuffer() const;
     /// Returns the retry budget of @p service with limits for the current number of entries.
     RetryBudget &budget(const ServiceName &service);
 
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -288,33 +288,43 @@
     }
 }
 
+std::int64_t RelayCore::heldBytes() const
+{
+    std::int64_t held = m_bufferedBytes + m_unsentBytes;
+    for (const CallNumber &call : m_overLimit) {
+        held -= m_buffered.at(call);
+    }
+    return held;
+}
+
+std::optional<CallNumber> RelayCore::largestBuffer() const
+{
+    const auto size = [this](const auto &buffer) {
+        return m_overLimit.contains(buffer.first) ? 0 : buffer.second;
+    };
+    const auto largest = std::ranges::max_element(m_buffered, {}, size);
+    if (largest == m_buffered.end() || size(*largest) <= m_settings.guaranteedBufferBytes) {
+        return std::nullopt;
+    }
+    return largest->first;
+}
+
 bool RelayCore::changeBuffered(const RelayCall &call, std::int64_t change)
 {
     std::int64_t &own = m_buffered[call.number];
     own += change;
     m_bufferedBytes += change;
-    std::int64_t held = m_bufferedBytes + m_unsentBytes;
-    for (const CallNumber &other : m_overLimit) {
-        held -= m_buffered[other];
-    }
-    while (change > 0 && held > m_settings.maxBufferedBytes) {
-        auto largest = m_buffered.end();
-        for (auto entry = m_buffered.begin(); entry != m_buffered.end(); ++entry) {
-            if (!m_overLimit.contains(entry->first)
-                && (largest == m_buffered.end() || entry->second > largest->second)) {
-                largest = entry;
-            }
-        }
-        if (largest == m_buffered.end() || largest->second <= m_settings.guaranteedBufferBytes) {
+    while (change > 0 && heldBytes() > m_settings.maxBufferedBytes) {
+        const std::optional<CallNumber> largest = largestBuffer();
+        if (!largest) {
             break;
         }
-        if (largest->first == call.number) {
+        if (*largest == call.number) {
             own -= change;
             m_bufferedBytes -= change;
             return false;
         }
-        held -= largest->second;
-        m_overLimit.insert(largest->first);
+        m_overLimit.insert(*largest);
     }
     if (own == 0) {
         m_buffered.erase(call.number);
