--- a/UnitTests/platform/platformstoretest.cpp
+++ b/UnitTests/platform/platformstoretest.cpp
@@ -81,8 +81,8 @@
     CHECK(config->revision.era == StoreEra(second));
 }
 
-// Guards against an answer of the store that ends the process by a trailer of 64 KiB (review case 1). Orders, reports
-// and copies are read by the same requester.
+// Guards against an answer of the store that ends the process by a trailer of 64 KiB (review case 1). `HttpRequester`
+// also reads the answers to orders and reports, and copies.
 TEST_CASE_METHOD(StoreFixture, "an answer that the library cannot hold is no answer", "[platform]")
 {
     const std::size_t size = GENERATE(as<std::size_t>(), 65'534, 65'600, 73'000);
