Agree on the interfaces of the parts for heavy load

Cause: five parts are built side by side and meet in the admission of upstreams, the planner, the call flow and the datagrams.

--- a/wire/relay.thrift
+++ b/wire/relay.thrift
@@ -56,6 +56,44 @@
     4: required i64 sent,
 }
 
+/// Failure domains that the operators have evacuated, as of one revision of the store.
+struct RelayEvacuations {
+    1: required list<string> domains,
+    2: required i64 revision,
+    /// Era of the store in which they were read; absent if the store names none.
+    3: optional i64 era,
+}
+
+/// Requests to an upstream that is cold, and how long it stays so.
+struct RelayColdUpstream {
+    /// Hash of the upstream's id and incarnation.
+    1: required i64 upstream,
+    /// Time until the upstream is warm, at the time of sending.
+    2: required i64 remainingMs,
+    /// Requests that the sender has sent since it has known that the upstream is cold.
+    3: required i64 sent,
+}
+
+/// Concurrency that the sender's responses have shown an upstream to sustain.
+struct RelayUpstreamPace {
+    /// Hash of the upstream's id and incarnation.
+    1: required i64 upstream,
+    /// Share of the upstream's full concurrency, from 0 to 1.
+    2: required double share,
+    /// Time since the response that last changed the share.
+    3: required i64 ageMs,
+}
+
+/// Work that an entry has sent to the engines of a service for one customer.
+struct RelayCustomerWork {
+    1: required string serviceName,
+    2: required string customer,
+    /// Predicted engine time of all calls sent since the sender has started.
+    3: required i64 workUs,
+    /// Predicted engine time of the calls that wait at the sender.
+    4: optional i64 waitingUs,
+}
+
 /// One datagram from an entry to another.
 struct RelayNews {
     1: required string entry,
@@ -92,6 +130,10 @@
     19: optional list<RelayQuarantine> quarantines,
     20: optional list<RelaySoundPart> soundParts,
     21: optional list<RelayRateLimit> rateLimits,
+    22: optional RelayEvacuations evacuations,
+    23: optional list<RelayColdUpstream> coldUpstreams,
+    24: optional list<RelayUpstreamPace> paces,
+    25: optional list<RelayCustomerWork> customerWork,
 }
 
 /// Record of the platform's store as it was read.
@@ -112,4 +154,5 @@
     4: required i64 listAgeMs,
     /// Era of the store in which the list was read; absent if the store names none.
     5: optional i64 listEra,
+    6: optional RelayEvacuations evacuations,
 }
