Send nothing to evacuated failure domains

The operators evacuate a failure domain by a record in the platform's store, which no entry read: requests went on to its upstreams.

DomainEvacuations holds the evacuated domains as of one revision of the store; the later revision wins. Where [evacuation] apply_ms is set, the read and the long poll of the configuration cover all of the operators' records, so that the evacuations cost no further calls. Changes that an entry reads are announced to all other entries at once, and heartbeats and copies repeat them. UpstreamAdmission has one more state, Evacuated, between Leaving and Restarted, for new attempts and planned ones. An entry is ready once it knows the evacuated domains. An evacuation that a restored store lacks stays in force for the settle time.

Without the setting the calls to the store are the same as before.

--- a/UnitTests/platform/platformstoretest.cpp
+++ b/UnitTests/platform/platformstoretest.cpp
@@ -41,7 +41,8 @@
     tcp::acceptor m_acceptor {loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
 
 protected:
-    PlatformStore store {loop, m_acceptor.local_endpoint()};
+    const tcp::endpoint endpoint = m_acceptor.local_endpoint();
+    PlatformStore store {loop, endpoint};
 };
 
 std::string page(const std::string &key, bool more)
@@ -120,3 +121,147 @@
         CHECK(std::get<StoredUpstreams>(*upstreams).revision == RecordRevision {9, StoreEra(3)});
     }
 }
+
+namespace
+{
+
+/// Store that is asked for evacuations too.
+class EvacuationStoreFixture : public StoreFixture
+{
+protected:
+    /// Waits for the next request, checks that it contains @p target, and answers it.
+    void answerTo(const std::string &target, const std::string &era, const std::string &body)
+    {
+        REQUIRE(runUntil(loop, [this] {
+            return peer.received.find("\r\n\r\n") != std::string::npos;
+        }));
+        CHECK(peer.received.find(target) != std::string::npos);
+        answer(era, body);
+    }
+    void keep(const Result<StoredConfig> &answered)
+    {
+        result = answered;
+    }
+    void awaitResult()
+    {
+        REQUIRE(runUntil(loop, [this] {
+            return result.has_value();
+        }));
+    }
+
+    std::optional<Result<StoredConfig>> result;
+    PlatformStore operators {loop, endpoint, PlatformStore::OperatorRecords::ConfigAndEvacuations};
+};
+
+std::string item(const std::string &key, std::int64_t revision, const std::string &value = "e30=")
+{
+    return R"({"key":")" + key + R"(","value":")" + value + R"(","revision":)" + std::to_string(revision) + "}";
+}
+
+std::string deletion(const std::string &key, std::int64_t revision)
+{
+    return R"({"key":")" + key + R"(","revision":)" + std::to_string(revision) + R"(,"deleted":true})";
+}
+
+} // namespace
+
+// Guards against evacuations on a later page that are missed, against other records of the operators that count as
+// such, and against ones that are missed because of their value.
+TEST_CASE_METHOD(EvacuationStoreFixture, "evacuated domains are read with the configuration", "[platform]")
+{
+    const auto [era, whole] = GENERATE(table<std::string, bool>({{"3", true}, {"4", false}}));
+    operators.readConfig(5s, [this](const Result<StoredConfig> &answered) {
+        keep(answered);
+    });
+    answerTo("path_prefix=op/ ",
+             "3",
+             R"({"entries":[)" + item("op/config", 4, "eA==") + "," + item("op/evacuate", 4) + ","
+                 + item("op/evacuate/", 5) + "," + item("op/evacuate/z1", 5, "?")
+                 + R"(],"more_pages":true,"as_of":9})");
+    answerTo("&after=op/evacuate/z1 ",
+             era,
+             R"({"entries":[)" + item("op/evacuate/z2", 8) + "," + item("op/other/z3", 8)
+                 + R"(,7,{"value":"e30="}],"more_pages":false,"as_of":12})");
+    awaitResult();
+    REQUIRE((errorOf(*result) == nullptr) == whole);
+    if (whole) {
+        const auto &config = std::get<StoredConfig>(*result);
+        CHECK(config.revision == RecordRevision {9, StoreEra(3)});
+        REQUIRE(config.record);
+        CHECK(config.record->value == "x");
+        CHECK(config.evacuated == std::set {FailureDomain("z1"), FailureDomain("z2")});
+    }
+}
+
+// Guards against a whole read that hides that there is no configuration, or that no change can be awaited after it.
+TEST_CASE_METHOD(EvacuationStoreFixture, "a read of the operators' records needs a configuration", "[platform]")
+{
+    const auto [body, valid] = GENERATE(table<std::string, bool>({
+        {R"({"entries":[{"key":"op/config","value":"eA==","revision":4}],"as_of":9})", true},
+        {R"({"entries":[{"key":"op/config","value":"eA==","revision":4}]})", false},
+        {R"({"entries":[{"key":"op/config2","value":"eA==","revision":4}],"as_of":9})", false},
+        {R"({"entries":[{"key":"op/config","value":"?","revision":4}],"as_of":9})", false},
+        {R"({"entries":[],"as_of":9})", false},
+    }));
+    operators.readConfig(5s, [this](const Result<StoredConfig> &answered) {
+        keep(answered);
+    });
+    answer("", body);
+    awaitResult();
+    CHECK((errorOf(*result) == nullptr) == valid);
+}
+
+// Guards against an evacuation that is not ended because its deletion is taken for a record, and against changes of one
+// domain that are applied in the wrong order.
+TEST_CASE_METHOD(EvacuationStoreFixture, "a wait reports the last change of each domain", "[platform]")
+{
+    struct Row
+    {
+        std::string events;
+        std::map<FailureDomain, bool> changes;
+        bool config = false;
+    };
+    const FailureDomain zone("z1");
+    const Row row = GENERATE_COPY(values<Row>({
+        {"", {}},
+        {item("op/evacuate/z1", 10), {{zone, true}}},
+        {deletion("op/evacuate/z1", 10), {{zone, false}}},
+        {item("op/evacuate/z1", 10) + "," + deletion("op/evacuate/z1", 11), {{zone, false}}},
+        {deletion("op/evacuate/z1", 11) + "," + item("op/evacuate/z1", 12), {{zone, true}}},
+        {deletion("op/evacuate/z1", 11) + "," + item("op/evacuate/z1", 10), {{zone, false}}},
+        {item("op/evacuate/z1", 10, "?"), {{zone, true}}},
+        {item("op/config", 10) + "," + deletion("op/evacuate/z1", 11), {{zone, false}}, true},
+        {deletion("op/config", 10), {}},
+        {item("op/other", 10) + "," + item("op/evacuate/", 11) + "," + item("op/evacuate", 12) + R"(,3,{"key":5})", {}},
+    }));
+    operators.awaitConfig(9, 1s, 5s, [this](const Result<StoredConfig> &answered) {
+        keep(answered);
+    });
+    answerTo("path_prefix=op/&after=9&wait_ms=1000 ", "3", R"({"events":[)" + row.events + R"(],"as_of":14})");
+    awaitResult();
+    REQUIRE(errorOf(*result) == nullptr);
+    const auto &config = std::get<StoredConfig>(*result);
+    CHECK(config.evacuationChanges == row.changes);
+    CHECK(config.record.has_value() == row.config);
+    CHECK_FALSE(config.evacuated);
+    CHECK(config.revision == RecordRevision {14, StoreEra(3)});
+}
+
+// Guards against calls that change where no evacuations are used.
+TEST_CASE_METHOD(EvacuationStoreFixture, "without evacuations only the configuration is read", "[platform]")
+{
+    store.readConfig(5s, [this](const Result<StoredConfig> &answered) {
+        keep(answered);
+    });
+    answerTo("GET /api/kv-key?key=op/config ", "", R"({"key":"op/config","value":"eA==","revision":4,"as_of":9})");
+    awaitResult();
+    REQUIRE(errorOf(*result) == nullptr);
+    CHECK_FALSE(std::get<StoredConfig>(*result).evacuated);
+    result.reset();
+    store.awaitConfig(9, 1s, 5s, [this](const Result<StoredConfig> &answered) {
+        keep(answered);
+    });
+    answerTo("path_prefix=op/config&after=9&", "", R"({"events":[],"as_of":9})");
+    awaitResult();
+    REQUIRE(errorOf(*result) == nullptr);
+}
--- a/UnitTests/relay/cellviewtest.cpp
+++ b/UnitTests/relay/cellviewtest.cpp
@@ -43,25 +43,40 @@
         {{0.9, 500ms}, {0.2, 100ms}, 2s, true},
         {{0.9, 500ms}, {0.2, 100ms}, 2'001ms, false},
     }));
+    EventListener listener;
+    const DomainEvacuations none(DomainEvacuationsSettings(), listener);
     CellView view(CellViewSettings(), FailureDomain("a"));
     const TimePoint now(1'000s);
     view.noteLoad(FailureDomain("a"), {}, now);
-    CHECK_FALSE(view.lessLoadedDomain(row.own, now));
+    CHECK_FALSE(view.lessLoadedDomain(row.own, none, now));
     view.noteLoad(FailureDomain("b"), row.other, now);
-    CHECK(view.lessLoadedDomain(row.own, now + row.age).has_value() == row.leaves);
+    CHECK(view.lessLoadedDomain(row.own, none, now + row.age).has_value() == row.leaves);
     // The other domain does not send work back at the same time.
     CellView back(CellViewSettings(), FailureDomain("b"));
     back.noteLoad(FailureDomain("a"), row.own, now);
-    CHECK_FALSE((row.leaves && back.lessLoadedDomain(row.other, now)));
+    CHECK_FALSE((row.leaves && back.lessLoadedDomain(row.other, none, now)));
 }
 
-// Guards against all work that leaves a cell going to a domain that is not the least loaded one.
+// Guards against all work that leaves a cell going to a domain that is not the least loaded one, and against work that
+// stays in an overloaded cell because the least loaded domain is evacuated.
 TEST_CASE("the domain with the smallest backlog is chosen", "[relay][load]")
 {
+    struct Row
+    {
+        std::set<FailureDomain> evacuated;
+        std::optional<FailureDomain> expected;
+    };
+    const FailureDomain b("b");
+    const FailureDomain c("c");
+    const FailureDomain d("d");
+    const Row row = GENERATE_COPY(values<Row>({{{}, c}, {{b}, c}, {{c}, d}, {{b, c, d}, std::nullopt}}));
+    EventListener listener;
+    DomainEvacuations evacuations({5s}, listener);
     CellView view(CellViewSettings(), FailureDomain("a"));
     const TimePoint now(1'000s);
     view.noteLoad(FailureDomain("b"), {0.1, 300ms}, now);
     view.noteLoad(FailureDomain("c"), {0.2, 100ms}, now);
     view.noteLoad(FailureDomain("d"), {0.3, 200ms}, now);
-    CHECK(view.lessLoadedDomain({0.9, 900ms}, now) == FailureDomain("c"));
+    (void)evacuations.apply({row.evacuated, {1}}, "store", now);
+    CHECK(view.lessLoadedDomain({0.9, 900ms}, evacuations, now) == row.expected);
 }
--- a/UnitTests/relay/clusterwatchfixture.h
+++ b/UnitTests/relay/clusterwatchfixture.h
@@ -87,8 +87,11 @@
 class SharingFleet
 {
 public:
-    /// Creates @p size entries in @p domains failure domains.
-    explicit SharingFleet(std::size_t size, std::size_t domains = 1)
+    /// Creates @p size entries in @p domains failure domains, which the operators evacuate if @p evacuationTime is set.
+    explicit SharingFleet(std::size_t size,
+                          std::size_t domains = 1,
+                          std::optional<Duration> evacuationTime = std::nullopt)
+        : m_evacuationTime(evacuationTime)
     {
         for (std::size_t index = 0; index < size; ++index) {
             m_entries.push_back(std::make_unique<Entry>(*this, index, "d" + std::to_string(index % domains)));
@@ -110,17 +113,69 @@
             m_entries[index]->disconnected = true;
         }
     }
+    /// Lets the store refuse the calls of the entries from @p first to @p last from now on.
+    void refuse(std::size_t first, std::size_t last)
+    {
+        for (std::size_t index = first; index <= last; ++index) {
+            m_entries[index]->refused = true;
+        }
+    }
+    /// Stops the entries from @p first to @p last; they neither act nor hear anything.
+    void freeze(std::size_t first, std::size_t last)
+    {
+        for (std::size_t index = first; index <= last; ++index) {
+            m_entries[index]->frozen = true;
+        }
+    }
+    /// Replaces all entries by ones that know nothing.
+    void restartAll()
+    {
+        for (std::size_t index = 0; index < m_entries.size(); ++index) {
+            const bool disconnected = m_entries[index]->disconnected;
+            const std::string domain = m_entries[index]->core.domain().value();
+            m_entries[index] = std::make_unique<Entry>(*this, index, domain);
+            m_entries[index]->disconnected = disconnected;
+        }
+    }
+    void reconnectAll()
+    {
+        for (auto &entry : m_entries) {
+            entry->disconnected = false;
+        }
+    }
+    /// Returns whether @p holds applies to all entries that are not frozen.
+    template<typename Condition> [[nodiscard]] bool all(const Condition &holds) const
+    {
+        return std::ranges::all_of(m_entries, [&](const auto &entry) {
+            return entry->frozen || holds(entry->core);
+        });
+    }
     /// Runs until @p reached holds for all entries, for at most 10 s, and returns the elapsed time.
     template<typename Condition> Duration runUntilAll(const Condition &reached)
     {
         const TimePoint start = m_now;
-        while (m_now - start < 10s && !std::ranges::all_of(m_entries, [&](const auto &entry) {
-                   return reached(entry->core);
-               })) {
+        while (m_now - start < 10s && !all(reached)) {
             run(5ms);
         }
         return m_now - start;
     }
+    /// Evacuates the domain "z" or takes it back.
+    void evacuate(bool evacuated)
+    {
+        ++m_revision;
+        m_operatorRevision = m_revision;
+        m_evacuated = evacuated ? std::set {FailureDomain("z")} : std::set<FailureDomain> {};
+    }
+    /// Drops the history of the store, which breaks off the waits for a change. Those that are deaf have not heard of
+    /// changes for a while.
+    void setDeaf(bool deaf)
+    {
+        m_deaf = deaf;
+    }
+    void forgetHistory()
+    {
+        m_oldestRevision = m_revision;
+    }
     /// Stores three upstreams, of which "c" may be leaving, and a configuration.
     void store(bool leaving, std::int64_t config)
     {
@@ -130,6 +185,7 @@
         if (config != m_config) {
             m_config = config;
             m_configRevision = m_revision;
+            m_operatorRevision = m_revision;
         }
     }
 
@@ -139,12 +195,14 @@
         m_entries.push_back(std::make_unique<Entry>(*this, m_entries.size(), "d0"));
     }
     /// Replaces the store by a copy from before the last @p revisions changes, with the configuration @p config.
-    void restore(std::int64_t revisions, std::int64_t config)
+    void restore(std::int64_t revisions, std::int64_t config, std::set<FailureDomain> evacuated = {})
     {
+        m_evacuated = std::move(evacuated);
         m_revision -= revisions;
         m_era = m_era + StoreEra(1);
         m_config = config;
         m_configRevision = m_revision;
+        m_operatorRevision = m_revision;
     }
 
     /// Number of calls to the store.
@@ -161,21 +219,26 @@
         Entry(const SharingFleet &fleet, std::size_t index, const std::string &domain)
             : name(std::to_string(100 + index))
             , nextAnnouncement(fleet.m_now + 20ms * static_cast<int>(index))
-            , core(settings(name, domain), index + 1, listener)
+            , core(settings(name, domain, fleet.m_evacuationTime), index + 1, listener)
             , watch(ClusterWatchSettings(), decoder, core, index + 1, listener)
         {
         }
-        static RelayCoreSettings settings(const std::string &name, const std::string &domain)
+        static RelayCoreSettings
+        settings(const std::string &name, const std::string &domain, std::optional<Duration> evacuationTime)
         {
             RelayCoreSettings result;
             result.self = InstanceId(name);
             result.domain = FailureDomain(domain);
+            result.evacuations.applyTime = evacuationTime;
             return result;
         }
 
         void step(SharingFleet &fleet)
         {
             const TimePoint now = fleet.m_now;
+            if (frozen) {
+                return;
+            }
             for (std::size_t index = 0; index < answers.size();) {
                 if (fleet.isDue(answers[index])) {
                     const PendingAnswer answer = answers[index];
@@ -186,20 +249,22 @@
                 }
             }
             watch.expire(now);
+            core.evacuations().expire(now);
             std::vector<WatchRequest> requests;
             watch.tick(now, requests);
             for (const WatchRequest &request : requests) {
                 fleet.storeCalls += std::holds_alternative<FetchRecordCopy>(request) ? 0 : 1;
-                answers.push_back(
-                    {now + (disconnected ? fleet.timeoutOf(request) : fleet.answerTimeOf(request)), request});
+                const Duration time = disconnected ? fleet.timeoutOf(request) : fleet.answerTimeOf(request);
+                answers.push_back({now + (refused ? Duration(5ms) : time), request});
             }
-            if (watch.takeAnnouncementDue() || now >= nextAnnouncement) {
+            const bool evacuationsChanged = watch.takeEvacuationAnnouncementDue();
+            if (watch.takeAnnouncementDue() || evacuationsChanged || now >= nextAnnouncement) {
                 nextAnnouncement = now + 500ms;
                 EntryRecordStatus knowledge = watch.knowledge(now);
                 knowledge.copyAddress = name;
                 knowledge.domain = core.domain();
                 for (auto &other : fleet.m_entries) {
-                    if (other.get() != this) {
+                    if (other.get() != this && !other->frozen) {
                         other->watch.noteEntry(InstanceId(name), knowledge, now);
                     }
                 }
@@ -208,6 +273,8 @@
 
         std::string name;
         bool disconnected = false;
+        bool refused = false;
+        bool frozen = false;
         TimePoint nextAnnouncement;
         FakeDecoder decoder;
         EventListener listener;
@@ -233,29 +300,39 @@
     {
         const auto *await = std::get_if<AwaitConfig>(&answer.request);
         return m_now >= answer.due
-            || (await != nullptr && (m_configRevision > await->revision || m_revision < await->revision));
+            || (await != nullptr
+                && ((m_operatorRevision > await->revision && !m_deaf) || m_revision < await->revision
+                    || await->revision < m_oldestRevision));
     }
     void deliver(Entry &entry, const WatchRequest &request)
     {
         const Error failure {ResultCode::StoreUnavailable, "no answer", std::nullopt};
-        const StoredConfig config {StoredRecord {"c", std::to_string(m_config), {m_configRevision, m_era}},
-                                   {m_revision, m_era}};
+        const bool fails = entry.disconnected || entry.refused;
+        const StoredConfig config {
+            StoredRecord {"c", std::to_string(m_config), {m_configRevision, m_era}}, {m_revision, m_era}, m_evacuated};
         std::visit(Overloaded {[&](const ReadUpstreams & /*read*/) {
-                                   entry.watch.upstreamsRead(entry.disconnected
-                                                                 ? Result<StoredUpstreams>(failure)
-                                                                 : StoredUpstreams {m_upstreams, {m_revision, m_era}},
+                                   entry.watch.upstreamsRead(fails ? Result<StoredUpstreams>(failure)
+                                                                   : StoredUpstreams {m_upstreams, {m_revision, m_era}},
                                                              m_now);
                                },
                                [&](const ReadConfig & /*read*/) {
-                                   entry.watch.configRead(entry.disconnected ? Result<StoredConfig>(failure) : config,
-                                                          m_now);
+                                   entry.watch.configRead(fails ? Result<StoredConfig>(failure) : config, m_now);
                                },
                                [&](const AwaitConfig &await) {
-                                   const bool compacted = m_revision < await.revision;
-                                   const StoredConfig unchanged {std::nullopt, config.revision};
-                                   const StoredConfig &answer = m_configRevision > await.revision ? config : unchanged;
+                                   const bool compacted =
+                                       m_revision < await.revision || await.revision < m_oldestRevision;
+                                   StoredConfig answer {std::nullopt, config.revision};
+                                   if (m_configRevision > await.revision && !m_deaf) {
+                                       answer.record = config.record;
+                                   }
+                                   if (m_operatorRevision > await.revision && !m_deaf) {
+                                       answer.evacuationChanges[FailureDomain("z")] = !m_evacuated.empty();
+                                   }
+                                   if (m_deaf) {
+                                       answer.revision.number = await.revision;
+                                   }
                                    entry.watch.configAwaited(
-                                       entry.disconnected || compacted ? Result<StoredConfig>(failure) : answer, m_now);
+                                       fails || compacted ? Result<StoredConfig>(failure) : answer, m_now);
                                },
                                [&](const FetchRecordCopy &fetch) {
                                    for (const auto &other : m_entries) {
@@ -273,6 +350,12 @@
     StoreEra m_era;
     std::int64_t m_config = 0;
     std::int64_t m_configRevision = 0;
+    std::set<FailureDomain> m_evacuated;
+    /// Revision of the last change of the configuration or the evacuated domains.
+    std::int64_t m_operatorRevision = 0;
+    std::int64_t m_oldestRevision = 0;
+    bool m_deaf = false;
+    std::optional<Duration> m_evacuationTime;
     std::vector<std::unique_ptr<Entry>> m_entries;
 };
 
--- a/UnitTests/relay/upstreamadmissiontest.cpp
+++ b/UnitTests/relay/upstreamadmissiontest.cpp
@@ -16,6 +16,7 @@
     Pause,
     LeavingInList,
     LeavingInResponse,
+    Evacuation,
     Restart,
     Removal,
 };
@@ -25,6 +26,7 @@
                                   Fact::Pause,
                                   Fact::LeavingInList,
                                   Fact::LeavingInResponse,
+                                  Fact::Evacuation,
                                   Fact::Restart,
                                   Fact::Removal};
 
@@ -35,6 +37,7 @@
     {
         upstream.id = InstanceId("a");
         upstream.service = ServiceName("pool");
+        upstream.domain = FailureDomain("z");
         upstream.incarnation = Incarnation(1);
         upstream.reportNumber = 1;
         list(upstream);
@@ -68,6 +71,9 @@
         case Fact::LeavingInResponse:
             (void)directory.noteLeaving(upstream, now);
             return;
+        case Fact::Evacuation:
+            (void)evacuations.apply({{upstream.domain}, {1}}, "store", now);
+            return;
         case Fact::Restart: {
             UpstreamRecord next = upstream;
             next.incarnation = Incarnation(2);
@@ -91,6 +97,8 @@
         case Fact::LeavingInList:
         case Fact::LeavingInResponse:
             return State::Leaving;
+        case Fact::Evacuation:
+            return State::Evacuated;
         case Fact::Restart:
             return State::Restarted;
         case Fact::Removal:
@@ -104,7 +112,8 @@
     UpstreamDirectory directory {UpstreamDirectorySettings(), listener};
     UpstreamRateLimits rateLimits {UpstreamRateLimitsSettings()};
     UpstreamPauses pauses {UpstreamPausesSettings()};
-    UpstreamAdmission admission {directory, rateLimits, pauses};
+    DomainEvacuations evacuations {{5s}, listener};
+    UpstreamAdmission admission {directory, rateLimits, pauses, evacuations};
     UpstreamRecord upstream;
 
 private:
@@ -134,7 +143,7 @@
     const State expected = strongest == State::RateLimited ? std::min(stateOf(first), stateOf(second)) : strongest;
     CHECK(planned.state == expected);
     CHECK(planned.usable() == (expected == State::Suspected));
-    if (planned.state == State::Leaving || planned.state == State::Paused) {
+    if (planned.state == State::Leaving || planned.state == State::Paused || planned.state == State::Evacuated) {
         REQUIRE(planned.age);
         CHECK(*planned.age >= 100ms);
         CHECK(*planned.age <= 200ms);
@@ -146,8 +155,9 @@
     }
     REQUIRE(member != nullptr);
     const Admission fresh = admission.decide(*member, now);
-    // A new run inherits neither limits nor notices, and its upstream is trusted again.
-    CHECK(fresh.state == (second == Fact::Restart ? State::Admitted : strongest));
+    // A new run inherits neither limits nor notices, and its upstream is trusted again, but its domain stays evacuated.
+    const State restarted = first == Fact::Evacuation ? State::Evacuated : State::Admitted;
+    CHECK(fresh.state == (second == Fact::Restart ? restarted : strongest));
 }
 
 namespace
--- a/UnitTests/wire/relaycodectest.cpp
+++ b/UnitTests/wire/relaycodectest.cpp
@@ -146,3 +146,28 @@
     CHECK(errorOf(decodeEntryNews(bytes)) != nullptr);
     CHECK(errorOf(decodeRecordCopy(bytes)) != nullptr);
 }
+
+// Guards against evacuated domains that are lost between entries, and against some that no store has named.
+TEST_CASE("evacuated domains survive the wire if they are valid", "[wire]")
+{
+    const auto [evacuated, kept] = GENERATE(table<EvacuatedDomains, bool>({
+        {{{}, {7}}, true},
+        {{{FailureDomain("east"), FailureDomain("west")}, {7, StoreEra(2)}}, true},
+        {{{FailureDomain("east")}, {0}}, false},
+        {{{FailureDomain("east")}, {-1}}, false},
+        {{{FailureDomain("")}, {7}}, false},
+        {{{FailureDomain(std::string(201, 'x'))}, {7}}, false},
+    }));
+    const std::optional<EvacuatedDomains> expected = kept ? std::optional(evacuated) : std::nullopt;
+    EntryNews news;
+    news.sender = {InstanceId("entry-1"), Incarnation(7), "10.0.0.1:1", {}};
+    news.knowledge.evacuations = evacuated;
+    const Result<EntryNews> decodedNews = decodeEntryNews(encodeEntryNews(news));
+    REQUIRE(errorOf(decodedNews) == nullptr);
+    CHECK(std::get<EntryNews>(decodedNews).knowledge.evacuations == expected);
+    RecordCopy copy;
+    copy.evacuations = evacuated;
+    const Result<RecordCopy> decodedCopy = decodeRecordCopy(encodeRecordCopy(copy));
+    REQUIRE(errorOf(decodedCopy) == nullptr);
+    CHECK(std::get<RecordCopy>(decodedCopy).evacuations == expected);
+}
--- a/adapters/relay/clusterstore.h
+++ b/adapters/relay/clusterstore.h
@@ -19,9 +19,9 @@
 
     /// Reads the records of all upstreams.
     virtual void readUpstreams(Duration timeout, UpstreamsHandler handler) = 0;
-    /// Reads the configuration's record.
+    /// Reads the operators' records.
     virtual void readConfig(Duration timeout, ConfigHandler handler) = 0;
-    /// Waits up to @p wait for a change of the configuration's record behind @p revision.
+    /// Waits up to @p wait for a change of the operators' records behind @p revision.
     virtual void awaitConfig(std::int64_t revision, Duration wait, Duration timeout, ConfigHandler handler) = 0;
 };
 
--- a/adapters/relay/relayprocessnews.cpp
+++ b/adapters/relay/relayprocessnews.cpp
@@ -42,6 +42,7 @@
         EntryNews answer = emptyNews();
         answer.heard = m_core.members().nextReportedAddresses();
         answer.quarantine = m_core.quarantineSummary(now);
+        answer.knowledge.evacuations = m_core.evacuations().latest();
         m_peers.send(answer, {news.sender.address});
     }
     if (news.domainLoad) {
@@ -64,6 +65,11 @@
 
 void RelayProcess::sendNews()
 {
+    if (m_watch.takeEvacuationAnnouncementDue()) {
+        EntryNews news = emptyNews();
+        news.knowledge.evacuations = m_core.evacuations().latest();
+        m_peers.send(news, m_core.members().addresses());
+    }
     if (QuarantineUpdate quarantine = m_core.takeQuarantineUpdate(); !quarantine.empty()) {
         EntryNews news = emptyNews();
         news.quarantine = std::move(quarantine);
@@ -96,6 +102,8 @@
                    m_settings.peers.address().to_string() + ":" + std::to_string(m_settings.peers.port()),
                    m_settings.core.domain};
     news.knowledge = m_watch.knowledge(processNow());
+    // Heartbeats and announcements of changes carry them; other messages are more frequent than needed.
+    news.knowledge.evacuations.reset();
     news.knowledge.copyAddress =
         m_settings.control.address().to_string() + ":" + std::to_string(m_settings.control.port());
     news.listRevision = m_watch.listRevision();
@@ -119,6 +127,7 @@
     MemberView &members = m_core.members();
     EntryNews news = emptyNews();
     news.heard = members.nextReportedAddresses();
+    news.knowledge.evacuations = m_core.evacuations().latest();
     const TimePoint now = processNow();
     news.quarantine = m_core.quarantineSummary(now);
     news.load.rateLimits = m_core.nextRateReports(LocalRateReports, now);
--- a/adapters/relay/relaysettings.cpp
+++ b/adapters/relay/relaysettings.cpp
@@ -72,6 +72,12 @@
     settings.core.retryAllowance = file.number("retry", "slack", settings.core.retryAllowance, 0.0, 1e6);
     settings.core.call.maxIdleReservation = file.milliseconds(
         "engines", "max_idle_reservation_ms", settings.core.call.maxIdleReservation, milliseconds(1000), minutes(10));
+    if (file.has("evacuation", "apply_ms")) {
+        const Duration applyTime = file.milliseconds("evacuation", "apply_ms", {}, milliseconds(400), minutes(10));
+        settings.core.evacuations.applyTime = applyTime;
+        // After a wait that breaks off, a read or the news of another entry must still arrive in time.
+        settings.watch.configWait = std::min(settings.watch.configWait, applyTime / 4);
+    }
     const auto grace = file.number("stop", "grace_s", 8.0, 1.0, 600.0);
     settings.stop.total = fromSeconds(grace) - milliseconds(400);
     const auto descriptors = static_cast<std::size_t>(file.integer("limits", "descriptors", 4096, 300, 1'000'000));
--- a/daemons/relay/main.cpp
+++ b/daemons/relay/main.cpp
@@ -127,7 +127,10 @@
     RelayLog listener(metrics);
     const PlatformProtocol protocol;
     const PlatformDecoder decoder;
-    PlatformStore store(loop, settings.store);
+    const PlatformStore::OperatorRecords records = settings.core.evacuations.applyTime
+        ? PlatformStore::OperatorRecords::ConfigAndEvacuations
+        : PlatformStore::OperatorRecords::Config;
+    PlatformStore store(loop, settings.store, records);
     PlatformOrders orders(loop);
     const std::string instance = settings.core.self.value();
     const auto port = settings.listen.port();
--- a/ibismast/relay/cellview.cpp
+++ b/ibismast/relay/cellview.cpp
@@ -21,12 +21,13 @@
     }
 }
 
-std::optional<FailureDomain> CellView::lessLoadedDomain(const DomainLoad &own, TimePoint now) const
+std::optional<FailureDomain>
+CellView::lessLoadedDomain(const DomainLoad &own, const DomainEvacuations &evacuations, TimePoint now) const
 {
     std::optional<FailureDomain> best;
     Duration bestBacklog = Duration::max();
     for (const auto &[domain, report] : m_reports) {
-        if (now - report.received > m_settings.reportLifetime) {
+        if (now - report.received > m_settings.reportLifetime || evacuations.contains(domain)) {
             continue;
         }
         const bool fewerStreams = report.load.slotUse + m_settings.minSlotGain <= own.slotUse;
--- a/ibismast/relay/cellview.h
+++ b/ibismast/relay/cellview.h
@@ -2,6 +2,7 @@
 
 #include "ibismast/core/ids.h"
 #include "ibismast/core/units.h"
+#include "ibismast/relay/domainevacuations.h"
 
 #include <map>
 #include <optional>
@@ -50,9 +51,10 @@
     [[nodiscard]] bool isCell(std::size_t entries, std::size_t engines) const;
     /// Records a load report that an entry of @p domain has sent; ignored for the own domain.
     void noteLoad(const FailureDomain &domain, const DomainLoad &load, TimePoint now);
-    /// Returns the domain with the smallest backlog among those that are clearly less loaded than @p own; empty if
-    /// there is none.
-    [[nodiscard]] std::optional<FailureDomain> lessLoadedDomain(const DomainLoad &own, TimePoint now) const;
+    /// Returns the domain with the smallest backlog among those that are not evacuated and clearly less loaded than
+    /// @p own; empty if there is none.
+    [[nodiscard]] std::optional<FailureDomain>
+    lessLoadedDomain(const DomainLoad &own, const DomainEvacuations &evacuations, TimePoint now) const;
 
 private:
     struct Report
--- a/ibismast/relay/clusterwatch.cpp
+++ b/ibismast/relay/clusterwatch.cpp
@@ -245,6 +245,10 @@
     m_configReadNeeded = stored.revision.era < m_storeEra;
     m_configSeenRevision = stored.revision;
     m_nextConfig = m_configReadNeeded ? now + nextRetryPause() : now;
+    if (stored.evacuated) {
+        m_seenEvacuations = *stored.evacuated;
+        applyEvacuations({m_seenEvacuations, stored.revision}, now);
+    }
     if (stored.record) {
         applyConfig(*stored.record, "store", now);
     }
@@ -263,8 +267,16 @@
     m_nextConfig = now;
     const auto &stored = std::get<StoredConfig>(result);
     noteEra(stored.revision.era, "store");
-    m_configReadNeeded = m_configReadNeeded || stored.revision.era != m_configSeenRevision.era;
+    const bool sameEra = stored.revision.era == m_configSeenRevision.era;
+    m_configReadNeeded = m_configReadNeeded || !sameEra;
     m_configSeenRevision = stored.revision;
+    if (sameEra) {
+        // The changes of a restored store do not follow on what was read of the former one.
+        for (const auto &[domain, evacuated] : stored.evacuationChanges) {
+            evacuated ? (void)m_seenEvacuations.insert(domain) : (void)m_seenEvacuations.erase(domain);
+        }
+        applyEvacuations({m_seenEvacuations, stored.revision}, now);
+    }
     if (stored.record) {
         applyConfig(*stored.record, "store", now);
     }
@@ -281,6 +293,9 @@
     if (copy.config) {
         applyConfig(*copy.config, "entry", now);
     }
+    if (copy.evacuations) {
+        (void)m_core->evacuations().apply(*copy.evacuations, "entry", now);
+    }
     noteEra(copy.upstreams.revision.era, "entry");
     const TimePoint read = now - copy.age;
     if (copy.upstreams.revision.number > 0 && (!m_upstreams || read > m_recordsTime)) {
@@ -333,6 +348,13 @@
     m_core->applyConfig(std::move(std::get<RelayConfig>(config)), now);
 }
 
+void ClusterWatch::applyEvacuations(const EvacuatedDomains &evacuated, TimePoint now)
+{
+    if (m_core->evacuations().apply(evacuated, "store", now)) {
+        m_evacuationAnnouncementDue = true;
+    }
+}
+
 void ClusterWatch::rejectConfig(const StoredRecord &record)
 {
     m_rejectedConfigs.push_back(record.revision);
@@ -394,6 +416,9 @@
 void ClusterWatch::noteEntry(const InstanceId &id, const EntryRecordStatus &knowledge, TimePoint now)
 {
     m_entries[id] = KnownEntry {knowledge, now};
+    if (knowledge.evacuations) {
+        (void)m_core->evacuations().apply(*knowledge.evacuations, id.value(), now);
+    }
     if (!sharesReads()) {
         return;
     }
@@ -420,6 +445,11 @@
     return std::exchange(m_announcementDue, false);
 }
 
+bool ClusterWatch::takeEvacuationAnnouncementDue()
+{
+    return std::exchange(m_evacuationAnnouncementDue, false);
+}
+
 EntryRecordStatus ClusterWatch::knowledge(TimePoint now) const
 {
     EntryRecordStatus result;
@@ -429,6 +459,7 @@
         result.listDigest = m_listDigest;
         result.listAge = now - m_ownListTime;
     }
+    result.evacuations = m_core->evacuations().latest();
     return result;
 }
 
@@ -447,6 +478,7 @@
         result.upstreams = *m_upstreams;
         result.age = now - m_listTime;
     }
+    result.evacuations = m_core->evacuations().latest();
     return result;
 }
 
--- a/ibismast/relay/clusterwatch.h
+++ b/ibismast/relay/clusterwatch.h
@@ -14,12 +14,12 @@
 {
     Duration timeout {};
 };
-/// Reads the configuration's record from the store.
+/// Reads the operators' records from the store.
 struct ReadConfig
 {
     Duration timeout {};
 };
-/// Long poll: waits up to @p wait for a change of the configuration's record after @p revision.
+/// Long poll: waits up to @p wait for a change of the operators' records after @p revision.
 struct AwaitConfig
 {
     std::int64_t revision = 0;
@@ -105,6 +105,9 @@
     [[nodiscard]] EntryRecordStatus knowledge(TimePoint now) const;
     /// Returns whether a read or a change has to be announced to other entries without delay, and clears that flag.
     [[nodiscard]] bool takeAnnouncementDue();
+    /// Returns whether a change of the evacuated domains that was read from the store has to be announced to all other
+    /// entries without delay, and clears that flag.
+    [[nodiscard]] bool takeEvacuationAnnouncementDue();
     /// Removes entries that have not announced themselves for some time.
     void expire(TimePoint now);
     /// Returns a copy of this entry's records for other entries.
@@ -123,6 +126,8 @@
     };
 
     void applyConfig(const StoredRecord &record, std::string_view source, TimePoint now);
+    /// Applies the evacuated domains that this entry has read.
+    void applyEvacuations(const EvacuatedDomains &evacuated, TimePoint now);
     void applyUpstreams(const StoredUpstreams &upstreams, std::string_view source, TimePoint read, TimePoint now);
     /// Records the era of the store that @p source has named.
     void noteEra(StoreEra era, std::string_view source);
@@ -177,8 +182,10 @@
     bool m_listPending = false;
     bool m_configPending = false;
     bool m_copyRequestPending = false;
-    /// Revision of the store up to which changes of the configuration have been seen.
+    /// Revision of the store up to which changes of the operators' records have been seen.
     RecordRevision m_configSeenRevision;
+    /// Evacuated domains at that revision.
+    std::set<FailureDomain> m_seenEvacuations;
     /// Latest era of the store that it or another entry's copy has named.
     StoreEra m_storeEra;
     /// True if the configuration must be read before changes of it can be awaited.
@@ -188,6 +195,7 @@
     TimePoint m_nextCopyRequest = TimePoint::min();
     bool m_storeAvailable = true;
     bool m_announcementDue = false;
+    bool m_evacuationAnnouncementDue = false;
     /// Current backoff, before jitter; zero after a successful read.
     Duration m_retryPause {};
     std::map<InstanceId, KnownEntry> m_entries;
--- a/ibismast/relay/platformrecords.h
+++ b/ibismast/relay/platformrecords.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibismast/core/result.h"
+#include "ibismast/relay/domainevacuations.h"
 #include "ibismast/relay/upstreamdirectory.h"
 
 namespace ibismast
@@ -24,13 +25,17 @@
     RecordRevision revision;
 };
 
-/// Result of reading the configuration record.
+/// Result of reading the operators' records: the configuration and the evacuated failure domains.
 struct StoredConfig
 {
     /// Empty if the record does not exist, or if a wait for a change has ended without one.
     std::optional<StoredRecord> record;
-    /// Revision of the store at which the record was read.
+    /// Revision of the store at which the records were read.
     RecordRevision revision;
+    /// Evacuated domains; empty if they were not read, or if this is the result of a wait.
+    std::optional<std::set<FailureDomain>> evacuated {};
+    /// Domains that were evacuated (true) or returned (false) during a wait.
+    std::map<FailureDomain, bool> evacuationChanges {};
 };
 
 /// Records as last read by one entry. Entries fetch this copy from each other while the store is unavailable.
@@ -40,6 +45,8 @@
     StoredUpstreams upstreams;
     /// Time since `upstreams` was read from the store.
     Duration age {};
+    /// Empty if the entry does not know the evacuated domains.
+    std::optional<EvacuatedDomains> evacuations {};
 };
 
 /// Summary of the records that an entry holds, sent to the other entries.
@@ -56,6 +63,8 @@
     std::optional<Duration> listAge;
     /// Failure domain of the entry; empty if it is not known.
     FailureDomain domain;
+    /// Evacuated domains that the entry knows of; empty if the message does not carry them.
+    std::optional<EvacuatedDomains> evacuations {};
 
     bool operator==(const EntryRecordStatus &) const = default;
 };
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -37,7 +37,8 @@
     , m_quarantine(m_settings.quarantine, listener)
     , m_rateLimits(m_settings.rateLimits)
     , m_pauses(m_settings.pauses)
-    , m_admission(m_directory, m_rateLimits, m_pauses)
+    , m_evacuations(m_settings.evacuations, listener)
+    , m_admission(m_directory, m_rateLimits, m_pauses, m_evacuations)
     , m_cells(m_settings.cells, m_settings.domain)
 {
 }
@@ -70,7 +71,7 @@
 
 bool RelayCore::ready() const
 {
-    return m_routes && m_directory.hasList();
+    return m_routes && m_directory.hasList() && m_evacuations.ready();
 }
 
 Result<CallNumber> RelayCore::submit(const IncomingCall &incoming, TimePoint now, RelayActions &actions)
@@ -89,6 +90,9 @@
         return Error {
             ResultCode::NotReady, "the list of upstreams has not been loaded yet", m_settings.call.retryAfter};
     }
+    if (!m_evacuations.ready()) {
+        return Error {ResultCode::NotReady, "the evacuated domains are not known yet", m_settings.call.retryAfter};
+    }
     if (m_stopEnd && now + typicalDuration(*route) > *m_stopEnd) {
         return Error {ResultCode::ShuttingDown,
                       "the instance is shutting down and cannot complete the call in time",
@@ -320,6 +324,7 @@
     });
     m_rateLimits.expire(now);
     m_pauses.expire(now);
+    m_evacuations.expire(now);
     std::erase_if(m_refused, [now](const auto &entry) {
         return now >= entry.second;
     });
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -3,6 +3,7 @@
 #include "ibismast/core/seededrandom.h"
 #include "ibismast/relay/callflow.h"
 #include "ibismast/relay/cellview.h"
+#include "ibismast/relay/domainevacuations.h"
 #include "ibismast/relay/memberview.h"
 #include "ibismast/relay/promptquarantine.h"
 #include "ibismast/relay/routetable.h"
@@ -67,6 +68,7 @@
     PromptQuarantineSettings quarantine;
     UpstreamRateLimitsSettings rateLimits;
     UpstreamPausesSettings pauses;
+    DomainEvacuationsSettings evacuations;
     /// Limits on the retries of all entries together in ten seconds: a ratio to the requests of that time, and a number
     /// allowed in addition.
     double retryRatio = 0.2;
@@ -136,6 +138,10 @@
     {
         return m_directory;
     }
+    [[nodiscard]] DomainEvacuations &evacuations()
+    {
+        return m_evacuations;
+    }
     [[nodiscard]] const InstanceId &self() const
     {
         return m_settings.self;
@@ -152,7 +158,8 @@
     [[nodiscard]] const RelayConfig *config() const;
     /// Announces that the instance stops at @p end. From now on it admits only calls that it can complete by then.
     void beginStop(TimePoint end);
-    /// True if calls can be served, that is, once a configuration and the list of upstreams have been applied.
+    /// True if calls can be served, that is, once a configuration and the list of upstreams have been applied and the
+    /// evacuated domains are known.
     [[nodiscard]] bool ready() const;
 
     /// Admits a call and returns its number, or an error if it is not admitted. A call that is admitted but finds no
@@ -379,6 +386,7 @@
     PromptQuarantine m_quarantine;
     UpstreamRateLimits m_rateLimits;
     UpstreamPauses m_pauses;
+    DomainEvacuations m_evacuations;
     UpstreamAdmission m_admission;
     std::vector<RateLimitReport> m_fleetRateReports;
     CellView m_cells;
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -68,7 +68,8 @@
                              {"trusted", std::to_string(candidates.trusted.size())},
                              {"leaving", std::to_string(candidates.leaving)},
                              {"rate_limited", std::to_string(kept[Admission::State::RateLimited])},
-                             {"paused", std::to_string(kept[Admission::State::Paused])}});
+                             {"paused", std::to_string(kept[Admission::State::Paused])},
+                             {"evacuated", std::to_string(kept[Admission::State::Evacuated])}});
     }
     return std::nullopt;
 }
@@ -119,7 +120,7 @@
     if (plan && plan->timeToFirstEvent <= call.route.objective) {
         return plan;
     }
-    if (const std::optional<FailureDomain> domain = m_cells.lessLoadedDomain(m_ownLoad, now)) {
+    if (const std::optional<FailureDomain> domain = m_cells.lessLoadedDomain(m_ownLoad, m_evacuations, now)) {
         std::vector<const UpstreamDirectory::Member *> remote;
         // What is sent to the limited engines of another cell is known only there.
         std::ranges::copy_if(engines, std::back_inserter(remote), [&](const auto *engine) {
--- a/ibismast/relay/relaycorereports.cpp
+++ b/ibismast/relay/relaycorereports.cpp
@@ -166,6 +166,9 @@
     std::optional<TimePoint> first;
     for (const auto *upstreams : {&candidates.trusted, &candidates.suspected}) {
         for (const UpstreamDirectory::Member *member : *upstreams) {
+            if (m_evacuations.contains(member->record.domain)) {
+                continue;
+            }
             const std::optional<TimePoint> end = pauseEnd(member->record, now);
             if (!end) {
                 return std::nullopt;
--- a/ibismast/relay/upstreamadmission.cpp
+++ b/ibismast/relay/upstreamadmission.cpp
@@ -16,6 +16,8 @@
         return "paused";
     case Admission::State::Leaving:
         return "leaving";
+    case Admission::State::Evacuated:
+        return "evacuated";
     case Admission::State::Restarted:
         return "restarted";
     case Admission::State::NotListed:
@@ -26,8 +28,9 @@
 
 UpstreamAdmission::UpstreamAdmission(const UpstreamDirectory &directory,
                                      const UpstreamRateLimits &rateLimits,
-                                     const UpstreamPauses &pauses)
-    : m_directory(&directory), m_rateLimits(&rateLimits), m_pauses(&pauses)
+                                     const UpstreamPauses &pauses,
+                                     const DomainEvacuations &evacuations)
+    : m_directory(&directory), m_rateLimits(&rateLimits), m_pauses(&pauses), m_evacuations(&evacuations)
 {
 }
 
@@ -51,6 +54,9 @@
 Admission UpstreamAdmission::decide(const UpstreamDirectory::Member &member, bool counted, TimePoint now) const
 {
     const UpstreamRunKey key = runKey(member.record);
+    if (const std::optional<Duration> age = m_evacuations->ageOf(member.record.domain, now)) {
+        return {Admission::State::Evacuated, "operators", age};
+    }
     if (member.leaveNoticedAt) {
         return {Admission::State::Leaving, "response", now - *member.leaveNoticedAt};
     }
--- a/ibismast/relay/upstreamadmission.h
+++ b/ibismast/relay/upstreamadmission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ibismast/relay/domainevacuations.h"
 #include "ibismast/relay/upstreamdirectory.h"
 #include "ibismast/relay/upstreampauses.h"
 #include "ibismast/relay/upstreamratelimits.h"
@@ -19,13 +20,15 @@
         /// The upstream has asked this entry for a pause.
         Paused,
         Leaving,
+        /// The operators have evacuated the failure domain of the upstream.
+        Evacuated,
         /// The run of the upstream has ended, and another one has its id.
         Restarted,
         NotListed,
     };
 
     State state = State::Admitted;
-    /// Where the information that decided is from: `list`, `response`, `attempts` or `none`.
+    /// Where the information that decided is from: `list`, `response`, `attempts`, `operators` or `none`.
     std::string_view source = "none";
     /// Age of this information; empty if it has none.
     std::optional<Duration> age {};
@@ -48,7 +51,8 @@
     /// The arguments must outlive the object.
     UpstreamAdmission(const UpstreamDirectory &directory,
                       const UpstreamRateLimits &rateLimits,
-                      const UpstreamPauses &pauses);
+                      const UpstreamPauses &pauses,
+                      const DomainEvacuations &evacuations);
 
     /// Decides about a new request to @p member.
     [[nodiscard]] Admission decide(const UpstreamDirectory::Member &member, TimePoint now) const;
@@ -62,6 +66,7 @@
     const UpstreamDirectory *m_directory;
     const UpstreamRateLimits *m_rateLimits;
     const UpstreamPauses *m_pauses;
+    const DomainEvacuations *m_evacuations;
 };
 
 } // namespace ibismast
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -23,6 +23,10 @@
 /// Ages above this one, an hour, are of no use and could overflow a duration.
 constexpr std::int64_t LargestAgeMs = 3'600'000;
 
+/// Limits of the evacuated domains in one message, whose number and names the store's keys limit too.
+constexpr std::size_t MaxEvacuatedDomains = 256;
+constexpr std::size_t MaxDomainBytes = 200;
+
 /// Limits of a load report; larger values, or a share that is no number, cannot be true.
 constexpr double LargestSlotUse = 1e6;
 constexpr double LargestRate = 1e9;
@@ -224,6 +228,37 @@
     return reports;
 }
 
+wire::relay::RelayEvacuations toThrift(const EvacuatedDomains &evacuated)
+{
+    wire::relay::RelayEvacuations result;
+    for (const FailureDomain &domain : evacuated.domains) {
+        result.domains.push_back(domain.value());
+    }
+    result.revision = evacuated.revision.number;
+    if (evacuated.revision.era > StoreEra()) {
+        result.__set_era(evacuated.revision.era.value());
+    }
+    return result;
+}
+
+/// Returns evacuated domains that were received; empty if a value is out of range.
+std::optional<EvacuatedDomains> fromThrift(const wire::relay::RelayEvacuations &evacuations)
+{
+    const std::int64_t era = evacuations.__isset.era ? evacuations.era : 0;
+    if (evacuations.revision <= 0 || era < 0 || evacuations.domains.size() > MaxEvacuatedDomains) {
+        return std::nullopt;
+    }
+    EvacuatedDomains result;
+    result.revision = {evacuations.revision, StoreEra(era)};
+    for (const std::string &domain : evacuations.domains) {
+        if (domain.empty() || domain.size() > MaxDomainBytes) {
+            return std::nullopt;
+        }
+        result.domains.emplace(domain);
+    }
+    return result;
+}
+
 wire::relay::RelayRecord toThrift(const StoredRecord &record)
 {
     wire::relay::RelayRecord result;
@@ -267,6 +302,9 @@
     if (knowledge.awaitsConfig) {
         message.__set_awaitsConfig(true);
     }
+    if (knowledge.evacuations) {
+        message.__set_evacuations(toThrift(*knowledge.evacuations));
+    }
     if (!news.heard.empty()) {
         message.__set_heard(news.heard);
     }
@@ -324,6 +362,9 @@
         news.knowledge.listDigest = static_cast<std::uint64_t>(message.listDigest);
         news.knowledge.listAge = std::chrono::milliseconds(message.listAgeMs);
     }
+    if (message.__isset.evacuations) {
+        news.knowledge.evacuations = fromThrift(message.evacuations);
+    }
     news.listRevision = message.listRevision;
     for (const wire::relay::RelayPlacement &placement : message.placed) {
         news.load.placed.push_back(fromThrift(placement, news.sender.id));
@@ -356,6 +397,9 @@
         message.__set_listEra(copy.upstreams.revision.era.value());
     }
     message.listAgeMs = std::chrono::duration_cast<std::chrono::milliseconds>(copy.age).count();
+    if (copy.evacuations) {
+        message.__set_evacuations(toThrift(*copy.evacuations));
+    }
     return encode(message);
 }
 
@@ -375,6 +419,9 @@
     }
     copy.upstreams.revision = {message.listRevision, StoreEra(message.__isset.listEra ? message.listEra : 0)};
     copy.age = std::chrono::milliseconds(message.listAgeMs);
+    if (message.__isset.evacuations) {
+        copy.evacuations = fromThrift(message.evacuations);
+    }
     return copy;
 }
 
