Decode priorities and estimates, and rank calls at the engines

The relay knew neither the priority of a route or a customer nor the caller's estimate of its output nor the usual prompt of an engine's declaration, and sent engines no rank, so that in a crest calls were admitted in the order of their arrival.

RelayRoute, RelayCustomer, GenerationSize and EngineProfile hold these fields. RouteTable returns the priority of a call and the priorities that a service may see. CallRanker orders calls by a due time, and gives engines a rank if the configuration holds more than one priority for the service. Streams that have begun come first. The due time is fixed, so that every call precedes those that arrive a bounded time later.

--- a/UnitTests/platform/platformtest.cpp
+++ b/UnitTests/platform/platformtest.cpp
@@ -74,12 +74,13 @@
          "split":[{"backend":"s1","weight":90},{"backend":"s2","weight":10}],"max_attempts":2,"resumable":true,
          "gap_target_ms":250},
         {"name":"r2","host":"h","path_prefix":"/b/","kind":"unsafe","timeout_ms":800,"slo_ms":100,"backend":"s2",
-         "max_attempts":1,"public":true}],
+         "max_attempts":1,"public":true,"priority":2}],
         "services":[{"name":"s1","max_conns":424,"engine":{"slots":16,"kv_capacity_tokens":315000,"stride":51,
          "step_ms":0.85,"read_per_s":177000.0,"pairs_per_m":0.184,"usual":{"prompt":11104,"answer":1622}}},
          {"name":"s2","max_conns":96}],
         "limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-        "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1}]})";
+        "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1},
+                   {"name":"t2","api_keys":["k3"]},{"name":"t3","priority":-1}]})";
     const PlatformDecoder decoder;
     const Result<RelayConfig> result = decoder.decodeConfig({"op/config", value, 3});
     REQUIRE(errorOf(result) == nullptr);
@@ -97,6 +98,12 @@
     CHECK_FALSE(config.services.at(ServiceName("s2")).engine);
     CHECK(config.limits.maxHeadBytes == 1'000);
     CHECK(config.customers.at(0).keys.size() == 2);
+    CHECK(config.routes[0].priority == DefaultCallPriority);
+    CHECK(config.routes[1].priority == CallPriority(2));
+    CHECK(config.customers.at(0).priority == CallPriority(1));
+    CHECK_FALSE(config.customers.at(1).priority);
+    CHECK_FALSE(config.customers.at(2).priority);
+    CHECK(config.services.at(ServiceName("s1")).engine->typicalPromptTokens == 11'104.0);
 }
 
 // Guards against a configuration that is half applied.
@@ -130,6 +137,18 @@
     CHECK(PlatformProtocol().isReplaced(name) == replaced);
 }
 
+// Guards against a rank that does not reach the engine, and against one that is sent where none is wanted.
+TEST_CASE("the rank of a call is sent to its engine", "[platform][rank]")
+{
+    const auto [rank, text] = GENERATE(table<std::optional<EngineRank>, std::string>(
+        {{std::nullopt, ""}, {EngineRank(0), "0"}, {EngineRank(9), "9"}}));
+    UpstreamCallDetails details;
+    details.rank = rank;
+    HttpHead head;
+    head.headers = PlatformProtocol().upstreamHeaders(details);
+    CHECK(head.header("Ibismast-Request-Priority") == text);
+}
+
 // Guards against malformed requests that are guessed at.
 TEST_CASE("a request's fields are decoded or refused", "[platform]")
 {
@@ -154,6 +173,31 @@
     }
 }
 
+// Guards against an estimate of the output that is lost, and against a call that is refused for a malformed estimate.
+TEST_CASE("the caller's estimate of its output is optional", "[platform]")
+{
+    using Values = std::vector<std::string>;
+    const auto [values, tokens] = GENERATE(table<Values, std::int64_t>({
+        {Values {}, 0},
+        {Values {"640"}, 640},
+        {Values {"0"}, 0},
+        {Values {"many"}, 0},
+        {Values {"-1"}, 0},
+        {Values {"1e3"}, 0},
+        {Values {"640", "650"}, 0},
+    }));
+    HttpHead head;
+    head.target = "/a/b";
+    head.headers = {{"Ibismast-Attempt-Id", "r1"}, {"Ibismast-Token-Counts", "1460,80"}};
+    for (const std::string &value : values) {
+        head.headers.emplace_back("ibismast-length-hint", value);
+    }
+    const Result<IncomingCall> result = PlatformProtocol().decodeCall(head);
+    REQUIRE(errorOf(result) == nullptr);
+    CHECK(std::get<IncomingCall>(result).size.expectedOutput == Tokens(tokens));
+    CHECK(std::get<IncomingCall>(result).size.maxOutput == Tokens(80));
+}
+
 // Guards against prompts whose shared parts are not recognised, and against a request's own part that counts as shared.
 TEST_CASE("the shared parts of a prompt are decoded without the last part", "[platform]")
 {
--- a/UnitTests/relay/callflowfixture.h
+++ b/UnitTests/relay/callflowfixture.h
@@ -48,6 +48,10 @@
     {
         brokenStarts.push_back(upstream.id.value() + (begun ? "" : " not begun"));
     }
+    std::optional<EngineRank> engineRank(const RelayCall & /*call*/, bool begun, TimePoint /*now*/) const override
+    {
+        return EngineRank(begun ? 0 : 4);
+    }
     bool takeRetry(const ServiceName & /*service*/, TimePoint /*now*/) override
     {
         return retriesLeft-- > 0;
--- a/UnitTests/relay/routetabletest.cpp
+++ b/UnitTests/relay/routetabletest.cpp
@@ -67,3 +67,23 @@
         GENERATE(table<double, std::string>({{0.0, "pool"}, {0.899, "pool"}, {0.901, "canary"}, {0.999, "canary"}}));
     CHECK(RouteTable::serviceOf(route("r", "h", "/"), choice).value() == service);
 }
+
+// Guards against an urgent customer that waits behind the usual calls of its route, and against priorities that are
+// taken from routes of another service.
+TEST_CASE("the priority of a customer takes precedence over that of the route", "[relay]")
+{
+    RelayConfig config;
+    config.routes = {route("first", "h", "/a/"), route("second", "h", "/b/"), route("open", "h", "/c/")};
+    config.routes[0].priority = CallPriority(1);
+    config.routes[1].priority = CallPriority(2);
+    config.routes[2].isPublic = true;
+    config.routes[2].shares = {{ServiceName("public"), 1}};
+    config.customers = {{CustomerId("north"), {"k1"}, CallPriority(0)}, {CustomerId("south"), {"k2"}}};
+    const RouteTable routes(config);
+    const auto [index, customer, priority] = GENERATE(table<std::size_t, std::string, int>(
+        {{0, "north", 0}, {1, "north", 0}, {0, "south", 1}, {1, "south", 2}, {2, "", 5}}));
+    CHECK(routes.priorityOf(config.routes[index], CustomerId(customer)) == CallPriority(priority));
+    CHECK(routes.prioritiesOf(ServiceName("pool")) == std::set {CallPriority(0), CallPriority(1), CallPriority(2)});
+    CHECK(routes.prioritiesOf(ServiceName("public")) == std::set {DefaultCallPriority});
+    CHECK(routes.prioritiesOf(ServiceName("none")).empty());
+}
--- a/adapters/relay/callprotocol.h
+++ b/adapters/relay/callprotocol.h
@@ -20,6 +20,8 @@
     /// Event behind which the stream continues; empty for the whole stream.
     std::string lastEventId;
     Duration timeLeft {};
+    /// Rank at the engine; empty if it gets none.
+    std::optional<EngineRank> rank {};
 };
 
 /// An upstream's answer, decoded.
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -315,6 +315,7 @@
     details.timeLeft = start.timeLeft;
     details.customer = m_core.customerOf(number);
     details.helpers = start.plan.helpers;
+    details.rank = start.rank;
     const HttpHead &request = exchange.caller->request();
     HttpHeadBuilder head = HttpHeadBuilder::request(request.method, request.target);
     head.endToEnd(request, [this](std::string_view name) {
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibismast/core/result.h"
+#include "ibismast/relay/callrank.h"
 #include "ibismast/relay/engineplanner.h"
 #include "ibismast/relay/eventscanner.h"
 #include "ibismast/relay/upstreamnotice.h"
@@ -19,6 +20,8 @@
     RelayRoute route;
     ServiceName service;
     CustomerId customer;
+    /// Priority of the customer or the route.
+    CallPriority priority = DefaultCallPriority;
     TimePoint arrived;
     /// End of the route's timeout or of the caller's own timeout, whichever is earlier.
     TimePoint deadline;
@@ -77,6 +80,8 @@
     std::string lastEventId;
     /// Time until the deadline of the call.
     Duration timeLeft {};
+    /// Rank at the engine; empty if it gets none.
+    std::optional<EngineRank> rank {};
 };
 /// Action: reserves KV memory on the helpers of an attempt that hold a part of the prompt, or renews the reservations.
 /// The outcome of the initial reservation is reported by `memoryReserved`, that of a renewal is not reported.
@@ -224,6 +229,10 @@
     /// An attempt at @p upstream broke off before any event of the call or the end of its response. @p begun is true if
     /// the head of a successful response had arrived.
     virtual void startBroken(const RelayCall &call, const UpstreamRecord &upstream, bool begun, TimePoint now) = 0;
+    /// Returns the rank of @p call at the engine; empty if engines get none. @p begun is true if the call is repeated
+    /// or resumed.
+    [[nodiscard]] virtual std::optional<EngineRank>
+    engineRank(const RelayCall &call, bool begun, TimePoint now) const = 0;
     /// Takes one retry from the retry budget of @p service; returns false if the budget is exhausted.
     [[nodiscard]] virtual bool takeRetry(const ServiceName &service, TimePoint now) = 0;
     /// The attempt has been assigned to its upstream; it may still wait for a delay or a memory reservation.
--- a/ibismast/relay/callflowattempts.cpp
+++ b/ibismast/relay/callflowattempts.cpp
@@ -212,7 +212,8 @@
 {
     m_current->lastProgress = now;
     const std::string &lastEventId = m_eventBatchesSent > 0 ? m_lastEventId : m_call.lastEventId;
-    actions.emplace_back(StartAttempt {m_attempt, m_current->plan, lastEventId, m_call.deadline - now});
+    const std::optional<EngineRank> rank = m_environment->engineRank(m_call, m_headSent || m_mayHaveRun, now);
+    actions.emplace_back(StartAttempt {m_attempt, m_current->plan, lastEventId, m_call.deadline - now, rank});
 }
 
 void CallFlow::memoryReserved(int attempt, bool granted, TimePoint now, CallActions &actions)
--- a/ibismast/relay/engineplanner.h
+++ b/ibismast/relay/engineplanner.h
@@ -12,6 +12,8 @@
     Tokens prompt;
     /// Maximum number of output tokens; 0 if the caller sets none.
     Tokens maxOutput;
+    /// Number of output tokens that the caller expects; 0 if it names none. Right at the median, but often far off.
+    Tokens expectedOutput {};
 };
 
 /// Properties of a generation request that determine its placement.
--- a/ibismast/relay/relayconfig.h
+++ b/ibismast/relay/relayconfig.h
@@ -15,6 +15,12 @@
 /// Version of the relay configuration; a larger one is newer.
 using RelayConfigVersion = StrongInteger<struct RelayConfigVersionTag>;
 
+/// Urgency of a call as configured; 0 is the most urgent.
+using CallPriority = StrongInteger<struct CallPriorityTag>;
+
+/// Priority of calls for which the configuration names none.
+inline constexpr CallPriority DefaultCallPriority {5};
+
 /// Number of requests in a second.
 struct RequestRate
 {
@@ -62,6 +68,8 @@
     int maxAttempts = 1;
     /// True if calls need no API key.
     bool isPublic = false;
+    /// Priority of the calls of customers that have none of their own.
+    CallPriority priority = DefaultCallPriority;
 };
 
 /// Capacity and performance of the model engines of a service, as declared in the configuration.
@@ -88,6 +96,8 @@
     double stepPerHolderMs = 0.0;
     /// Typical number of output tokens of a request.
     double typicalOutputTokens = 1000.0;
+    /// Typical number of prompt tokens of a request; 0 if it is not declared.
+    double typicalPromptTokens = 0.0;
 };
 
 /// Service that routes send calls to.
@@ -105,6 +115,8 @@
 {
     CustomerId name;
     std::vector<std::string> keys;
+    /// Takes precedence over the priority of the route; empty if the customer has none.
+    std::optional<CallPriority> priority {};
 };
 
 /// Limits on the size of requests and on the time that callers take to send them.
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -39,6 +39,7 @@
     , m_pauses(m_settings.pauses)
     , m_admission(m_directory, m_rateLimits, m_pauses)
     , m_cells(m_settings.cells, m_settings.domain)
+    , m_ranker(m_settings.rank)
 {
 }
 
@@ -109,6 +110,7 @@
     call.lastEventId = incoming.lastEventId;
     call.fingerprint = incoming.fingerprint;
     call.returning = m_refused.contains(incoming.fingerprint);
+    call.priority = m_routes->priorityOf(*route, customer);
     call.configVersion = m_routes->config().version;
     call.host = incoming.host;
     call.path = incoming.path;
@@ -156,6 +158,7 @@
     const auto &[route, customer] = std::get<std::pair<const RelayRoute *, CustomerId>>(admitted);
     call.configVersion = config.version;
     call.customer = customer;
+    call.priority = m_routes->priorityOf(*route, customer);
     call.deadline = std::min(call.deadline, call.arrived + route->timeout);
     const bool sameService = std::ranges::any_of(route->shares, [&call](const RouteShare &share) {
         return share.service == call.service;
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -67,6 +67,7 @@
     PromptQuarantineSettings quarantine;
     UpstreamRateLimitsSettings rateLimits;
     UpstreamPausesSettings pauses;
+    CallRankSettings rank;
     /// Limits on the retries of all entries together in ten seconds: a ratio to the requests of that time, and a number
     /// allowed in addition.
     double retryRatio = 0.2;
@@ -254,6 +255,7 @@
     [[nodiscard]] std::optional<Error> readmit(RelayCall &call) override;
     [[nodiscard]] std::optional<Error> checkPrompt(const RelayCall &call, TimePoint now) const override;
     void startBroken(const RelayCall &call, const UpstreamRecord &upstream, bool begun, TimePoint now) override;
+    [[nodiscard]] std::optional<EngineRank> engineRank(const RelayCall &call, bool begun, TimePoint now) const override;
     [[nodiscard]] bool takeRetry(const ServiceName &service, TimePoint now) override;
     void attemptStarted(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
     void firstEventReceived(const RelayCall &call, TimePoint now) override;
@@ -299,6 +301,8 @@
     /// Returns the predicted time from the start of an attempt by @p plan to the end of its response.
     [[nodiscard]] static Duration
     expectedTime(const RelayCall &call, const EngineProfile &profile, const AttemptPlan &plan);
+    /// Returns the properties of @p call that determine its rank.
+    [[nodiscard]] RankedCall rankedCall(const RelayCall &call) const;
     /// Returns the configured service @p name, or null.
     [[nodiscard]] const RelayService *service(const ServiceName &name) const;
     /// Whether a plan may use more than the estimated capacity of the engines, since the estimates lag behind the end
@@ -382,6 +386,7 @@
     UpstreamAdmission m_admission;
     std::vector<RateLimitReport> m_fleetRateReports;
     CellView m_cells;
+    CallRanker m_ranker;
     bool m_inCell = false;
     DomainLoad m_ownLoad;
 };
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -181,6 +181,26 @@
     return budget;
 }
 
+RankedCall RelayCore::rankedCall(const RelayCall &call) const
+{
+    const RelayService *target = service(call.service);
+    const Duration prefillTime =
+        target != nullptr && target->engine ? estimatePrefillTime(*target->engine, call.size.prompt) : Duration::zero();
+    const int level = priorityLevel(m_routes->prioritiesOf(call.service), call.priority);
+    return {level, call.arrived, call.route.objective, prefillTime, false};
+}
+
+std::optional<EngineRank> RelayCore::engineRank(const RelayCall &call, bool begun, TimePoint now) const
+{
+    const RelayService *target = service(call.service);
+    if (target == nullptr || !target->engine) {
+        return std::nullopt;
+    }
+    RankedCall ranked = rankedCall(call);
+    ranked.begun = begun;
+    return m_ranker.engineRank(ranked, m_routes->prioritiesOf(call.service), now);
+}
+
 bool RelayCore::takeRetry(const ServiceName &service, TimePoint now)
 {
     return budget(service).take(now);
--- a/ibismast/relay/routetable.cpp
+++ b/ibismast/relay/routetable.cpp
@@ -37,9 +37,40 @@
         for (const std::string &key : customer.keys) {
             m_customers.emplace(key, customer.name);
         }
+        if (customer.priority) {
+            m_customerPriorities.emplace(customer.name, *customer.priority);
+        }
+    }
+    std::set<CallPriority> ofCustomers;
+    for (const auto &[customer, priority] : m_customerPriorities) {
+        ofCustomers.insert(priority);
+    }
+    for (const RelayRoute &route : m_config.routes) {
+        const bool needsKey = !route.isPublic && needsKeys();
+        for (const RouteShare &share : route.shares) {
+            std::set<CallPriority> &priorities = m_priorities[share.service];
+            if (needsKey) {
+                priorities.insert(ofCustomers.begin(), ofCustomers.end());
+            }
+            if (!needsKey || m_customerPriorities.size() < m_config.customers.size()) {
+                priorities.insert(route.priority);
+            }
+        }
     }
 }
 
+CallPriority RouteTable::priorityOf(const RelayRoute &route, const CustomerId &customer) const
+{
+    const auto found = m_customerPriorities.find(customer);
+    return found == m_customerPriorities.end() ? route.priority : found->second;
+}
+
+const std::set<CallPriority> &RouteTable::prioritiesOf(const ServiceName &service) const
+{
+    const auto found = m_priorities.find(service);
+    return found == m_priorities.end() ? m_noPriorities : found->second;
+}
+
 const RelayRoute *RouteTable::match(std::string_view host, std::string_view path) const
 {
     const auto routes = m_routes.find(hostName(host));
--- a/ibismast/relay/routetable.h
+++ b/ibismast/relay/routetable.h
@@ -2,6 +2,7 @@
 
 #include "ibismast/relay/relayconfig.h"
 
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -23,6 +24,11 @@
     [[nodiscard]] const RelayRoute *match(std::string_view host, std::string_view path) const;
     /// Returns the customer to whom the API key @p key belongs, or null.
     [[nodiscard]] const CustomerId *customerOf(const std::string &key) const;
+    /// Returns the priority of the calls of @p customer on @p route; @p customer is empty if the route needs no API
+    /// key.
+    [[nodiscard]] CallPriority priorityOf(const RelayRoute &route, const CustomerId &customer) const;
+    /// Returns the priorities that calls to @p service may have, the most urgent one first.
+    [[nodiscard]] const std::set<CallPriority> &prioritiesOf(const ServiceName &service) const;
     /// True if calls on routes that are not public need an API key, which is the case once any customer is configured.
     [[nodiscard]] bool needsKeys() const
     {
@@ -36,6 +42,10 @@
     /// Routes by lower-case host and path prefix.
     std::unordered_map<std::string, std::unordered_map<std::string, const RelayRoute *>> m_routes;
     std::unordered_map<std::string, CustomerId> m_customers;
+    /// Priorities of the customers that have one.
+    std::map<CustomerId, CallPriority> m_customerPriorities;
+    std::map<ServiceName, std::set<CallPriority>> m_priorities;
+    std::set<CallPriority> m_noPriorities;
 };
 
 } // namespace ibismast
