Let calls wait at the entry for room at the engines

Without a plan a call was refused, or sent into an engine's queue beyond its slots.

With [waiting] enabled, a call that has not begun is planned within the estimated capacity only. If there is no plan, it waits in the order of CallRanker, bounded in calls and bytes. RoomForecast predicts its start from the expected ends of the streams; a call that is not predicted to begin in time is refused at once, with a Retry-After from the prediction. Calls that wait are planned when an attempt ends and every 50 ms, by the configuration and the admission in force. The room is off unless the settings switch it on.

--- a/UnitTests/relay/callflowfixture.h
+++ b/UnitTests/relay/callflowfixture.h
@@ -30,6 +30,18 @@
         }
         return std::nullopt;
     }
+    std::optional<Error> waitForRoom(const RelayCall & /*call*/, TimePoint /*now*/) override
+    {
+        if (mayWait) {
+            ++waits;
+            return std::nullopt;
+        }
+        return Error {ResultCode::NoUpstream, "no upstream has room", std::nullopt};
+    }
+    void waitEnded(const RelayCall & /*call*/, bool started, TimePoint /*now*/) override
+    {
+        waitOutcomes.push_back(started);
+    }
     std::optional<PlanFault>
     planFault(const RelayCall & /*call*/, const AttemptPlan &plan, TimePoint /*now*/) const override
     {
@@ -110,6 +122,10 @@
     }
 
     std::vector<std::string> upstreams {"a", "b", "c"};
+    /// True if calls may wait for room, how often they were told to, and how their waits ended.
+    bool mayWait = false;
+    int waits = 0;
+    std::vector<bool> waitOutcomes;
     /// Upstreams at which an attempt has failed.
     std::vector<std::string> failed;
     /// Upstreams that have declined a call.
--- /dev/null
+++ b/UnitTests/relay/waitingcallstest.cpp
@@ -0,0 +1,289 @@
+#include "ibismast/relay/relaycore.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ibismast;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Entry with a waiting room and one engine of two slots, on which a stream takes 200 ms.
+class WaitingFixture
+{
+protected:
+    WaitingFixture()
+    {
+        config.version = RelayConfigVersion(1);
+        RelayRoute route;
+        route.host = "h";
+        route.pathPrefix = "/g/";
+        route.kind = CallKind::ResumableStream;
+        route.shares = {{ServiceName("pool"), 1}};
+        route.objective = 1'000ms;
+        route.maxAttempts = 2;
+        config.routes.push_back(route);
+        route.pathPrefix = "/u/";
+        route.priority = CallPriority(0);
+        config.routes.push_back(route);
+        route.pathPrefix = "/s/";
+        route.objective = 150ms;
+        config.routes.push_back(route);
+        EngineProfile engine;
+        engine.slots = 2;
+        engine.memory = Tokens(315'000);
+        engine.typicalOutputTokens = 200;
+        config.services.emplace(ServiceName("pool"), RelayService {ServiceName("pool"), 64, engine});
+        config.customers = {{CustomerId("north"), {"key"}}};
+    }
+    void begin(bool enabled = true)
+    {
+        RelayCoreSettings settings;
+        settings.waiting.enabled = enabled;
+        core = std::make_unique<RelayCore>(settings, 1, listener);
+        core->applyConfig(config, now);
+        UpstreamRecord engine;
+        engine.id = InstanceId("e1");
+        engine.service = ServiceName("pool");
+        list = {{engine}, 1};
+        core->directory().apply(list, now);
+    }
+    CallNumber submit(const std::string &path, std::int64_t prompt = 1'000, std::uint64_t fingerprint = 0)
+    {
+        IncomingCall call;
+        call.requestId = "r";
+        call.host = "h";
+        call.path = path;
+        call.key = "key";
+        call.size = {Tokens(prompt), Tokens(100)};
+        call.fingerprint = fingerprint;
+        return std::get<CallNumber>(core->submit(call, now, actions));
+    }
+    /// Ends the stream of a call whose attempt has started.
+    void end(CallNumber call)
+    {
+        ResponseHead head;
+        head.status = 200;
+        core->headReceived(call, 1, head, now, actions);
+        core->bodyReceived(call, 1, "id: 1\ndata: x\n\n", now, actions);
+        core->responseCompleted(call, 1, now, actions);
+    }
+    /// Advances the time to @p end and handles all timeouts.
+    void advance(Duration time)
+    {
+        const TimePoint end = now + time;
+        while (core->nextDue() && *core->nextDue() <= end) {
+            now = std::max(now, *core->nextDue());
+            core->tick(now, actions);
+        }
+        now = end;
+    }
+    [[nodiscard]] bool started(CallNumber call) const
+    {
+        return find<StartAttempt>(call) != nullptr;
+    }
+    [[nodiscard]] const Refuse *refusal(CallNumber call) const
+    {
+        return find<Refuse>(call);
+    }
+    template<typename Action> [[nodiscard]] const Action *find(CallNumber call) const
+    {
+        for (const RelayAction &action : actions) {
+            if (action.call == call && std::holds_alternative<Action>(action.action)) {
+                return &std::get<Action>(action.action);
+            }
+        }
+        return nullptr;
+    }
+
+    EventListener listener;
+    RelayConfig config;
+    UpstreamList list;
+    RelayActions actions;
+    std::unique_ptr<RelayCore> core;
+    TimePoint now {1'000s};
+};
+
+} // namespace
+
+// Guards against a burst in which the calls that come first take the engine, and the rest is sent into its queue or is
+// refused although room is near.
+TEST_CASE_METHOD(WaitingFixture, "a call without room waits for the end of another one", "[relay][waiting]")
+{
+    const bool enabled = GENERATE(true, false);
+    begin(enabled);
+    const CallNumber first = submit("/g/x");
+    submit("/g/x");
+    const CallNumber third = submit("/g/x");
+    const CallNumber fourth = submit("/g/x");
+    // Without the room the engine's queue gets one call, and the next one is refused.
+    CHECK(started(third) == !enabled);
+    CHECK((refusal(fourth) != nullptr) == !enabled);
+    CHECK(core->waitingRoom().size() == (enabled ? 2 : 0));
+    if (enabled) {
+        end(first);
+        CHECK(started(third));
+        CHECK_FALSE(started(fourth));
+        CHECK(core->waitingRoom().size() == 1);
+    }
+}
+
+// Guards against calls that overtake those that wait, and against urgent calls that wait behind others.
+TEST_CASE_METHOD(WaitingFixture, "room goes to the most urgent call that waits", "[relay][waiting]")
+{
+    const auto [paths, order] = GENERATE(table<std::vector<std::string>, std::vector<std::size_t>>({
+        {std::vector<std::string> {"/g/x", "/g/x"}, {0, 1}},
+        {std::vector<std::string> {"/g/x", "/u/x"}, {1, 0}},
+        {std::vector<std::string> {"/u/x", "/g/x"}, {0, 1}},
+        {std::vector<std::string> {"/u/x", "/s/x"}, {1, 0}},
+        {std::vector<std::string> {"/g/x", "/u/x", "/s/x"}, {2, 1, 0}},
+    }));
+    config.services.at(ServiceName("pool")).engine->stepMs = 0.5;
+    begin();
+    std::vector<CallNumber> running {submit("/g/x"), submit("/g/x")};
+    std::vector<CallNumber> waiting;
+    for (const std::string &path : paths) {
+        waiting.push_back(submit(path));
+        now += 1ms;
+    }
+    for (const std::size_t next : order) {
+        REQUIRE_FALSE(started(waiting[next]));
+        end(running.front());
+        running.erase(running.begin());
+        REQUIRE(started(waiting[next]));
+        running.push_back(waiting[next]);
+    }
+}
+
+// Guards against calls that cost time at the entry and at engines although they cannot be in time: they are refused at
+// once, or as soon as the prediction fails, and not at their deadline.
+TEST_CASE_METHOD(WaitingFixture, "a call that cannot begin in time is refused early", "[relay][waiting]")
+{
+    config.services.at(ServiceName("pool")).engine->stepMs = GENERATE(1.0, 3.0, 30.0);
+    const double streamMs = config.services.at(ServiceName("pool")).engine->stepMs * 200;
+    begin();
+    submit("/g/x");
+    submit("/g/x");
+    const CallNumber call = submit("/g/x");
+    if (streamMs > 1'000.0) {
+        REQUIRE(refusal(call) != nullptr);
+        CHECK(refusal(call)->retryAfter == 3s);
+        CHECK(core->waitCounts().refusedAtOnce == 1);
+        return;
+    }
+    CHECK(refusal(call) == nullptr);
+    CHECK(core->waitingRoom().size() == 1);
+    advance(1'000ms);
+    REQUIRE(refusal(call) != nullptr);
+    CHECK(resultCodeInfo(refusal(call)->code).notRun);
+    CHECK(core->waitCounts().refusedLater == 1);
+    CHECK(core->waitingRoom().size() == 0);
+}
+
+// Guards against calls that wait although they must not be served any more, and against places that stay taken.
+TEST_CASE_METHOD(WaitingFixture, "changes apply to calls that wait", "[relay][waiting]")
+{
+    struct Row
+    {
+        std::string change;
+        /// Status of the refusal; 0 if the call goes on waiting or has ended.
+        int status;
+        std::size_t waiting;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"none", 0, 1},
+        {"caller leaves", 0, 0},
+        {"stop", 503, 0},
+        {"route removed", 404, 0},
+        {"key removed", 401, 0},
+        {"engine leaves", 503, 0},
+        {"entry lost", 0, 1},
+    }));
+    CAPTURE(row.change);
+    begin();
+    const CallNumber first = submit("/g/x");
+    submit("/g/x");
+    const CallNumber call = submit("/g/x");
+    config.version = RelayConfigVersion(2);
+    list.revision.number = 2;
+    if (row.change == "caller leaves") {
+        core->callerDisconnected(call, now, actions);
+        CHECK(core->waitingRoom().size() == 0);
+    } else if (row.change == "stop") {
+        core->beginStop(now + 60s);
+    } else if (row.change == "route removed") {
+        config.routes.erase(config.routes.begin());
+        core->applyConfig(config, now);
+    } else if (row.change == "key removed") {
+        config.customers[0].keys = {"new"};
+        core->applyConfig(config, now);
+    } else if (row.change == "engine leaves") {
+        list.records[0].leaving = true;
+        core->directory().apply(list, now);
+    } else if (row.change == "entry lost") {
+        core->dropEntry(InstanceId("other"), now);
+    }
+    advance(60ms);
+    CHECK(core->waitingRoom().size() == row.waiting);
+    CHECK((refusal(call) == nullptr ? 0 : resultCodeInfo(refusal(call)->code).httpStatus) == row.status);
+    actions.clear();
+    end(first);
+    CHECK(started(call) == (row.waiting == 1));
+}
+
+// Guards against a second refusal of the same request: it waits longer, and in the end uses the engine's queue.
+TEST_CASE_METHOD(WaitingFixture, "a call that returns after a refusal is sent in the end", "[relay][waiting]")
+{
+    begin();
+    submit("/g/x");
+    submit("/g/x");
+    CHECK(refusal(submit("/s/x", 1'000, 7)) != nullptr);
+    now += 300ms;
+    actions.clear();
+    const CallNumber call = submit("/s/x", 1'000, 7);
+    CHECK(core->waitingRoom().size() == 1);
+    advance(1'500ms);
+    CHECK_FALSE(started(call));
+    advance(200ms);
+    CHECK(started(call));
+}
+
+// Guards against prompts that an engine reads after their callers have left.
+TEST_CASE_METHOD(WaitingFixture,
+                 "a call whose caller would leave before the first event is not sent",
+                 "[relay][waiting]")
+{
+    const auto [rate, sent] = GENERATE(table<double, bool>({{1'000.0, true}, {400.0, false}}));
+    config.services.at(ServiceName("pool")).engine->prefillTokensPerSecond = rate;
+    begin();
+    CHECK(started(submit("/s/x", 1'000)) == sent);
+    CHECK(core->waitCounts().entered + core->waitCounts().refusedAtOnce == (sent ? 0 : 1));
+}
+
+// Guards against kinds and sizes that are never served while more urgent calls take all the room.
+TEST_CASE_METHOD(WaitingFixture, "no kind or size starves in a crest", "[relay][waiting]")
+{
+    const auto [path, prompt] = GENERATE(
+        table<std::string, std::int64_t>({{"/g/x", 1'000}, {"/u/x", 1'000}, {"/u/x", 40'000}, {"/g/x", 40'000}}));
+    CAPTURE(path, prompt);
+    begin();
+    std::vector<CallNumber> running {submit("/s/x"), submit("/s/x")};
+    const CallNumber call = submit(path, prompt);
+    std::vector<CallNumber> crest;
+    for (int step = 0; step < 10 && !started(call); ++step) {
+        crest.push_back(submit("/s/x"));
+        advance(50ms);
+        crest.push_back(submit("/s/x"));
+        advance(50ms);
+        end(running.front());
+        running.erase(running.begin());
+        for (const CallNumber &other : crest) {
+            if (started(other) && std::ranges::find(running, other) == running.end()) {
+                running.push_back(other);
+                std::erase(crest, other);
+                break;
+            }
+        }
+    }
+    CHECK(started(call));
+}
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -182,6 +182,13 @@
     m_metrics->set("ibismast_paused_upstreams", {}, static_cast<double>(m_core.pausedUpstreams()));
     m_metrics->set("ibismast_buffered_bytes", {}, static_cast<double>(m_core.bufferedBytes()));
     m_metrics->set("ibismast_unsent_bytes", {}, static_cast<double>(m_core.unsentBytes()));
+    const WaitCounts &waits = m_core.waitCounts();
+    m_metrics->set("ibismast_waiting_calls", {}, static_cast<double>(m_core.waitingRoom().size()));
+    m_metrics->set("ibismast_waiting_bytes", {}, static_cast<double>(m_core.waitingRoom().bytes()));
+    m_metrics->set("ibismast_waits_total", {{"outcome", "entered"}}, static_cast<double>(waits.entered));
+    m_metrics->set("ibismast_waits_total", {{"outcome", "started"}}, static_cast<double>(waits.started));
+    m_metrics->set("ibismast_waits_total", {{"outcome", "refused_at_once"}}, static_cast<double>(waits.refusedAtOnce));
+    m_metrics->set("ibismast_waits_total", {{"outcome", "refused_later"}}, static_cast<double>(waits.refusedLater));
     m_metrics->set("ibismast_undecodable_datagrams", {}, static_cast<double>(m_peers.undecodable()));
     return m_metrics->text();
 }
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -82,6 +82,7 @@
     }
     auto &incoming = std::get<IncomingCall>(decoded);
     incoming.contentHash = requestContentHash(request.method, request.target, body);
+    incoming.bodyBytes = static_cast<std::int64_t>(body.size());
     RelayActions actions;
     const Result<CallNumber> admitted = m_core.submit(incoming, processNow(), actions);
     if (const Error *error = errorOf(admitted)) {
--- a/adapters/relay/relaysettings.cpp
+++ b/adapters/relay/relaysettings.cpp
@@ -72,6 +72,12 @@
     settings.core.retryAllowance = file.number("retry", "slack", settings.core.retryAllowance, 0.0, 1e6);
     settings.core.call.maxIdleReservation = file.milliseconds(
         "engines", "max_idle_reservation_ms", settings.core.call.maxIdleReservation, milliseconds(1000), minutes(10));
+    settings.core.rank.always = file.integer("waiting", "rank_always", 0, 0, 1) != 0;
+    settings.core.waiting.enabled = file.integer("waiting", "enabled", 0, 0, 1) != 0;
+    settings.core.waiting.maxCalls = static_cast<std::size_t>(
+        file.integer("waiting", "max_calls", static_cast<std::int64_t>(settings.core.waiting.maxCalls), 1, 1'000'000));
+    settings.core.waiting.maxBytes =
+        file.integer("waiting", "max_bytes", settings.core.waiting.maxBytes, 1, std::int64_t {1} << 40);
     const auto grace = file.number("stop", "grace_s", 8.0, 1.0, 600.0);
     settings.stop.total = fromSeconds(grace) - milliseconds(400);
     const auto descriptors = static_cast<std::size_t>(file.integer("limits", "descriptors", 4096, 300, 1'000'000));
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -29,6 +29,13 @@
 
 } // namespace
 
+Duration callerSilence(const RelayRoute &route, const CallFlowSettings &settings)
+{
+    return std::max({settings.callerSilenceLimit,
+                     fromSeconds(toSeconds(route.objective) * settings.callerSilencePerObjective),
+                     fromSeconds(toSeconds(route.pauseTarget) * settings.callerSilencePerPause)});
+}
+
 CallFlow::CallFlow(RelayCall call,
                    const CallFlowSettings &settings,
                    CallEnvironment &environment,
@@ -88,13 +95,6 @@
     return m_headSent && mayRepeat();
 }
 
-Duration CallFlow::callerSilence() const
-{
-    return std::max({m_settings.callerSilenceLimit,
-                     fromSeconds(toSeconds(m_call.route.objective) * m_settings.callerSilencePerObjective),
-                     fromSeconds(toSeconds(m_call.route.pauseTarget) * m_settings.callerSilencePerPause)});
-}
-
 void CallFlow::start(TimePoint now, CallActions &actions)
 {
     startNextAttempt(now, actions);
@@ -398,7 +398,11 @@
         return;
     }
     if (m_waitingUntil && now < m_call.deadline) {
-        retryAfterWait(now, actions);
+        if (m_waitsToBegin) {
+            checkRoom(now, actions);
+        } else {
+            retryAfterWait(now, actions);
+        }
         return;
     }
     if (m_current && m_current->sendDue && now < m_call.deadline) {
@@ -457,6 +461,9 @@
     const std::string upstream = m_current ? m_current->plan.upstream.id.value() : std::string("none");
     closeAttempt(now, actions);
     m_waitingUntil.reset();
+    if (std::exchange(m_waitsToBegin, false)) {
+        m_environment->waitEnded(m_call, false, now);
+    }
     m_ended = true;
     m_listener->onEvent("call_ended",
                         {{"request", m_call.requestId},
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -37,6 +37,10 @@
     std::vector<PromptPartId> promptParts;
     /// True if the caller sends the call again after an entry has refused it.
     bool returning = false;
+    /// True if the caller has received a part of the response, or an upstream may have executed the call.
+    bool begun = false;
+    /// Size of the body.
+    std::int64_t bodyBytes = 0;
     /// Id of the last event that the caller received from an earlier call (`Last-Event-Id`); empty for the whole
     /// stream.
     std::string lastEventId;
@@ -218,6 +222,12 @@
     /// Chooses an upstream for @p call that is not in @p tried; empty if none has capacity.
     [[nodiscard]] virtual std::optional<AttemptPlan>
     planAttempt(const RelayCall &call, const std::set<InstanceId> &tried, TimePoint now) = 0;
+    /// Decides whether @p call, which has not begun and has no plan, waits until upstreams have room. Returns the error
+    /// with which it is refused otherwise. A waiting call is planned again at each check, and asked for again if there
+    /// is still no plan.
+    [[nodiscard]] virtual std::optional<Error> waitForRoom(const RelayCall &call, TimePoint now) = 0;
+    /// @p call does not wait any more. @p started is true if it has a plan.
+    virtual void waitEnded(const RelayCall &call, bool started, TimePoint now) = 0;
     /// Returns what has changed about the upstreams of @p plan since it was made; empty if it can be sent as it is.
     [[nodiscard]] virtual std::optional<PlanFault>
     planFault(const RelayCall &call, const AttemptPlan &plan, TimePoint now) const = 0;
@@ -277,6 +287,8 @@
     int maxDeclinedAttempts = 3;
     /// Interval at which a stream that has begun and waits for an upstream looks for one.
     Duration roomRecheckInterval = std::chrono::milliseconds(100);
+    /// The same interval for a call that has not begun.
+    Duration waitRecheckInterval = std::chrono::milliseconds(50);
     /// Maximum time for which sending of an attempt is delayed before its plan is checked against the current list of
     /// upstreams. Two seconds after an upstream has announced its shutdown it must get no work; the list may be 0.9 s
     /// old.
@@ -326,6 +338,9 @@
     Duration retryAfter = std::chrono::milliseconds(1200);
 };
 
+/// Returns the time for which callers of @p route wait for the first or the next event before they abandon a stream.
+[[nodiscard]] Duration callerSilence(const RelayRoute &route, const CallFlowSettings &settings);
+
 /// State machine of one call: makes one or more attempts at upstreams and sends one response to the caller.
 ///
 /// Deterministic: the I/O layer reports socket events and carries out the returned actions.
@@ -351,6 +366,10 @@
     void callerBacklogChanged(std::size_t bytes, TimePoint now, CallActions &actions);
     /// Gives the response of the current attempt up, since the buffers of all calls together are full.
     void giveUpResponse(TimePoint now, CallActions &actions);
+    /// Looks for an upstream if the call has not begun and waits for room; ignored otherwise.
+    void checkRoom(TimePoint now, CallActions &actions);
+    /// Refuses the call if it has not begun and waits for room, since a more urgent one needs its place.
+    void displace(TimePoint now, CallActions &actions);
     /// The caller has closed its connection.
     void callerDisconnected(TimePoint now, CallActions &actions);
     /// Handles what is due at @p now; does nothing before `nextDue`.
@@ -421,14 +440,17 @@
     [[nodiscard]] TimePoint stallDeadline() const;
     /// True if the call is a stream that has begun and that another upstream can resume.
     [[nodiscard]] bool canResume() const;
-    /// Time for which the caller waits for the next event before it abandons the stream.
-    [[nodiscard]] Duration callerSilence() const;
-    /// Plans and starts an attempt. If no upstream has capacity, a stream that has begun waits for one, and other calls
-    /// are refused.
+    [[nodiscard]] std::optional<AttemptPlan> planAttempt(TimePoint now);
+    /// Plans and starts an attempt. If no upstream has capacity, a stream that has begun waits for one, and the
+    /// environment decides whether another call waits or is refused.
     void startNextAttempt(TimePoint now, CallActions &actions);
     void startPlannedAttempt(AttemptPlan plan, TimePoint now, CallActions &actions);
     /// Lets a stream that has begun wait for an upstream, or ends it if its caller waits no longer.
     void waitForRoom(std::string_view reason, ResultCode code, TimePoint now, CallActions &actions);
+    /// Lets a call that has not begun wait for room, or refuses it.
+    void waitOrRefuse(TimePoint now, CallActions &actions);
+    /// Tries upstreams again that have declined the call.
+    void forgetDeclines();
     /// Starts an attempt for a waiting stream if an upstream and the retry budget have room for it.
     void retryAfterWait(TimePoint now, CallActions &actions);
     /// Checks the plan of the current attempt, which has not been sent, and replaces it if it is out of date. Returns
@@ -471,8 +493,10 @@
     std::optional<Attempt> m_current;
     /// Number of the current attempt or of the last one, counted from 1.
     int m_attempt = 0;
-    /// Time at which a stream that waits for an upstream looks for one again; empty if it does not wait.
+    /// Time at which a call that waits for an upstream looks for one again; empty if it does not wait.
     std::optional<TimePoint> m_waitingUntil;
+    /// True while the call, which has not begun, waits for room.
+    bool m_waitsToBegin = false;
     /// Ended attempts that an upstream may have executed. They count towards `maxAttempts` of the route.
     int m_ranAttempts = 0;
     /// Attempts that an upstream has declined.
--- a/ibismast/relay/callflowattempts.cpp
+++ b/ibismast/relay/callflowattempts.cpp
@@ -26,22 +26,75 @@
     if (refuseForPrompt(now, actions)) {
         return;
     }
-    std::optional<AttemptPlan> plan = m_environment->planAttempt(m_call, m_tried, now);
+    std::optional<AttemptPlan> plan = planAttempt(now);
     if (!plan) {
         constexpr std::string_view Reason = "no upstream has room";
         if (canResume()) {
             waitForRoom(Reason, ResultCode::NoUpstream, now, actions);
             return;
         }
-        refuse(ResultCode::NoUpstream, std::string(Reason), now, actions);
+        waitOrRefuse(now, actions);
         return;
     }
     startPlannedAttempt(std::move(*plan), now, actions);
 }
 
+std::optional<AttemptPlan> CallFlow::planAttempt(TimePoint now)
+{
+    m_call.begun = m_headSent || m_mayHaveRun;
+    return m_environment->planAttempt(m_call, m_tried, now);
+}
+
+void CallFlow::waitOrRefuse(TimePoint now, CallActions &actions)
+{
+    if (std::optional<Error> error = m_environment->waitForRoom(m_call, now)) {
+        if (error->retryAfter) {
+            refuse(std::move(*error), now, actions);
+        } else {
+            refuse(error->code, std::move(error->message), now, actions);
+        }
+        return;
+    }
+    forgetDeclines();
+    m_waitsToBegin = true;
+    m_waitingUntil = now + m_settings.waitRecheckInterval;
+}
+
+void CallFlow::checkRoom(TimePoint now, CallActions &actions)
+{
+    if (m_ended || !m_waitsToBegin) {
+        return;
+    }
+    if (!m_mayHaveRun) {
+        if (std::optional<Error> error = m_environment->readmit(m_call)) {
+            refuse(std::move(*error), now, actions);
+            return;
+        }
+    }
+    if (refuseForPrompt(now, actions)) {
+        return;
+    }
+    std::optional<AttemptPlan> plan = planAttempt(now);
+    if (!plan) {
+        waitOrRefuse(now, actions);
+        return;
+    }
+    m_waitsToBegin = false;
+    m_waitingUntil.reset();
+    m_environment->waitEnded(m_call, true, now);
+    startPlannedAttempt(std::move(*plan), now, actions);
+}
+
+void CallFlow::displace(TimePoint now, CallActions &actions)
+{
+    if (!m_ended && m_waitsToBegin) {
+        refuse(ResultCode::NoUpstream, "more urgent calls wait for room", now, actions);
+    }
+}
+
 void CallFlow::waitForRoom(std::string_view reason, ResultCode code, TimePoint now, CallActions &actions)
 {
-    if (now >= std::min(m_call.deadline, m_lastEvent + callerSilence())) {
+    if (now >= std::min(m_call.deadline, m_lastEvent + callerSilence(m_call.route, m_settings))) {
         refuse(code, std::string(reason), now, actions);
         return;
     }
@@ -53,16 +106,21 @@
                              {"behind_event", m_lastEventId},
                              {"left_ms", inMs(m_call.deadline - now)}});
     }
+    forgetDeclines();
+    m_waitingUntil = now + m_settings.roomRecheckInterval;
+}
+
+void CallFlow::forgetDeclines()
+{
     for (const InstanceId &upstream : m_declinedBy) {
         m_tried.erase(upstream);
     }
     m_declinedBy.clear();
-    m_waitingUntil = now + m_settings.roomRecheckInterval;
 }
 
 void CallFlow::retryAfterWait(TimePoint now, CallActions &actions)
 {
-    std::optional<AttemptPlan> plan = m_environment->planAttempt(m_call, m_tried, now);
+    std::optional<AttemptPlan> plan = planAttempt(now);
     if (!plan || !m_environment->takeRetry(m_call.service, now)) {
         waitForRoom(
             plan ? "the retry budget is exhausted" : "no upstream has room", ResultCode::NoUpstream, now, actions);
@@ -139,7 +197,7 @@
 
 void CallFlow::failOverIfFaster(TimePoint now, CallActions &actions)
 {
-    std::optional<AttemptPlan> plan = m_environment->planAttempt(m_call, m_tried, now);
+    std::optional<AttemptPlan> plan = planAttempt(now);
     const Duration silentTime = now - m_current->lastProgress;
     const bool better = plan && (m_headSent || !m_environment->checkPrompt(m_call, now))
         && toSeconds(plan->timeToFirstEvent) <= toSeconds(silentTime) * m_settings.failoverTimeRatio;
@@ -266,7 +324,7 @@
         return m_current->lastProgress
             + fromSeconds(toSeconds(m_call.route.objective) * m_settings.responseTimeoutFactor);
     }
-    const double silenceLimit = toSeconds(callerSilence());
+    const double silenceLimit = toSeconds(callerSilence(m_call.route, m_settings));
     if (!m_current->hasEvents) {
         // On busy engines prefill takes longer than predicted, and a second attempt would repeat the whole prefill.
         const double predicted = toSeconds(m_current->plan.timeToFirstEvent) * m_settings.predictionFactor;
--- a/ibismast/relay/engineload.cpp
+++ b/ibismast/relay/engineload.cpp
@@ -57,6 +57,15 @@
     return shortest;
 }
 
+std::vector<EngineWorkload::ExpectedEnd> EngineWorkload::expectedEnds() const
+{
+    std::vector<ExpectedEnd> ends;
+    for (const auto &[id, stream] : m_streams) {
+        ends.push_back({stream.expectedEnd, stream.memory});
+    }
+    return ends;
+}
+
 EngineLoadTable::EngineLoadTable(const EngineLoadSettings &settings) : m_settings(settings) { }
 
 void EngineLoadTable::place(const Placement &placement, TimePoint now)
@@ -68,7 +77,8 @@
         return;
     }
     EngineWorkload &decodingLoad = m_loads[placement.decodingEngine];
-    decodingLoad.m_streams.emplace(placement.id, EngineWorkload::Stream {placement.pauseTarget, placement.memory});
+    decodingLoad.m_streams.emplace(
+        placement.id, EngineWorkload::Stream {placement.pauseTarget, placement.memory, now + placement.expected});
     decodingLoad.m_memory += placement.memory;
     Duration prefillTime {};
     for (const PrefillShare &share : placement.prefills) {
--- a/ibismast/relay/engineload.h
+++ b/ibismast/relay/engineload.h
@@ -59,6 +59,13 @@
 class EngineWorkload
 {
 public:
+    /// Stream of the engine and the time at which it is expected to end.
+    struct ExpectedEnd
+    {
+        TimePoint time;
+        Tokens memory;
+    };
+
     /// Time that the engine still needs at @p now for the prefill that has been placed on it.
     [[nodiscard]] Duration backlog(TimePoint now) const;
     /// Number of streams that the engine decodes or will decode after their prefill.
@@ -75,6 +82,7 @@
     {
         return m_memory;
     }
+    [[nodiscard]] std::vector<ExpectedEnd> expectedEnds() const;
 
 private:
     friend class EngineLoadTable;
@@ -83,6 +91,7 @@
     {
         Duration pauseTarget {};
         Tokens memory;
+        TimePoint expectedEnd;
     };
 
     /// Estimated time at which all placed prefill will be complete.
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -40,6 +40,7 @@
     , m_admission(m_directory, m_rateLimits, m_pauses)
     , m_cells(m_settings.cells, m_settings.domain)
     , m_ranker(m_settings.rank)
+    , m_room(m_settings.waiting)
 {
 }
 
@@ -109,6 +110,7 @@
     call.size = incoming.size;
     call.lastEventId = incoming.lastEventId;
     call.fingerprint = incoming.fingerprint;
+    call.bodyBytes = incoming.bodyBytes;
     call.returning = m_refused.contains(incoming.fingerprint);
     call.priority = m_routes->priorityOf(*route, customer);
     call.configVersion = m_routes->config().version;
@@ -125,6 +127,7 @@
             flow.start(now, flowActions);
         },
         actions);
+    serveWaiting(now, actions);
     return number;
 }
 
@@ -217,6 +220,7 @@
             flow.attemptFailed(attempt, failure, reason, now, flowActions);
         },
         actions);
+    serveWaiting(now, actions);
 }
 
 void RelayCore::memoryReserved(CallNumber call, int attempt, bool granted, TimePoint now, RelayActions &actions)
@@ -249,6 +253,7 @@
             flow.headReceived(attempt, head, now, flowActions);
         },
         actions);
+    serveWaiting(now, actions);
 }
 
 void RelayCore::bodyReceived(CallNumber call, int attempt, std::string_view bytes, TimePoint now, RelayActions &actions)
@@ -292,6 +297,7 @@
             flow.responseCompleted(attempt, now, flowActions);
         },
         actions);
+    serveWaiting(now, actions);
 }
 
 void RelayCore::callerDisconnected(CallNumber call, TimePoint now, RelayActions &actions)
@@ -302,6 +308,7 @@
             flow.callerDisconnected(now, flowActions);
         },
         actions);
+    serveWaiting(now, actions);
 }
 
 void RelayCore::tick(TimePoint now, RelayActions &actions)
@@ -318,6 +325,7 @@
             actions);
     }
     m_loads.expire(now);
+    serveWaiting(now, actions);
     std::erase_if(m_progress, [this](const auto &entry) {
         return m_directory.find(entry.first) == nullptr;
     });
@@ -348,6 +356,7 @@
 
 void RelayCore::applyLoadUpdate(const InstanceId &entry, const LoadUpdate &update, TimePoint now)
 {
+    m_loadNewsAt = now;
     for (const Placement &placement : update.placed) {
         m_loads.place(placement, now);
     }
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -5,10 +5,12 @@
 #include "ibismast/relay/cellview.h"
 #include "ibismast/relay/memberview.h"
 #include "ibismast/relay/promptquarantine.h"
+#include "ibismast/relay/roomforecast.h"
 #include "ibismast/relay/routetable.h"
 #include "ibismast/relay/upstreamadmission.h"
 #include "ibismast/relay/upstreampauses.h"
 #include "ibismast/relay/upstreamratelimits.h"
+#include "ibismast/relay/waitingroom.h"
 #include "ibismast/retry/retrybudget.h"
 
 #include <functional>
@@ -37,6 +39,8 @@
     std::uint64_t fingerprint = 0;
     /// Hash of the method, the target and the body; 0 if unknown. See `requestContentHash`.
     std::uint64_t contentHash = 0;
+    /// Size of the body.
+    std::int64_t bodyBytes = 0;
     /// Parts of the prompt that other prompts may share; without the last part, which belongs to the request or its
     /// session.
     std::vector<PromptPartId> promptParts;
@@ -68,6 +72,7 @@
     UpstreamRateLimitsSettings rateLimits;
     UpstreamPausesSettings pauses;
     CallRankSettings rank;
+    WaitingRoomSettings waiting;
     /// Limits on the retries of all entries together in ten seconds: a ratio to the requests of that time, and a number
     /// allowed in addition.
     double retryRatio = 0.2;
@@ -119,6 +124,16 @@
     }
 };
 
+/// Calls that could not begin when they arrived, since the start of the process.
+struct WaitCounts
+{
+    std::uint64_t entered = 0;
+    std::uint64_t started = 0;
+    /// Calls that were refused instead of waiting, and those refused while they waited.
+    std::uint64_t refusedAtOnce = 0;
+    std::uint64_t refusedLater = 0;
+};
+
 /// Decision logic of one entry instance that relays calls without parsing their bodies: admission by route and API key,
 /// choice of upstreams, retries, responses.
 ///
@@ -176,6 +191,15 @@
     void callerBacklogChanged(CallNumber call, std::size_t bytes, TimePoint now, RelayActions &actions);
     /// The bytes that wait to be sent to all callers, also those of calls that have ended, change by @p change.
     void unsentBytesChanged(std::int64_t change);
+    /// Calls that wait for room.
+    [[nodiscard]] const WaitingRoom &waitingRoom() const
+    {
+        return m_room;
+    }
+    [[nodiscard]] const WaitCounts &waitCounts() const
+    {
+        return m_waits;
+    }
     /// Bytes of incomplete responses of all calls, and bytes that wait to be sent to callers.
     [[nodiscard]] std::int64_t bufferedBytes() const
     {
@@ -250,6 +274,8 @@
 
     [[nodiscard]] std::optional<AttemptPlan>
     planAttempt(const RelayCall &call, const std::set<InstanceId> &tried, TimePoint now) override;
+    [[nodiscard]] std::optional<Error> waitForRoom(const RelayCall &call, TimePoint now) override;
+    void waitEnded(const RelayCall &call, bool started, TimePoint now) override;
     [[nodiscard]] std::optional<PlanFault>
     planFault(const RelayCall &call, const AttemptPlan &plan, TimePoint now) const override;
     [[nodiscard]] std::optional<Error> readmit(RelayCall &call) override;
@@ -318,10 +344,25 @@
                    const std::vector<const UpstreamDirectory::Member *> &engines,
                    Capacity capacity,
                    TimePoint now);
+    /// True if @p call may wait for room.
+    [[nodiscard]] bool mayWait(const RelayCall &call) const;
+    /// Returns the time at which the caller gives @p call up if it has received no event.
+    [[nodiscard]] TimePoint abandonment(const RelayCall &call) const;
+    /// Returns the time until which a start of a call that may wait is of use.
+    [[nodiscard]] TimePoint latestStart(const RelayCall &call) const;
+    /// Describes a call that may wait.
+    [[nodiscard]] WaitingCall waitingCall(const RelayCall &call) const;
+    /// Returns when a waiting call is predicted to start; empty if that is not known.
+    [[nodiscard]] std::optional<TimePoint>
+    predictedStart(const RelayCall &call, const WaitingCall &waiting, TimePoint now) const;
+    /// Refuses displaced calls, and plans the most urgent waiting calls if there may be room for them.
+    void serveWaiting(TimePoint now, RelayActions &actions);
     /// Chooses engines of the own cell, or those of a less loaded domain if the cell would miss the call's objective.
+    /// Plans beyond the estimated capacity are made only if @p most allows them.
     [[nodiscard]] std::optional<AttemptPlan> planInCells(const RelayCall &call,
                                                          const EngineProfile &profile,
                                                          const std::vector<const UpstreamDirectory::Member *> &engines,
+                                                         Capacity most,
                                                          TimePoint now);
     /// Measures the load of the own failure domain and decides whether it is a cell.
     void updateCell(TimePoint now);
@@ -387,6 +428,14 @@
     std::vector<RateLimitReport> m_fleetRateReports;
     CellView m_cells;
     CallRanker m_ranker;
+    WaitingRoom m_room;
+    WaitCounts m_waits;
+    /// Calls that had to leave the room and have not been refused yet.
+    std::vector<CallNumber> m_displaced;
+    /// True if there may be room for waiting calls since they were planned last.
+    bool m_roomChanged = false;
+    /// Time of the last load changes of another entry.
+    TimePoint m_loadNewsAt = TimePoint::min();
     bool m_inCell = false;
     DomainLoad m_ownLoad;
 };
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -32,6 +32,13 @@
 {
     const RelayService *target = service(call.service);
     const bool generation = target != nullptr && target->engine && call.size.prompt.value() > 0;
+    // A call that may wait does not use the allowance for overcommit, unless it would be refused a second time.
+    const bool waits = generation && mayWait(call);
+    const bool last = waits && call.returning && now >= latestStart(call);
+    if (waits && !last && !m_room.mayStart(waitingCall(call), now)) {
+        return std::nullopt;
+    }
+    const Capacity most = waits && !last ? Capacity::Estimated : Capacity::Overcommitted;
     const UpstreamDirectory::Candidates candidates = m_directory.candidates(call.service, now);
     std::map<Admission::State, std::size_t> kept;
     for (const auto *upstreams : {&candidates.trusted, &candidates.suspected}) {
@@ -51,7 +58,10 @@
             continue;
         }
         std::optional<AttemptPlan> plan =
-            generation ? planInCells(call, *target->engine, untried, now) : planPlainCall(untried);
+            generation ? planInCells(call, *target->engine, untried, most, now) : planPlainCall(untried);
+        if (plan && waits && now + plan->timeToFirstEvent > abandonment(call)) {
+            continue;
+        }
         if (plan && generation && m_stopEnd && tried.empty()
             && now + expectedTime(call, *target->engine, *plan) > *m_stopEnd) {
             // Another instance has the time to complete the call.
@@ -103,6 +113,7 @@
 std::optional<AttemptPlan> RelayCore::planInCells(const RelayCall &call,
                                                   const EngineProfile &profile,
                                                   const std::vector<const UpstreamDirectory::Member *> &engines,
+                                                  Capacity most,
                                                   TimePoint now)
 {
     std::vector<const UpstreamDirectory::Member *> local;
@@ -113,7 +124,7 @@
     }
     if (local.empty()) {
         std::optional<AttemptPlan> plan = planGeneration(call, profile, engines, Capacity::Estimated, now);
-        return plan ? plan : planGeneration(call, profile, engines, Capacity::Overcommitted, now);
+        return plan || most == Capacity::Estimated ? plan : planGeneration(call, profile, engines, most, now);
     }
     std::optional<AttemptPlan> plan = planGeneration(call, profile, local, Capacity::Estimated, now);
     if (plan && plan->timeToFirstEvent <= call.route.objective) {
@@ -131,7 +142,7 @@
             return remotePlan;
         }
     }
-    return plan ? plan : planGeneration(call, profile, local, Capacity::Overcommitted, now);
+    return plan || most == Capacity::Estimated ? plan : planGeneration(call, profile, local, most, now);
 }
 
 std::optional<AttemptPlan> RelayCore::planGeneration(const RelayCall &call,
@@ -276,6 +287,7 @@
 
 void RelayCore::attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now)
 {
+    m_roomChanged = true;
     const auto placement = m_placements.find(call.number);
     if (placement != m_placements.end()) {
         const auto &[number, domains] = placement->second;
--- /dev/null
+++ b/ibismast/relay/relaycorewaiting.cpp
@@ -0,0 +1,165 @@
+#include "ibismast/relay/relaycore.h"
+
+#include <algorithm>
+
+namespace ibismast
+{
+
+namespace
+{
+
+/// Waiting calls that are checked when an attempt ends. Each check plans a call.
+constexpr std::size_t MaxChecks = 4;
+
+std::string inMs(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+} // namespace
+
+// Implementation of `CallEnvironment`: calls that wait for room.
+
+bool RelayCore::mayWait(const RelayCall &call) const
+{
+    const RelayService *target = service(call.service);
+    return m_settings.waiting.enabled && !call.begun && target != nullptr && target->engine
+        && call.size.prompt.value() > 0;
+}
+
+TimePoint RelayCore::abandonment(const RelayCall &call) const
+{
+    return std::min(call.deadline, call.arrived + callerSilence(call.route, m_settings.call));
+}
+
+TimePoint RelayCore::latestStart(const RelayCall &call) const
+{
+    if (call.returning) {
+        return call.arrived
+            + fromSeconds(toSeconds(abandonment(call) - call.arrived) * m_settings.waiting.returningWaitShare);
+    }
+    RankedCall ranked = rankedCall(call);
+    ranked.level = 0;
+    return std::min(std::max(m_ranker.dueTime(ranked), call.arrived + m_settings.waiting.minWait), call.deadline);
+}
+
+WaitingCall RelayCore::waitingCall(const RelayCall &call) const
+{
+    const EngineProfile &profile = *service(call.service)->engine;
+    const Tokens memory = call.size.prompt + Tokens(static_cast<std::int64_t>(profile.typicalOutputTokens));
+    return {call.number, call.service, m_ranker.dueTime(rankedCall(call)), latestStart(call), memory, call.bodyBytes};
+}
+
+std::optional<TimePoint>
+RelayCore::predictedStart(const RelayCall &call, const WaitingCall &waiting, TimePoint now) const
+{
+    const EngineProfile &profile = *service(call.service)->engine;
+    const Tokens usable(
+        static_cast<std::int64_t>(static_cast<double>(profile.memory.value()) * m_settings.planner.memoryShare));
+    RoomForecast forecast(waiting.memory, now);
+    for (const UpstreamDirectory::Member *member : m_directory.candidates(call.service, now).trusted) {
+        if (m_admission.decide(*member, now).usable()) {
+            forecast.addEngine(m_loads.load(member->record.id), profile.slots, usable);
+        }
+    }
+    // The other entries are assumed to have as many calls waiting.
+    return forecast.start(m_room.callsBefore(waiting) * (m_members.otherCount() + 1));
+}
+
+std::optional<Error> RelayCore::waitForRoom(const RelayCall &call, TimePoint now)
+{
+    if (!mayWait(call)) {
+        return Error {ResultCode::NoUpstream, "no upstream has room", std::nullopt};
+    }
+    const WaitingCall waiting = waitingCall(call);
+    const std::optional<TimePoint> enteredAt = m_room.enteredAt(call.number);
+    const std::optional<TimePoint> start = predictedStart(call, waiting, now);
+    const auto report = [&](std::string_view event, std::string_view reason) {
+        m_listener->onEvent(event,
+                            {{"request", call.requestId},
+                             {"reason", std::string(reason)},
+                             {"customer", call.customer.value()},
+                             {"priority", std::to_string(call.priority.value())},
+                             {"due_ms", inMs(waiting.due - now)},
+                             {"latest_start_ms", inMs(waiting.latestStart - now)},
+                             {"predicted_start_ms", start ? inMs(*start - now) : "none"},
+                             {"before", std::to_string(m_room.callsBefore(waiting))},
+                             {"waiting", std::to_string(m_room.size())},
+                             {"waited_ms", enteredAt ? inMs(now - *enteredAt) : "0"},
+                             {"loads_age_ms", m_loadNewsAt == TimePoint::min() ? "none" : inMs(now - m_loadNewsAt)}});
+    };
+    const auto refuse = [&](std::string reason) {
+        report("wait_refused", reason);
+        ++(enteredAt ? m_waits.refusedLater : m_waits.refusedAtOnce);
+        const WaitingRoomSettings &limits = m_settings.waiting;
+        const Duration delay = start ? std::clamp(*start - now, limits.minRetryAfter, limits.maxRetryAfter)
+                                     : retryDelay(call, now).value_or(limits.maxRetryAfter);
+        return Error {ResultCode::NoUpstream, std::move(reason), delay};
+    };
+    if (m_stopEnd) {
+        return Error {ResultCode::ShuttingDown, "the instance is shutting down", m_settings.stopRetryAfter};
+    }
+    if (now >= waiting.latestStart) {
+        return refuse("no upstream had room in time");
+    }
+    // A returning call would be lost; it waits to the end of its time.
+    if (!call.returning && (!start || *start > waiting.latestStart)) {
+        return refuse("no upstream is predicted to have room in time");
+    }
+    const std::optional<std::vector<CallNumber>> displaced = m_room.displacedBy(waiting);
+    if (!displaced) {
+        return refuse("too many calls wait");
+    }
+    for (const CallNumber &number : *displaced) {
+        m_room.leave(number);
+        m_displaced.push_back(number);
+    }
+    if (!enteredAt) {
+        ++m_waits.entered;
+        report("call_waits", "no upstream has room");
+    }
+    m_room.enter(waiting, now);
+    return std::nullopt;
+}
+
+void RelayCore::waitEnded(const RelayCall &call, bool started, TimePoint now)
+{
+    const std::optional<TimePoint> enteredAt = m_room.enteredAt(call.number);
+    m_room.leave(call.number);
+    m_roomChanged = true;
+    if (started) {
+        ++m_waits.started;
+        m_listener->onEvent("call_admitted",
+                            {{"request", call.requestId},
+                             {"customer", call.customer.value()},
+                             {"priority", std::to_string(call.priority.value())},
+                             {"waited_ms", enteredAt ? inMs(now - *enteredAt) : "none"},
+                             {"waiting", std::to_string(m_room.size())},
+                             {"loads_age_ms", m_loadNewsAt == TimePoint::min() ? "none" : inMs(now - m_loadNewsAt)}});
+    }
+}
+
+void RelayCore::serveWaiting(TimePoint now, RelayActions &actions)
+{
+    for (const CallNumber &number : std::exchange(m_displaced, {})) {
+        run(
+            number,
+            [now](CallFlow &flow, CallActions &flowActions) {
+                flow.displace(now, flowActions);
+            },
+            actions);
+    }
+    if (!std::exchange(m_roomChanged, false)) {
+        return;
+    }
+    for (const CallNumber &number : m_room.first(MaxChecks)) {
+        run(
+            number,
+            [now](CallFlow &flow, CallActions &flowActions) {
+                flow.checkRoom(now, flowActions);
+            },
+            actions);
+    }
+}
+
+} // namespace ibismast
