--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -82,6 +82,7 @@
     }
     auto &incoming = std::get<IncomingCall>(decoded);
     incoming.contentHash = requestContentHash(request.method, request.target, body);
+    incoming.bodyBytes = static_cast<std::int64_t>(body.size());
     RelayActions actions;
     const Result<CallNumber> admitted = m_core.submit(incoming, processNow(), actions);
     if (const Error *error = errorOf(admitted)) {
@@ -315,6 +316,7 @@
     details.timeLeft = start.timeLeft;
     details.customer = m_core.customerOf(number);
     details.helpers = start.plan.helpers;
+    details.rank = start.rank;
     const HttpHead &request = exchange.caller->request();
     HttpHeadBuilder head = HttpHeadBuilder::request(request.method, request.target);
     head.endToEnd(request, [this](std::string_view name) {
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -40,6 +40,8 @@
     , m_evacuations(m_settings.evacuations, listener)
     , m_admission(m_directory, m_rateLimits, m_pauses, m_evacuations)
     , m_cells(m_settings.cells, m_settings.domain)
+    , m_ranker(m_settings.rank)
+    , m_room(m_settings.waiting)
 {
 }
 
@@ -112,7 +114,9 @@
     call.size = incoming.size;
     call.lastEventId = incoming.lastEventId;
     call.fingerprint = incoming.fingerprint;
+    call.bodyBytes = incoming.bodyBytes;
     call.returning = m_refused.contains(incoming.fingerprint);
+    call.priority = m_routes->priorityOf(*route, customer);
     call.configVersion = m_routes->config().version;
     call.host = incoming.host;
     call.path = incoming.path;
@@ -127,6 +131,7 @@
             flow.start(now, flowActions);
         },
         actions);
+    serveWaiting(now, actions);
     return number;
 }
 
@@ -160,6 +165,7 @@
     const auto &[route, customer] = std::get<std::pair<const RelayRoute *, CustomerId>>(admitted);
     call.configVersion = config.version;
     call.customer = customer;
+    call.priority = m_routes->priorityOf(*route, customer);
     call.deadline = std::min(call.deadline, call.arrived + route->timeout);
     const bool sameService = std::ranges::any_of(route->shares, [&call](const RouteShare &share) {
         return share.service == call.service;
@@ -218,6 +224,7 @@
             flow.attemptFailed(attempt, failure, reason, now, flowActions);
         },
         actions);
+    serveWaiting(now, actions);
 }
 
 void RelayCore::memoryReserved(CallNumber call, int attempt, bool granted, TimePoint now, RelayActions &actions)
@@ -250,6 +257,7 @@
             flow.headReceived(attempt, head, now, flowActions);
         },
         actions);
+    serveWaiting(now, actions);
 }
 
 void RelayCore::bodyReceived(CallNumber call, int attempt, std::string_view bytes, TimePoint now, RelayActions &actions)
@@ -293,6 +301,7 @@
             flow.responseCompleted(attempt, now, flowActions);
         },
         actions);
+    serveWaiting(now, actions);
 }
 
 void RelayCore::callerDisconnected(CallNumber call, TimePoint now, RelayActions &actions)
@@ -303,6 +312,7 @@
             flow.callerDisconnected(now, flowActions);
         },
         actions);
+    serveWaiting(now, actions);
 }
 
 void RelayCore::tick(TimePoint now, RelayActions &actions)
@@ -319,6 +329,7 @@
             actions);
     }
     m_loads.expire(now);
+    serveWaiting(now, actions);
     std::erase_if(m_progress, [this](const auto &entry) {
         return m_directory.find(entry.first) == nullptr;
     });
@@ -350,6 +361,7 @@
 
 void RelayCore::applyLoadUpdate(const InstanceId &entry, const LoadUpdate &update, TimePoint now)
 {
+    m_loadNewsAt = now;
     for (const Placement &placement : update.placed) {
         m_loads.place(placement, now);
     }
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -32,6 +32,13 @@
 {
     const RelayService *target = service(call.service);
     const bool generation = target != nullptr && target->engine && call.size.prompt.value() > 0;
+    // A call that may wait does not use the allowance for overcommit, unless it would be refused a second time.
+    const bool waits = generation && mayWait(call);
+    const bool last = waits && call.returning && now >= latestStart(call);
+    if (waits && !last && !m_room.mayStart(waitingCall(call), now)) {
+        return std::nullopt;
+    }
+    const Capacity most = waits && !last ? Capacity::Estimated : Capacity::Overcommitted;
     const UpstreamDirectory::Candidates candidates = m_directory.candidates(call.service, now);
     std::map<Admission::State, std::size_t> kept;
     for (const auto *upstreams : {&candidates.trusted, &candidates.suspected}) {
@@ -51,7 +58,10 @@
             continue;
         }
         std::optional<AttemptPlan> plan =
-            generation ? planInCells(call, *target->engine, untried, now) : planPlainCall(untried);
+            generation ? planInCells(call, *target->engine, untried, most, now) : planPlainCall(untried);
+        if (plan && waits && now + plan->timeToFirstEvent > abandonment(call)) {
+            continue;
+        }
         if (plan && generation && m_stopEnd && tried.empty()
             && now + expectedTime(call, *target->engine, *plan) > *m_stopEnd) {
             // Another instance has the time to complete the call.
@@ -104,6 +114,7 @@
 std::optional<AttemptPlan> RelayCore::planInCells(const RelayCall &call,
                                                   const EngineProfile &profile,
                                                   const std::vector<const UpstreamDirectory::Member *> &engines,
+                                                  Capacity most,
                                                   TimePoint now)
 {
     std::vector<const UpstreamDirectory::Member *> local;
@@ -114,7 +125,7 @@
     }
     if (local.empty()) {
         std::optional<AttemptPlan> plan = planGeneration(call, profile, engines, Capacity::Estimated, now);
-        return plan ? plan : planGeneration(call, profile, engines, Capacity::Overcommitted, now);
+        return plan || most == Capacity::Estimated ? plan : planGeneration(call, profile, engines, most, now);
     }
     std::optional<AttemptPlan> plan = planGeneration(call, profile, local, Capacity::Estimated, now);
     if (plan && plan->timeToFirstEvent <= call.route.objective) {
@@ -132,7 +143,7 @@
             return remotePlan;
         }
     }
-    return plan ? plan : planGeneration(call, profile, local, Capacity::Overcommitted, now);
+    return plan || most == Capacity::Estimated ? plan : planGeneration(call, profile, local, most, now);
 }
 
 std::optional<AttemptPlan> RelayCore::planGeneration(const RelayCall &call,
@@ -182,6 +193,26 @@
     return budget;
 }
 
+RankedCall RelayCore::rankedCall(const RelayCall &call) const
+{
+    const RelayService *target = service(call.service);
+    const Duration prefillTime =
+        target != nullptr && target->engine ? estimatePrefillTime(*target->engine, call.size.prompt) : Duration::zero();
+    const int level = priorityLevel(m_routes->prioritiesOf(call.service), call.priority);
+    return {level, call.arrived, call.route.objective, prefillTime, false};
+}
+
+std::optional<EngineRank> RelayCore::engineRank(const RelayCall &call, bool begun, TimePoint now) const
+{
+    const RelayService *target = service(call.service);
+    if (target == nullptr || !target->engine) {
+        return std::nullopt;
+    }
+    RankedCall ranked = rankedCall(call);
+    ranked.begun = begun;
+    return m_ranker.engineRank(ranked, m_routes->prioritiesOf(call.service), now);
+}
+
 bool RelayCore::takeRetry(const ServiceName &service, TimePoint now)
 {
     return budget(service).take(now);
@@ -257,6 +288,7 @@
 
 void RelayCore::attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now)
 {
+    m_roomChanged = true;
     const auto placement = m_placements.find(call.number);
     if (placement != m_placements.end()) {
         const auto &[number, domains] = placement->second;
