--- a/UnitTests/relay/engineplannertest.cpp
+++ b/UnitTests/relay/engineplannertest.cpp
@@ -108,6 +108,32 @@
     CHECK(enginesWithSensitiveStreams() <= mostEngines);
 }
 
+// Load: a burst of short prompts behind a crest of long ones, which makes it dear to place streams on further engines.
+// Guards against engines that are filled to their last slots while others have few streams: entries place at the same
+// time, and what comes after the last slot waits in the engine's queue.
+TEST_CASE_METHOD(PlannerFixture, "the last slots of the engines are used last", "[relay][load]")
+{
+    const auto [longPrompts, streams] = GENERATE(table<int, int>({{0, 150}, {4, 60}, {4, 150}, {8, 100}, {12, 150}}));
+    addEngines(23);
+    for (int prompt = 0; prompt < longPrompts; ++prompt) {
+        REQUIRE(placeLong());
+        now += 100ms;
+    }
+    now += 2s;
+    for (int stream = 0; stream < streams; ++stream) {
+        REQUIRE(placeShort());
+        now += 5ms;
+    }
+    std::size_t most = 0;
+    std::size_t least = 100;
+    for (const auto *engine : engines) {
+        most = std::max(most, loads.load(engine->record.id).streams());
+        least = std::min(least, loads.load(engine->record.id).streams());
+    }
+    CHECK((most <= static_cast<std::size_t>(profile.slots) - 2 || least >= 1));
+    CHECK(most <= static_cast<std::size_t>(profile.slots) - 1);
+}
+
 // Load: a burst of long prompts while engines decode latency-sensitive streams. Guards against pauses in these streams
 // (seen in regsel-jawa quiet-1).
 TEST_CASE_METHOD(PlannerFixture,
--- a/UnitTests/relay/waitingcallstest.cpp
+++ b/UnitTests/relay/waitingcallstest.cpp
@@ -231,21 +231,51 @@
     CHECK(started(call) == (row.waiting == 1));
 }
 
-// Guards against a second refusal of the same request: it waits longer, and in the end uses the engine's queue.
-TEST_CASE_METHOD(WaitingFixture, "a call that returns after a refusal is sent in the end", "[relay][waiting]")
+// Guards against a second refusal of a request that would have found room, and against callers that are held until they
+// leave although no room is predicted for them.
+TEST_CASE_METHOD(WaitingFixture,
+                 "a call that returns after a refusal waits while room is predicted",
+                 "[relay][waiting]")
 {
+    const bool roomInTime = GENERATE(true, false);
     begin();
-    submit("/g/x");
+    const CallNumber first = submit("/g/x");
     submit("/g/x");
     CHECK(refusal(submit("/s/x", 1'000, 7)) != nullptr);
     now += 300ms;
     actions.clear();
     const CallNumber call = submit("/s/x", 1'000, 7);
     CHECK(core->waitingRoom().size() == 1);
-    advance(1'500ms);
+    advance(400ms);
     CHECK_FALSE(started(call));
-    advance(200ms);
-    CHECK(started(call));
+    CHECK(refusal(call) == nullptr);
+    if (roomInTime) {
+        end(first);
+        CHECK(started(call));
+        return;
+    }
+    // Streams that are long overdue are not predicted to end in time any more.
+    advance(1'100ms);
+    CHECK_FALSE(started(call));
+    REQUIRE(refusal(call) != nullptr);
+    CHECK(resultCodeInfo(refusal(call)->code).notRun);
+}
+
+// Guards against an objective that is missed for a call that has missed its own already.
+TEST_CASE_METHOD(WaitingFixture, "a new call goes before one that returns after a refusal", "[relay][waiting]")
+{
+    begin();
+    const CallNumber first = submit("/g/x");
+    submit("/g/x");
+    CHECK(refusal(submit("/s/x", 1'000, 7)) != nullptr);
+    now += 100ms;
+    actions.clear();
+    const CallNumber returning = submit("/s/x", 1'000, 7);
+    const CallNumber fresh = submit("/g/x");
+    CHECK(core->waitingRoom().size() == 2);
+    end(first);
+    CHECK(started(fresh));
+    CHECK_FALSE(started(returning));
 }
 
 // Guards against prompts that an engine reads after their callers have left.
--- a/ibismast/relay/engineplanner.cpp
+++ b/ibismast/relay/engineplanner.cpp
@@ -51,6 +51,24 @@
     return fits && load.streams() < slotsOf(profile, overcommit);
 }
 
+Duration EnginePlanner::slotWait(const EngineWorkload &load, const EngineProfile &profile)
+{
+    const auto slots = static_cast<std::size_t>(profile.slots);
+    if (load.streams() < slots) {
+        return Duration::zero();
+    }
+    const double passes = profile.typicalOutputTokens / static_cast<double>(profile.tokensPerPass);
+    const double stream = passes * toSeconds(estimateDecodePass(profile, slots, load.memory()));
+    return fromSeconds(stream * static_cast<double>(load.streams() - slots + 1) / static_cast<double>(slots));
+}
+
+Duration EnginePlanner::lastSlotCost(const EngineWorkload &load, const EngineProfile &profile) const
+{
+    const auto slots = static_cast<std::size_t>(profile.slots);
+    const std::size_t used = load.streams() + m_settings.lastSlots + 1;
+    return used > slots ? m_settings.lastSlotCost * static_cast<int>(used - slots) : Duration::zero();
+}
+
 Duration EnginePlanner::prefillBudget(Duration pauseTarget) const
 {
     return fromSeconds(toSeconds(pauseTarget) * m_settings.prefillPauseShare);
@@ -86,11 +104,11 @@
         if (!hasRoom(load, memory, profile, overcommit)) {
             continue;
         }
-        const Duration wait = load.backlog(now);
+        const Duration wait = load.backlog(now) + slotWait(load, profile);
         const std::size_t sensitive = load.streamsBelowPauseTarget(m_settings.sensitivePauseLimit);
         const std::size_t packed = std::min(load.streams(), m_settings.packedStreamLimit);
         Duration cost = wait - m_settings.packedStreamGain * static_cast<int>(packed)
-            + m_settings.excessStreamCost * static_cast<int>(load.streams() - packed);
+            + m_settings.excessStreamCost * static_cast<int>(load.streams() - packed) + lastSlotCost(load, profile);
         if (wait + prefillTime > allowed) {
             cost += m_settings.delayedStreamCost * static_cast<int>(sensitive + 1);
         }
--- a/ibismast/relay/engineplanner.h
+++ b/ibismast/relay/engineplanner.h
@@ -92,6 +92,10 @@
     /// Gain of each such stream, and cost of each stream above the limit, since a larger batch slows all streams down.
     Duration packedStreamGain = std::chrono::milliseconds(3);
     Duration excessStreamCost = std::chrono::milliseconds(8);
+    /// Slots of an engine that are used last, and the cost of each of them that is in use. Entries place calls at the
+    /// same time, so an engine whose last slots seem to be free may be full, and the stream would wait in its queue.
+    std::size_t lastSlots = 2;
+    Duration lastSlotCost = std::chrono::milliseconds(250);
     /// Share of the objective that the predicted time to the first event of a short prompt may use, and the cost of
     /// each ms beyond it in ms: a late response loses most of its value.
     double shortObjectiveShare = 0.6;
@@ -158,6 +162,11 @@
                                Tokens memory,
                                const EngineProfile &profile,
                                const EngineOvercommit &overcommit) const;
+    /// Returns the time for which the next stream waits until one of the streams on the engine ends; zero if a slot is
+    /// free.
+    [[nodiscard]] static Duration slotWait(const EngineWorkload &load, const EngineProfile &profile);
+    /// Returns the cost of placing the next stream in one of the last slots of an engine.
+    [[nodiscard]] Duration lastSlotCost(const EngineWorkload &load, const EngineProfile &profile) const;
     /// Returns the prefill time on one engine that a stream with @p pauseTarget tolerates.
     [[nodiscard]] Duration prefillBudget(Duration pauseTarget) const;
     /// True if all streams of an engine still meet their pause targets with @p prefillTime added to its backlog.
--- a/ibismast/relay/relaycorewaiting.cpp
+++ b/ibismast/relay/relaycorewaiting.cpp
@@ -47,7 +47,10 @@
 {
     const EngineProfile &profile = *service(call.service)->engine;
     const Tokens memory = call.size.prompt + Tokens(static_cast<std::int64_t>(profile.typicalOutputTokens));
-    return {call.number, call.service, m_ranker.dueTime(rankedCall(call)), latestStart(call), memory, call.bodyBytes};
+    const TimePoint latest = latestStart(call);
+    // The objective of a returning call has passed. It must not make calls late that can still meet theirs.
+    const TimePoint due = call.returning ? latest : m_ranker.dueTime(rankedCall(call));
+    return {call.number, call.service, due, latest, memory, call.bodyBytes};
 }
 
 std::optional<TimePoint>
@@ -102,8 +105,7 @@
     if (now >= waiting.latestStart) {
         return refuse("no upstream had room in time");
     }
-    // A returning call would be lost; it waits to the end of its time.
-    if (!call.returning && (!start || *start > waiting.latestStart)) {
+    if (!start || *start > waiting.latestStart) {
         return refuse("no upstream is predicted to have room in time");
     }
     const std::optional<std::vector<CallNumber>> displaced = m_room.displacedBy(waiting);
