Test the order of evacuations that are told and read, and the setting

News and copies older than the own read, changes of a wait after another entry has told more, announcements, a store that is restored during a wait, and the setting.

--- a/UnitTests/relay/evacuationspreadtest.cpp
+++ b/UnitTests/relay/evacuationspreadtest.cpp
@@ -20,8 +20,117 @@
     };
 }
 
+/// An entry that has read the evacuation of "z" at revision 10 and waits for changes.
+class EvacuationWatchFixture
+{
+protected:
+    EvacuationWatchFixture()
+    {
+        read({10}, {FailureDomain("z")});
+        tick();
+    }
+    void read(RecordRevision revision, std::set<FailureDomain> evacuated)
+    {
+        watch.configRead(StoredConfig {StoredRecord {"c", "7", {1}}, revision, std::move(evacuated)}, now);
+    }
+    void await(RecordRevision revision, std::map<FailureDomain, bool> changes)
+    {
+        watch.configAwaited(StoredConfig {std::nullopt, revision, std::nullopt, std::move(changes)}, now);
+    }
+    void tell(const std::string &source, EvacuatedDomains evacuated)
+    {
+        if (source == "copy") {
+            RecordCopy copy;
+            copy.evacuations = std::move(evacuated);
+            watch.copyReceived(copy, now);
+        } else {
+            EntryRecordStatus status;
+            status.evacuations = std::move(evacuated);
+            watch.noteEntry(InstanceId("p"), status, now);
+        }
+    }
+    /// Returns whether the entry reads all records next.
+    bool tick()
+    {
+        std::vector<WatchRequest> requests;
+        watch.tick(now, requests);
+        return std::ranges::any_of(requests, [](const WatchRequest &request) {
+            return std::holds_alternative<ReadConfig>(request);
+        });
+    }
+    [[nodiscard]] std::string inForce()
+    {
+        std::string result;
+        for (const std::string domain : {"y", "z"}) {
+            result += core.evacuations().contains(FailureDomain(domain)) ? domain : "";
+        }
+        return result;
+    }
+    static RelayCoreSettings settings()
+    {
+        RelayCoreSettings result;
+        result.evacuations.applyTime = ApplyTime;
+        return result;
+    }
+
+    const FailureDomain y {"y"};
+    const FailureDomain z {"z"};
+    FakeDecoder decoder;
+    EventListener listener;
+    RelayCore core {settings(), 1, listener};
+    ClusterWatch watch {ClusterWatchSettings(), decoder, core, 1, listener};
+    TimePoint now {1'000s};
+};
+
 } // namespace
 
+// Guards against another entry's news or copy that is older than what this entry has read, and against changes that are
+// applied to what another entry has told instead of to what was seen when the wait began.
+TEST_CASE_METHOD(EvacuationWatchFixture, "what entries tell and what the store answers are ordered", "[relay]")
+{
+    const std::string source = GENERATE("copy", "news");
+    CHECK(inForce() == "z");
+    tell(source, {{}, {9}});
+    CHECK(inForce() == "z");
+    tell(source, {{y}, {15}});
+    CHECK(inForce() == "y");
+    // The wait ends without a change at a time before that.
+    await({12}, {});
+    CHECK(inForce() == "y");
+    await({16}, {{z, false}, {y, true}});
+    CHECK(inForce() == "y");
+    await({17}, {{z, true}});
+    CHECK(inForce() == "yz");
+    await({18}, {{y, false}, {z, false}});
+    CHECK(inForce().empty());
+}
+
+// Guards against an announcement that is missing, so that others learn of a change only by the next heartbeat, and
+// against one by each entry that hears of it.
+TEST_CASE_METHOD(EvacuationWatchFixture, "changes are announced by the entry that has read them", "[relay]")
+{
+    CHECK(watch.takeEvacuationAnnouncementDue());
+    CHECK_FALSE(watch.takeEvacuationAnnouncementDue());
+    await({11}, {});
+    CHECK_FALSE(watch.takeEvacuationAnnouncementDue());
+    await({12}, {{z, false}});
+    CHECK(watch.takeEvacuationAnnouncementDue());
+    tell("news", {{y}, {13}});
+    CHECK_FALSE(watch.takeEvacuationAnnouncementDue());
+    CHECK(watch.knowledge(now).evacuations == EvacuatedDomains {{y}, {13}});
+    CHECK(watch.copy(now).evacuations == EvacuatedDomains {{y}, {13}});
+}
+
+// Guards against changes of a restored store that are applied to what was read of the former one.
+TEST_CASE_METHOD(EvacuationWatchFixture, "a wait that the store was restored in leads to a read", "[relay]")
+{
+    await({4, StoreEra(1)}, {{y, true}});
+    CHECK(inForce() == "z");
+    CHECK(tick());
+    read({4, StoreEra(1)}, {y});
+    CHECK(inForce() == "yz");
+}
+
 // Guards against entries that send to an evacuated domain, or leave one unused that has returned, since the few entries
 // that wait at the store for the others are refused, cut off, frozen or killed. The first four wait.
 TEST_CASE("an evacuation and its end reach all entries in time", "[relay]")
