--- a/UnitTests/relay/waitingcallstest.cpp
+++ b/UnitTests/relay/waitingcallstest.cpp
@@ -271,7 +271,7 @@
     now += 100ms;
     actions.clear();
     const CallNumber returning = submit("/s/x", 1'000, 7);
-    const CallNumber fresh = submit("/g/x");
+    const CallNumber fresh = submit("/u/x");
     CHECK(core->waitingRoom().size() == 2);
     end(first);
     CHECK(started(fresh));
