Pace upstreams that have started or are cold by their responses

A server that has just started looks idle to all entries and gets as many streams as one in order.

UpstreamPace keeps the share of its concurrency that such a run may use: it grows while first events and response times keep the predictions, is halved by late ones, declines and failures, and is told to the other entries. EnginePlanner limits the streams of an engine by it and corrects its predictions by the slowness observed; plain calls are weighed by it.

Time between events is not used yet.

--- a/UnitTests/wire/relaycodectest.cpp
+++ b/UnitTests/wire/relaycodectest.cpp
@@ -41,10 +41,12 @@
     news.load.rateLimits = {{UpstreamRunKey(0xfedcba9876543210U), RequestRate {2.8}, 20ms, 7},
                             {UpstreamRunKey(4), std::nullopt, 0ms, 0}};
     news.load.coldUpstreams = {{UpstreamRunKey(0xfedcba9876543210U), 2500ms, 7}, {UpstreamRunKey(4), 0ms, 0}};
+    news.load.paces = {{UpstreamRunKey(0xfedcba9876543210U), 0.25, 20ms}, {UpstreamRunKey(4), 1.0, 0ms}};
     const Result<EntryNews> result = decodeEntryNews(encodeEntryNews(news));
     REQUIRE(errorOf(result) == nullptr);
     const auto &decoded = std::get<EntryNews>(result);
     CHECK(decoded.load.rateLimits == news.load.rateLimits);
+    CHECK(decoded.load.paces == news.load.paces);
     CHECK(decoded.load.coldUpstreams == news.load.coldUpstreams);
     CHECK(decoded.quarantine.brokenStarts == news.quarantine.brokenStarts);
     CHECK(decoded.quarantine.quarantined == news.quarantine.quarantined);
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -180,6 +180,7 @@
     m_metrics->set("ibismast_entries_heard", {}, static_cast<double>(m_core.members().otherCount()));
     m_metrics->set("ibismast_quarantined_prompt_parts", {}, static_cast<double>(m_core.quarantinedParts(processNow())));
     m_metrics->set("ibismast_cold_upstreams", {}, static_cast<double>(m_core.coldUpstreams(processNow())));
+    m_metrics->set("ibismast_paced_upstreams", {}, static_cast<double>(m_core.pacedUpstreams()));
     m_metrics->set("ibismast_paused_upstreams", {}, static_cast<double>(m_core.pausedUpstreams()));
     m_metrics->set("ibismast_buffered_bytes", {}, static_cast<double>(m_core.bufferedBytes()));
     m_metrics->set("ibismast_unsent_bytes", {}, static_cast<double>(m_core.unsentBytes()));
--- a/adapters/relay/relaysettings.cpp
+++ b/adapters/relay/relaysettings.cpp
@@ -77,6 +77,13 @@
         settings.core.cold.slack = file.number("cold", "slack", settings.core.cold.slack, 0.0, 1e6);
     }
     settings.core.cold.hasPeers = !settings.seeds.empty();
+    UpstreamPaceSettings &pace = settings.core.pace;
+    pace.enabled = file.integer("pace", "enabled", 0, 0, 1) == 1;
+    pace.firstShare = file.number("pace", "first_share", pace.firstShare, pace.minShare, 1.0);
+    pace.growthFactor = file.number("pace", "growth_factor", pace.growthFactor, 1.0, 10.0);
+    pace.growthStep = file.number("pace", "growth_step", pace.growthStep, 0.001, 1.0);
+    pace.shrinkFactor = file.number("pace", "shrink_factor", pace.shrinkFactor, 0.05, 1.0);
+    pace.toleranceFactor = file.number("pace", "tolerance_factor", pace.toleranceFactor, 1.0, 100.0);
     const auto grace = file.number("stop", "grace_s", 8.0, 1.0, 600.0);
     settings.stop.total = fromSeconds(grace) - milliseconds(400);
     const auto descriptors = static_cast<std::size_t>(file.integer("limits", "descriptors", 4096, 300, 1'000'000));
--- a/ibismast/relay/engineplanner.cpp
+++ b/ibismast/relay/engineplanner.cpp
@@ -5,19 +5,32 @@
 namespace ibismast
 {
 
-namespace
+EnginePlanner::EnginePlanner(const EnginePlannerSettings &settings,
+                             const EngineLoadTable &loads,
+                             const UpstreamPace *pace)
+    : m_settings(settings), m_loads(&loads), m_pace(pace)
 {
+}
 
-std::size_t slotsOf(const EngineProfile &profile, const EngineOvercommit &overcommit)
+std::size_t EnginePlanner::allowedStreams(const UpstreamDirectory::Member &engine,
+                                          const EngineProfile &profile,
+                                          const EngineOvercommit &overcommit) const
 {
-    return static_cast<std::size_t>(profile.slots) + static_cast<std::size_t>(overcommit.slots);
+    const double share = m_pace == nullptr ? 1.0 : m_pace->share(runKey(engine.record));
+    if (share >= 1.0) {
+        return static_cast<std::size_t>(profile.slots) + static_cast<std::size_t>(overcommit.slots);
+    }
+    if (overcommit.slots > 0) {
+        // No engine has room within its share, and a refusal costs a caller more than a late response.
+        return static_cast<std::size_t>(profile.slots);
+    }
+    // One stream shows how the engine does.
+    return std::max<std::size_t>(1, static_cast<std::size_t>(share * profile.slots));
 }
 
-} // namespace
-
-EnginePlanner::EnginePlanner(const EnginePlannerSettings &settings, const EngineLoadTable &loads)
-    : m_settings(settings), m_loads(&loads)
+double EnginePlanner::slowness(const UpstreamDirectory::Member &engine, TimePoint now) const
 {
+    return m_pace == nullptr ? 1.0 : m_pace->slowness(runKey(engine.record), now);
 }
 
 std::optional<EnginePlan> EnginePlanner::plan(const GenerationQuery &query,
@@ -41,14 +54,15 @@
     return query.size.prompt + Tokens(output);
 }
 
-bool EnginePlanner::hasRoom(const EngineWorkload &load,
+bool EnginePlanner::hasRoom(const UpstreamDirectory::Member &engine,
+                            const EngineWorkload &load,
                             Tokens memory,
                             const EngineProfile &profile,
                             const EngineOvercommit &overcommit) const
 {
     const double usable = static_cast<double>(usableMemory(profile).value()) * overcommit.memory;
     const bool fits = static_cast<double>((load.memory() + memory).value()) <= usable;
-    return fits && load.streams() < slotsOf(profile, overcommit);
+    return fits && load.streams() < allowedStreams(engine, profile, overcommit);
 }
 
 Duration EnginePlanner::prefillBudget(Duration pauseTarget) const
@@ -83,10 +97,11 @@
     Duration bestCost = Duration::max();
     for (const auto *engine : engines) {
         const EngineWorkload &load = m_loads->load(engine->record.id);
-        if (!hasRoom(load, memory, profile, overcommit)) {
+        if (!hasRoom(*engine, load, memory, profile, overcommit)) {
             continue;
         }
-        const Duration wait = load.backlog(now);
+        const double slow = slowness(*engine, now);
+        const Duration wait = fromSeconds(toSeconds(load.backlog(now)) * slow);
         const std::size_t sensitive = load.streamsBelowPauseTarget(m_settings.sensitivePauseLimit);
         const std::size_t packed = std::min(load.streams(), m_settings.packedStreamLimit);
         Duration cost = wait - m_settings.packedStreamGain * static_cast<int>(packed)
@@ -97,7 +112,8 @@
         if (sensitive == 0) {
             cost += openingCost;
         }
-        const Duration firstEvent = wait + prefillTime + estimateDecodePass(profile, load.streams() + 1, load.memory());
+        const Duration own = prefillTime + estimateDecodePass(profile, load.streams() + 1, load.memory());
+        const Duration firstEvent = wait + fromSeconds(toSeconds(own) * slow);
         const double late = toSeconds(firstEvent) - toSeconds(query.objective) * m_settings.shortObjectiveShare;
         if (late > 0.0) {
             cost += fromSeconds(late * m_settings.lateCostFactor);
@@ -122,7 +138,7 @@
         const auto *engine = engines[(firstChoice + index) % engines.size()];
         const EngineWorkload &load = m_loads->load(engine->record.id);
         if (accepts(load)) {
-            candidates.push_back({engine, &load, load.backlog(now)});
+            candidates.push_back({engine, &load, fromSeconds(toSeconds(load.backlog(now)) * slowness(*engine, now))});
         }
     }
     std::ranges::stable_sort(candidates, {}, [](const Candidate &candidate) {
@@ -226,8 +242,8 @@
         return std::nullopt;
     }
     const auto decodingEngine = std::ranges::find_if(chosen, [&](const Candidate &candidate) {
-        return exceedsMemory ? candidate.load->streams() < slotsOf(profile, overcommit)
-                             : hasRoom(*candidate.load, memory, profile, overcommit);
+        return exceedsMemory ? candidate.load->streams() < allowedStreams(*candidate.engine, profile, overcommit)
+                             : hasRoom(*candidate.engine, *candidate.load, memory, profile, overcommit);
     });
     if (decodingEngine == chosen.end()) {
         return std::nullopt;
--- a/ibismast/relay/engineplanner.h
+++ b/ibismast/relay/engineplanner.h
@@ -2,6 +2,7 @@
 
 #include "ibismast/relay/engineload.h"
 #include "ibismast/relay/upstreamdirectory.h"
+#include "ibismast/relay/upstreampace.h"
 
 namespace ibismast
 {
@@ -126,7 +127,10 @@
 class EnginePlanner
 {
 public:
-    EnginePlanner(const EnginePlannerSettings &settings, const EngineLoadTable &loads);
+    /// The tables must outlive the object. Without @p pace all engines may use all of their slots.
+    EnginePlanner(const EnginePlannerSettings &settings,
+                  const EngineLoadTable &loads,
+                  const UpstreamPace *pace = nullptr);
 
     /// Returns a plan for @p query on @p engines, or nothing if no engine has room. @p engines must not be empty.
     [[nodiscard]] std::optional<EnginePlan> plan(const GenerationQuery &query,
@@ -152,7 +156,14 @@
 
     /// Returns the KV memory of the prompt and the expected output.
     [[nodiscard]] Tokens memoryOf(const GenerationQuery &query, const EngineProfile &profile) const;
-    [[nodiscard]] bool hasRoom(const EngineWorkload &load,
+    /// Returns the streams that may be on @p engine.
+    [[nodiscard]] std::size_t allowedStreams(const UpstreamDirectory::Member &engine,
+                                             const EngineProfile &profile,
+                                             const EngineOvercommit &overcommit) const;
+    /// Returns the factor by which @p engine is slower than predicted.
+    [[nodiscard]] double slowness(const UpstreamDirectory::Member &engine, TimePoint now) const;
+    [[nodiscard]] bool hasRoom(const UpstreamDirectory::Member &engine,
+                               const EngineWorkload &load,
                                Tokens memory,
                                const EngineProfile &profile,
                                const EngineOvercommit &overcommit) const;
@@ -201,6 +212,7 @@
 
     EnginePlannerSettings m_settings;
     const EngineLoadTable *m_loads;
+    const UpstreamPace *m_pace;
 };
 
 } // namespace ibismast
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -32,7 +32,8 @@
     , m_directory(m_settings.directory, listener)
     , m_members(m_settings.members, m_settings.domain)
     , m_loads(m_settings.load)
-    , m_planner(m_settings.planner, m_loads)
+    , m_pace(m_settings.pace)
+    , m_planner(m_settings.planner, m_loads, &m_pace)
     , m_tieBreakOffset(std::hash<std::string>()(m_settings.self.value()))
     , m_quarantine(m_settings.quarantine, listener)
     , m_rateLimits(m_settings.rateLimits)
@@ -323,6 +324,7 @@
     m_rateLimits.expire(now);
     m_pauses.expire(now);
     m_cold.expire(now);
+    m_pace.expire(now);
     std::erase_if(m_refused, [now](const auto &entry) {
         return now >= entry.second;
     });
@@ -363,6 +365,7 @@
     applyRateReports(entry, update.rateLimits, now);
     m_cold.noteEntry(entry, now);
     m_cold.apply(entry, update.coldUpstreams, now);
+    m_pace.apply(update.paces, now);
 }
 
 std::vector<Placement> RelayCore::ownPlacements(TimePoint now) const
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -69,6 +69,7 @@
     UpstreamRateLimitsSettings rateLimits;
     UpstreamPausesSettings pauses;
     ColdUpstreamsSettings cold;
+    UpstreamPaceSettings pace;
     /// Limits on the retries of all entries together in ten seconds: a ratio to the requests of that time, and a number
     /// allowed in addition.
     double retryRatio = 0.2;
@@ -115,11 +116,13 @@
     std::vector<RateLimitReport> rateLimits {};
     /// Cold upstreams, and what the entry has sent to these.
     std::vector<ColdUpstreamReport> coldUpstreams {};
+    /// Shares of their concurrency that started and recovered upstreams may use.
+    std::vector<UpstreamPaceReport> paces {};
 
     [[nodiscard]] bool empty() const
     {
         return placed.empty() && prefillsDone.empty() && ended.empty() && refused.empty() && rateLimits.empty()
-            && coldUpstreams.empty();
+            && coldUpstreams.empty() && paces.empty();
     }
 };
 
@@ -235,6 +238,11 @@
     {
         return m_cold.size(now);
     }
+    /// Number of upstreams that may not use all of their concurrency.
+    [[nodiscard]] std::size_t pacedUpstreams() const
+    {
+        return m_pace.size();
+    }
     /// Applies what another entry has reported of prompt parts.
     void applyQuarantineUpdate(const QuarantineUpdate &update, TimePoint now);
     /// Returns what all other entries must learn of prompt parts at once; later calls do not return it again.
@@ -303,6 +311,10 @@
     void noteCold(const UpstreamRecord &upstream, Duration remaining, TimePoint now);
     /// Counts a request to @p upstream that leaves at @p at, if the upstream is cold.
     void noteSentToCold(const UpstreamRecord &upstream, TimePoint at, TimePoint now);
+    /// Paces @p member if it has just started or is cold.
+    void beginPace(const UpstreamDirectory::Member &member, TimePoint now);
+    /// Tells the other entries of the share of @p upstream; @p reason says what has changed it.
+    void announcePace(const InstanceId &upstream, UpstreamRunKey key, std::string_view reason, TimePoint now);
     /// Tells the other entries of a cold upstream, or of a request to one.
     void announceCold(UpstreamRunKey upstream, TimePoint now);
     /// Tells the other entries of a change of an upstream's rate limit, or of a request to a limited upstream. The
@@ -341,7 +353,7 @@
     void updateCell(TimePoint now);
     /// Returns the other domains whose engines @p plan uses.
     [[nodiscard]] std::set<FailureDomain> remoteDomains(const AttemptPlan &plan) const;
-    /// Chooses the upstream with the fewest open calls of this entry.
+    /// Chooses the upstream with the fewest open calls of this entry, weighed by the share that it may use.
     [[nodiscard]] std::optional<AttemptPlan>
     planPlainCall(const std::vector<const UpstreamDirectory::Member *> &upstreams);
     void recordRefusal(std::uint64_t fingerprint, TimePoint now);
@@ -359,6 +371,7 @@
     UpstreamDirectory m_directory;
     MemberView m_members;
     EngineLoadTable m_loads;
+    UpstreamPace m_pace;
     EnginePlanner m_planner;
     std::shared_ptr<const RouteTable> m_routes;
     std::map<CallNumber, std::unique_ptr<OpenCall>> m_calls;
@@ -376,6 +389,16 @@
     };
     std::map<CallNumber, AnnouncedPlacement> m_placements;
     std::uint64_t m_lastPlacement = 0;
+    /// Current attempt of a call that has not been answered yet.
+    struct UnansweredAttempt
+    {
+        InstanceId upstream;
+        UpstreamRunKey key;
+        TimePoint started;
+        /// Predicted time to the first event on an upstream that is not slow; empty if the call is no generation.
+        std::optional<Duration> predicted;
+    };
+    std::map<CallNumber, UnansweredAttempt> m_unanswered;
     /// Offset that breaks ties between equally good engines, which differs between entries. See `GenerationQuery`.
     std::size_t m_tieBreakOffset;
     /// Number of this entry's open attempts at each upstream that are not generations.
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -42,6 +42,7 @@
             }
             const Admission admission = m_admission.decide(*member, now);
             if (admission.usable()) {
+                beginPace(*member, now);
                 untried.push_back(member);
             } else {
                 ++kept[admission.state];
@@ -164,7 +165,10 @@
     const auto cost = [this](const UpstreamDirectory::Member *member) {
         const auto calls = m_plainCalls.find(member->record.id);
         // Upstreams of the own failure domain win ties, since traffic between domains costs money and time.
-        return std::pair(calls == m_plainCalls.end() ? 0 : calls->second, member->record.domain != m_settings.domain);
+        const double open = calls == m_plainCalls.end() ? 0.0 : static_cast<double>(calls->second);
+        const double share = m_pace.share(runKey(member->record));
+        // An open call at an upstream that may use half of its concurrency weighs as much as two elsewhere.
+        return std::pair(share < 1.0 ? (open + 1.0) / share - 1.0 : open, member->record.domain != m_settings.domain);
     };
     const auto best = std::ranges::min_element(upstreams, {}, cost);
     return AttemptPlan {(*best)->record, {}, {}, {}};
@@ -202,6 +206,11 @@
             noteSentToCold(helper.upstream, now, now);
         }
     }
+    if (m_settings.pace.enabled) {
+        const Duration predicted = fromSeconds(toSeconds(plan.timeToFirstEvent) / m_pace.slowness(key, now));
+        m_unanswered[call.number] = {
+            plan.upstream.id, key, now, plain ? std::nullopt : std::optional<Duration>(predicted)};
+    }
     if (plain) {
         ++m_plainCalls[plan.upstream.id];
         return;
@@ -250,6 +259,16 @@
 void RelayCore::firstEventReceived(const RelayCall &call, TimePoint now)
 {
     m_quarantine.noteSound(call.requestHash, call.promptParts, now);
+    if (const auto found = m_unanswered.find(call.number); found != m_unanswered.end()) {
+        const UnansweredAttempt attempt = found->second;
+        m_unanswered.erase(found);
+        const Duration observed = now - attempt.started;
+        const bool changed = attempt.predicted ? m_pace.noteFirstEvent(attempt.key, *attempt.predicted, observed, now)
+                                               : m_pace.noteResponse(attempt.key, call.service, observed, now);
+        if (changed) {
+            announcePace(attempt.upstream, attempt.key, "answered", now);
+        }
+    }
     const auto placement = m_placements.find(call.number);
     if (placement != m_placements.end()) {
         const auto &[number, domains] = placement->second;
@@ -263,6 +282,7 @@
 
 void RelayCore::attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now)
 {
+    m_unanswered.erase(call.number);
     const auto placement = m_placements.find(call.number);
     if (placement != m_placements.end()) {
         const auto &[number, domains] = placement->second;
@@ -360,12 +380,20 @@
     m_directory.noteFailure(upstream, now);
     if (const UpstreamDirectory::Member *member = m_directory.find(upstream)) {
         m_cold.noteFailure(*member, now);
+        if (const UpstreamRunKey key = runKey(member->record); m_pace.noteFailure(key, now)) {
+            announcePace(upstream, key, "failed", now);
+        }
     }
 }
 
 void RelayCore::upstreamDeclined(const InstanceId &upstream, TimePoint now)
 {
     m_directory.noteDeclined(upstream, now);
+    if (const UpstreamDirectory::Member *member = m_directory.find(upstream)) {
+        if (const UpstreamRunKey key = runKey(member->record); m_pace.noteDeclined(key, now)) {
+            announcePace(upstream, key, "declined", now);
+        }
+    }
 }
 
 std::optional<InstanceId> RelayCore::upstreamFailedAt(const UpstreamAddress &address, TimePoint now)
--- a/ibismast/relay/relaycorereports.cpp
+++ b/ibismast/relay/relaycorereports.cpp
@@ -271,6 +271,38 @@
     }
 }
 
+void RelayCore::beginPace(const UpstreamDirectory::Member &member, TimePoint now)
+{
+    if (!m_settings.pace.enabled) {
+        return;
+    }
+    const bool started = member.startedAt && now - *member.startedAt < m_settings.pace.startTime;
+    if (!started && !m_cold.remaining(member, now)) {
+        return;
+    }
+    if (const UpstreamRunKey key = runKey(member.record); m_pace.begin(key, now)) {
+        announcePace(member.record.id, key, started ? "started" : "cold", now);
+    }
+}
+
+void RelayCore::announcePace(const InstanceId &upstream, UpstreamRunKey key, std::string_view reason, TimePoint now)
+{
+    const std::optional<UpstreamPaceReport> report = m_pace.report(key, now);
+    if (!report) {
+        return;
+    }
+    m_listener->onEvent("pace_changed",
+                        {{"upstream", upstream.value()},
+                         {"run", toHexText(key)},
+                         {"share", std::to_string(report->share)},
+                         {"slowness", std::to_string(m_pace.slowness(key, now))},
+                         {"reason", std::string(reason)}});
+    std::erase_if(m_pendingUpdate.paces, [key](const UpstreamPaceReport &other) {
+        return other.upstream == key;
+    });
+    m_pendingUpdate.paces.push_back(*report);
+}
+
 std::vector<ColdUpstreamReport> RelayCore::takeFleetColdReports()
 {
     return std::exchange(m_fleetColdReports, {});
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -252,6 +252,32 @@
     return reports;
 }
 
+void encodePaces(const std::vector<UpstreamPaceReport> &reports, wire::relay::RelayNews &message)
+{
+    if (reports.empty()) {
+        return;
+    }
+    message.__isset.paces = true;
+    for (const UpstreamPaceReport &report : reports) {
+        wire::relay::RelayUpstreamPace &pace = message.paces.emplace_back();
+        pace.upstream = static_cast<std::int64_t>(report.upstream.value());
+        pace.share = report.share;
+        pace.ageMs = toMs(report.age);
+    }
+}
+
+std::vector<UpstreamPaceReport> decodePaces(const wire::relay::RelayNews &message)
+{
+    std::vector<UpstreamPaceReport> reports;
+    for (const wire::relay::RelayUpstreamPace &pace : message.paces) {
+        const std::optional<Duration> age = decodeAge(pace.ageMs);
+        if (age && pace.share >= 0.0 && pace.share <= 1.0) {
+            reports.push_back({UpstreamRunKey(static_cast<std::uint64_t>(pace.upstream)), pace.share, *age});
+        }
+    }
+    return reports;
+}
+
 wire::relay::RelayRecord toThrift(const StoredRecord &record)
 {
     wire::relay::RelayRecord result;
@@ -325,6 +351,7 @@
     encodeQuarantine(news.quarantine, message);
     encodeRateLimits(news.load.rateLimits, message);
     encodeColdUpstreams(news.load.coldUpstreams, message);
+    encodePaces(news.load.paces, message);
     return encode(message);
 }
 
@@ -369,6 +396,7 @@
     news.quarantine = decodeQuarantine(message);
     news.load.rateLimits = decodeRateLimits(message);
     news.load.coldUpstreams = decodeColdUpstreams(message);
+    news.load.paces = decodePaces(message);
     return news;
 }
 
