--- a/UnitTests/relay/coldupstreamstest.cpp
+++ b/UnitTests/relay/coldupstreamstest.cpp
@@ -53,7 +53,7 @@
 public:
     ColdFleet(std::size_t entries, Trouble trouble) : m_trouble(trouble)
     {
-        m_directory.apply({{record(1, 1)}, 1}, m_now);
+        m_directory.apply({{record(1, 1)}, {1}}, m_now);
         for (std::size_t index = 0; index < entries; ++index) {
             m_entries.push_back(start(index));
         }
@@ -223,14 +223,14 @@
     cold.setServices({{ServiceName("pool"), coldService()}}, TimePoint(990s));
     TimePoint now {1'000s};
     const std::uint64_t born = sign == Sign::RestartWithoutIncarnation ? 0 : 1;
-    UpstreamList list {{record(born, 5, sign == Sign::FirstListCold ? Duration(2s) : Duration())}, 1};
+    UpstreamList list {{record(born, 5, sign == Sign::FirstListCold ? Duration(2s) : Duration())}, {1}};
     if (sign == Sign::Start) {
         list.records.clear();
     }
     directory.apply(list, now);
     const auto apply = [&](std::vector<UpstreamRecord> records) {
         now += 100ms;
-        directory.apply({std::move(records), ++list.revision.number}, now);
+        directory.apply({std::move(records), {++list.revision.number}}, now);
     };
     switch (sign) {
     case Sign::FirstList:
@@ -277,7 +277,7 @@
     ColdUpstreams cold(settings, InstanceId("entry"));
     cold.setServices({{ServiceName("pool"), coldService()}}, TimePoint(990s));
     const TimePoint now {1'000s};
-    directory.apply({{record(1, 1)}, 1}, now);
+    directory.apply({{record(1, 1)}, {1}}, now);
     const UpstreamDirectory::Member &member = *directory.find(InstanceId("a"));
     if (failed) {
         cold.noteFailure(member, now);
