--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -32,13 +32,15 @@
     , m_directory(m_settings.directory, listener)
     , m_members(m_settings.members, m_settings.domain)
     , m_loads(m_settings.load)
-    , m_planner(m_settings.planner, m_loads)
+    , m_pace(m_settings.pace)
+    , m_planner(m_settings.planner, m_loads, &m_pace)
     , m_tieBreakOffset(std::hash<std::string>()(m_settings.self.value()))
     , m_quarantine(m_settings.quarantine, listener)
     , m_rateLimits(m_settings.rateLimits)
     , m_pauses(m_settings.pauses)
     , m_evacuations(m_settings.evacuations, listener)
-    , m_admission(m_directory, m_rateLimits, m_pauses, m_evacuations)
+    , m_cold(m_settings.cold, m_settings.self)
+    , m_admission(m_directory, m_rateLimits, m_pauses, m_evacuations, m_cold)
     , m_cells(m_settings.cells, m_settings.domain)
     , m_ranker(m_settings.rank)
     , m_room(m_settings.waiting)
@@ -47,7 +49,7 @@
 
 RelayCore::~RelayCore() = default;
 
-void RelayCore::applyConfig(RelayConfig config, TimePoint /*now*/)
+void RelayCore::applyConfig(RelayConfig config, TimePoint now)
 {
     if (m_routes && config.version <= m_routes->config().version) {
         return;
@@ -58,6 +60,7 @@
          {"previous", m_routes ? std::to_string(m_routes->config().version.value()) : std::string("none")},
          {"routes", std::to_string(config.routes.size())},
          {"customers", std::to_string(config.customers.size())}});
+    m_cold.setServices(config.services, now);
     m_routes = std::make_shared<const RouteTable>(std::move(config));
 }
 
@@ -336,6 +339,8 @@
     m_rateLimits.expire(now);
     m_pauses.expire(now);
     m_evacuations.expire(now);
+    m_cold.expire(now);
+    m_pace.expire(now);
     std::erase_if(m_refused, [now](const auto &entry) {
         return now >= entry.second;
     });
@@ -375,6 +380,9 @@
         m_loads.end({entry, call}, now);
     }
     applyRateReports(entry, update.rateLimits, now);
+    m_cold.noteEntry(entry, now);
+    m_cold.apply(entry, update.coldUpstreams, now);
+    m_pace.apply(update.paces, now);
 }
 
 std::vector<Placement> RelayCore::ownPlacements(TimePoint now) const
@@ -435,6 +443,7 @@
 {
     m_loads.endAllOf(entry, now);
     m_rateLimits.dropEntry(entry);
+    m_cold.dropEntry(entry);
 }
 
 } // namespace ibismast
--- a/ibismast/relay/upstreamadmission.h
+++ b/ibismast/relay/upstreamadmission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ibismast/relay/coldupstreams.h"
 #include "ibismast/relay/domainevacuations.h"
 #include "ibismast/relay/upstreamdirectory.h"
 #include "ibismast/relay/upstreampauses.h"
@@ -15,6 +16,8 @@
         Admitted,
         /// Gets requests only if no admitted upstream has room.
         Suspected,
+        /// This entry has used up its share of what the upstream takes while it is cold.
+        ColdLimited,
         /// The entries have used up the rate that the upstream takes.
         RateLimited,
         /// The upstream has asked this entry for a pause.
@@ -52,12 +55,13 @@
     UpstreamAdmission(const UpstreamDirectory &directory,
                       const UpstreamRateLimits &rateLimits,
                       const UpstreamPauses &pauses,
-                      const DomainEvacuations &evacuations);
+                      const DomainEvacuations &evacuations,
+                      const ColdUpstreams &cold);
 
     /// Decides about a new request to @p member.
     [[nodiscard]] Admission decide(const UpstreamDirectory::Member &member, TimePoint now) const;
     /// Decides about a request that was planned for the run of the upstream that @p planned describes and counted
-    /// against its rate limit, but not sent yet.
+    /// against its limits on requests, but not sent yet.
     [[nodiscard]] Admission decidePlanned(const UpstreamRecord &planned, TimePoint now) const;
 
 private:
@@ -67,6 +71,7 @@
     const UpstreamRateLimits *m_rateLimits;
     const UpstreamPauses *m_pauses;
     const DomainEvacuations *m_evacuations;
+    const ColdUpstreams *m_cold;
 };
 
 } // namespace ibismast
