--- a/ibismast/relay/upstreamadmission.cpp
+++ b/ibismast/relay/upstreamadmission.cpp
@@ -33,11 +33,7 @@
                                      const UpstreamPauses &pauses,
                                      const DomainEvacuations &evacuations,
                                      const ColdUpstreams &cold)
-    : m_directory(&directory)
-    , m_rateLimits(&rateLimits)
-    , m_pauses(&pauses)
-    , m_evacuations(&evacuations)
-    , m_cold(&cold)
+    : m_directory(&directory), m_rateLimits(&rateLimits), m_pauses(&pauses), m_evacuations(&evacuations), m_cold(&cold)
 {
 }
 
