Send a returning prompt beyond one engine's memory to engines with work

The planner places them on engines with other work only with the allowance for returning calls, which a call that waits did not get before the end of its wait.

UnitTests "[relay],[platform],[wire]": 202 test cases pass; the new row fails without the change.

--- a/UnitTests/relay/waitingcallstest.cpp
+++ b/UnitTests/relay/waitingcallstest.cpp
@@ -248,6 +248,31 @@
     CHECK(started(call));
 }
 
+// Guards against a prompt beyond one engine's memory that waits for idle engines until its caller has left.
+TEST_CASE_METHOD(WaitingFixture,
+                 "a returning prompt beyond one engine's memory uses engines with work",
+                 "[relay][waiting]")
+{
+    const bool returning = GENERATE(false, true);
+    config.services.at(ServiceName("pool")).engine->memory = Tokens(10'000);
+    config.services.at(ServiceName("pool")).engine->slots = 4;
+    begin();
+    for (const char *id : {"e2", "e3"}) {
+        list.records.push_back(list.records.front());
+        list.records.back().id = InstanceId(id);
+    }
+    ++list.revision.number;
+    core->directory().apply(list, now);
+    for (int stream = 0; stream < 6; ++stream) {
+        submit("/g/x");
+    }
+    if (returning) {
+        core->applyLoadUpdate(InstanceId("other"), {{}, {}, {}, {7}}, now);
+    }
+    submit("/g/x", 12'000, 7);
+    CHECK(core->ownPlacements(now).size() == (returning ? 7 : 6));
+}
+
 // Guards against prompts that an engine reads after their callers have left.
 TEST_CASE_METHOD(WaitingFixture,
                  "a call whose caller would leave before the first event is not sent",
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -350,6 +350,10 @@
     [[nodiscard]] TimePoint abandonment(const RelayCall &call) const;
     /// Returns the time until which a start of a call that may wait is of use.
     [[nodiscard]] TimePoint latestStart(const RelayCall &call) const;
+    /// True if a call that may wait is planned beyond the estimated capacity, since it would be refused a second time.
+    [[nodiscard]] bool mayOvercommit(const RelayCall &call, TimePoint now) const;
+    /// Returns the KV memory of an engine that may be planned for.
+    [[nodiscard]] Tokens usableMemory(const EngineProfile &profile) const;
     /// Describes a call that may wait.
     [[nodiscard]] WaitingCall waitingCall(const RelayCall &call) const;
     /// Returns when a waiting call is predicted to start; empty if that is not known.
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -32,13 +32,13 @@
 {
     const RelayService *target = service(call.service);
     const bool generation = target != nullptr && target->engine && call.size.prompt.value() > 0;
-    // A call that may wait does not use the allowance for overcommit, unless it would be refused a second time.
+    // A call that may wait does not use the allowance for overcommit.
     const bool waits = generation && mayWait(call);
-    const bool last = waits && call.returning && now >= latestStart(call);
-    if (waits && !last && !m_room.mayStart(waitingCall(call), now)) {
+    const bool estimated = waits && !mayOvercommit(call, now);
+    if (estimated && !m_room.mayStart(waitingCall(call), now)) {
         return std::nullopt;
     }
-    const Capacity most = waits && !last ? Capacity::Estimated : Capacity::Overcommitted;
+    const Capacity most = estimated ? Capacity::Estimated : Capacity::Overcommitted;
     const UpstreamDirectory::Candidates candidates = m_directory.candidates(call.service, now);
     std::map<Admission::State, std::size_t> kept;
     for (const auto *upstreams : {&candidates.trusted, &candidates.suspected}) {
--- a/ibismast/relay/relaycorewaiting.cpp
+++ b/ibismast/relay/relaycorewaiting.cpp
@@ -43,6 +43,21 @@
     return std::min(std::max(m_ranker.dueTime(ranked), call.arrived + m_settings.waiting.minWait), call.deadline);
 }
 
+bool RelayCore::mayOvercommit(const RelayCall &call, TimePoint now) const
+{
+    if (!call.returning) {
+        return false;
+    }
+    // Engines without other work, which a prompt beyond the memory of one of them would wait for, are rare in a crest.
+    return now >= latestStart(call) || call.size.prompt > usableMemory(*service(call.service)->engine);
+}
+
+Tokens RelayCore::usableMemory(const EngineProfile &profile) const
+{
+    return Tokens(
+        static_cast<std::int64_t>(static_cast<double>(profile.memory.value()) * m_settings.planner.memoryShare));
+}
+
 WaitingCall RelayCore::waitingCall(const RelayCall &call) const
 {
     const EngineProfile &profile = *service(call.service)->engine;
@@ -54,12 +69,10 @@
 RelayCore::predictedStart(const RelayCall &call, const WaitingCall &waiting, TimePoint now) const
 {
     const EngineProfile &profile = *service(call.service)->engine;
-    const Tokens usable(
-        static_cast<std::int64_t>(static_cast<double>(profile.memory.value()) * m_settings.planner.memoryShare));
     RoomForecast forecast(waiting.memory, now);
     for (const UpstreamDirectory::Member *member : m_directory.candidates(call.service, now).trusted) {
         if (m_admission.decide(*member, now).usable()) {
-            forecast.addEngine(m_loads.load(member->record.id), profile.slots, usable);
+            forecast.addEngine(m_loads.load(member->record.id), profile.slots, usableMemory(profile));
         }
     }
     // The other entries are assumed to have as many calls waiting.
