Hold customers to their shares of the engines' work while others wait

One customer at many times its usual takes the room for which others wait, since the order of arrival decides.

Calls of a customer above its share are due later, and do not start while calls of others wait at another entry. If nobody waits, nobody yields. Off unless [shares] enabled and [waiting] enabled are set.

--- a/UnitTests/relay/waitingcallstest.cpp
+++ b/UnitTests/relay/waitingcallstest.cpp
@@ -36,9 +36,10 @@
         config.services.emplace(ServiceName("pool"), RelayService {ServiceName("pool"), 64, engine});
         config.customers = {{CustomerId("north"), {"key"}}};
     }
-    void begin(bool enabled = true)
+    void begin(bool enabled = true, bool shares = false)
     {
         RelayCoreSettings settings;
+        settings.shares.enabled = shares;
         settings.waiting.enabled = enabled;
         core = std::make_unique<RelayCore>(settings, 1, listener);
         core->applyConfig(config, now);
@@ -48,13 +49,16 @@
         list = {{engine}, 1};
         core->directory().apply(list, now);
     }
-    CallNumber submit(const std::string &path, std::int64_t prompt = 1'000, std::uint64_t fingerprint = 0)
+    CallNumber submit(const std::string &path,
+                      std::int64_t prompt = 1'000,
+                      std::uint64_t fingerprint = 0,
+                      const std::string &key = "key")
     {
         IncomingCall call;
         call.requestId = "r";
         call.host = "h";
         call.path = path;
-        call.key = "key";
+        call.key = key;
         call.size = {Tokens(prompt), Tokens(100)};
         call.fingerprint = fingerprint;
         return std::get<CallNumber>(core->submit(call, now, actions));
@@ -312,3 +316,66 @@
     }
     CHECK(started(call));
 }
+
+// Guards against a customer whose crest takes the room for which others wait at this entry or another one, against one
+// that is held back although nobody waits, and against one that is never served again.
+TEST_CASE_METHOD(WaitingFixture, "a customer above its share yields while others wait", "[relay][waiting][shares]")
+{
+    struct Row
+    {
+        bool shares;
+        std::string waiting;
+        bool yields;
+    };
+    const Row row = GENERATE(values<Row>({
+        {false, "south", false},
+        {true, "", false},
+        {true, "north", false},
+        {true, "south", true},
+    }));
+    config.customers.push_back({CustomerId("south"), {"south"}});
+    begin(true, row.shares);
+    const InstanceId other("other");
+    const ServiceName pool("pool");
+    const auto report = [&](Duration hot) {
+        std::vector<CustomerWork> works {{pool, CustomerId("north"), hot, 0ms},
+                                         {pool, CustomerId("south"), 1s + hot / 20, 0ms}};
+        if (!row.waiting.empty()) {
+            works[row.waiting == "north" ? 0 : 1].waiting = 10ms;
+        }
+        LoadUpdate update;
+        update.customerWork = std::move(works);
+        core->applyLoadUpdate(other, update, now);
+    };
+    report(0s);
+    report(20s);
+    const CallNumber hot = submit("/g/x");
+    CHECK(started(hot) != row.yields);
+    CHECK(started(submit("/g/x", 1'000, 0, "south")));
+    if (row.yields) {
+        core->dropEntry(other, now);
+        advance(60ms);
+        CHECK(started(hot));
+    }
+}
+
+// Guards against calls of a customer above its share that come first and stand before those of others.
+TEST_CASE_METHOD(WaitingFixture, "calls of a customer above its share are due later", "[relay][waiting][shares]")
+{
+    const bool shares = GENERATE(false, true);
+    config.customers.push_back({CustomerId("south"), {"south"}});
+    begin(true, shares);
+    LoadUpdate update;
+    for (const Duration sent : {0s, 20s}) {
+        update.customerWork = {{ServiceName("pool"), CustomerId("north"), sent, 0ms},
+                               {ServiceName("pool"), CustomerId("south"), sent / 20, 0ms}};
+        core->applyLoadUpdate(InstanceId("other"), update, now);
+    }
+    const CallNumber first = submit("/g/x");
+    submit("/g/x");
+    const CallNumber hot = submit("/g/x");
+    const CallNumber calm = submit("/g/x", 1'000, 0, "south");
+    end(first);
+    CHECK(started(calm) == shares);
+    CHECK(started(hot) != shares);
+}
--- a/UnitTests/wire/relaycodectest.cpp
+++ b/UnitTests/wire/relaycodectest.cpp
@@ -40,9 +40,12 @@
     news.quarantine.sound = {{PromptPartId(6), 0ms}};
     news.load.rateLimits = {{UpstreamRunKey(0xfedcba9876543210U), RequestRate {2.8}, 20ms, 7},
                             {UpstreamRunKey(4), std::nullopt, 0ms, 0}};
+    news.load.customerWork = {{ServiceName("pool"), CustomerId("north"), 400s, 20ms},
+                              {ServiceName("pool"), CustomerId(), 1ms, 0ms}};
     const Result<EntryNews> result = decodeEntryNews(encodeEntryNews(news));
     REQUIRE(errorOf(result) == nullptr);
     const auto &decoded = std::get<EntryNews>(result);
+    CHECK(decoded.load.customerWork == news.load.customerWork);
     CHECK(decoded.load.rateLimits == news.load.rateLimits);
     CHECK(decoded.quarantine.brokenStarts == news.quarantine.brokenStarts);
     CHECK(decoded.quarantine.quarantined == news.quarantine.quarantined);
@@ -71,6 +74,26 @@
     CHECK(errorOf(news)->message.find("size limit") != std::string::npos);
 }
 
+// Guards against work that cannot be true and would hold all other customers to nothing, and against long reports.
+TEST_CASE("impossible reports on customers' work are left out", "[wire][shares]")
+{
+    EntryNews news;
+    const CustomerWork good {ServiceName("pool"), CustomerId("north"), 1s, 1s};
+    CustomerWork odd = good;
+    const std::string fault = GENERATE("service", "sent", "much sent", "none", "much waiting");
+    odd.service = fault == "service" ? ServiceName() : odd.service;
+    odd.sent = fault == "sent" ? Duration(-1) : fault == "much sent" ? Duration::max() : odd.sent;
+    odd.waiting = fault == "much waiting" ? 2h : odd.waiting;
+    const bool kept = fault == "none";
+    news.load.customerWork.assign(100, good);
+    news.load.customerWork.insert(news.load.customerWork.begin(), odd);
+    const Result<EntryNews> result = decodeEntryNews(encodeEntryNews(news));
+    REQUIRE(errorOf(result) == nullptr);
+    const std::vector<CustomerWork> &decoded = std::get<EntryNews>(result).load.customerWork;
+    CHECK(decoded.size() == 64);
+    CHECK(decoded.front() == (kept ? odd : good));
+}
+
 // Guards against an age that overflows where it is subtracted from a time.
 TEST_CASE("an age beyond an hour is left out", "[wire]")
 {
--- a/adapters/relay/relayprocessnews.cpp
+++ b/adapters/relay/relayprocessnews.cpp
@@ -122,6 +122,7 @@
     const TimePoint now = processNow();
     news.quarantine = m_core.quarantineSummary(now);
     news.load.rateLimits = m_core.nextRateReports(LocalRateReports, now);
+    news.load.customerWork = m_core.customerWork();
     std::vector<std::string> addresses = m_core.inCell() ? members.localAddresses() : members.addresses();
     if (regular) {
         std::ranges::move(members.unconfirmedAddresses(), std::back_inserter(addresses));
@@ -129,6 +130,7 @@
     m_peers.send(news, addresses);
     if (regular && m_core.inCell()) {
         news.domainLoad = m_core.ownLoad();
+        news.load.customerWork.clear();
         news.load.rateLimits = m_core.nextRateReports(RemoteRateReports, now);
         m_peers.send(news, members.nextRemoteAddresses());
     }
--- a/adapters/relay/relaysettings.cpp
+++ b/adapters/relay/relaysettings.cpp
@@ -78,6 +78,7 @@
         file.integer("waiting", "max_calls", static_cast<std::int64_t>(settings.core.waiting.maxCalls), 1, 1'000'000));
     settings.core.waiting.maxBytes =
         file.integer("waiting", "max_bytes", settings.core.waiting.maxBytes, 1, std::int64_t {1} << 40);
+    settings.core.shares.enabled = file.integer("shares", "enabled", 0, 0, 1) != 0;
     const auto grace = file.number("stop", "grace_s", 8.0, 1.0, 600.0);
     settings.stop.total = fromSeconds(grace) - milliseconds(400);
     const auto descriptors = static_cast<std::size_t>(file.integer("limits", "descriptors", 4096, 300, 1'000'000));
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -41,6 +41,7 @@
     , m_cells(m_settings.cells, m_settings.domain)
     , m_ranker(m_settings.rank)
     , m_room(m_settings.waiting)
+    , m_shares(m_settings.shares)
 {
 }
 
@@ -330,6 +331,7 @@
         return m_directory.find(entry.first) == nullptr;
     });
     m_rateLimits.expire(now);
+    m_shares.expire(now);
     m_pauses.expire(now);
     std::erase_if(m_refused, [now](const auto &entry) {
         return now >= entry.second;
@@ -370,6 +372,9 @@
         m_loads.end({entry, call}, now);
     }
     applyRateReports(entry, update.rateLimits, now);
+    if (m_settings.shares.enabled && !update.customerWork.empty()) {
+        m_shares.applyReport(entry, update.customerWork, now);
+    }
 }
 
 std::vector<Placement> RelayCore::ownPlacements(TimePoint now) const
@@ -430,6 +435,7 @@
 {
     m_loads.endAllOf(entry, now);
     m_rateLimits.dropEntry(entry);
+    m_shares.dropEntry(entry);
 }
 
 } // namespace ibismast
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -73,6 +73,7 @@
     UpstreamPausesSettings pauses;
     CallRankSettings rank;
     WaitingRoomSettings waiting;
+    CustomerSharesSettings shares;
     /// Limits on the retries of all entries together in ten seconds: a ratio to the requests of that time, and a number
     /// allowed in addition.
     double retryRatio = 0.2;
@@ -117,10 +118,13 @@
     std::vector<std::uint64_t> refused;
     /// Rate limits of upstreams, and what the entry has sent to these.
     std::vector<RateLimitReport> rateLimits {};
+    /// Work of the entry's customers; only in heartbeats.
+    std::vector<CustomerWork> customerWork {};
 
     [[nodiscard]] bool empty() const
     {
-        return placed.empty() && prefillsDone.empty() && ended.empty() && refused.empty() && rateLimits.empty();
+        return placed.empty() && prefillsDone.empty() && ended.empty() && refused.empty() && rateLimits.empty()
+            && customerWork.empty();
     }
 };
 
@@ -235,6 +239,8 @@
     [[nodiscard]] std::vector<RateLimitReport> takeFleetRateReports();
     /// Returns reports on up to @p count rate limits for a heartbeat, on other ones with each call.
     [[nodiscard]] std::vector<RateLimitReport> nextRateReports(std::size_t count, TimePoint now);
+    /// Returns the work of this entry's customers for a heartbeat; empty unless shares are switched on.
+    [[nodiscard]] std::vector<CustomerWork> customerWork() const;
     /// Applies what a response to something else than a call of this entry says of @p upstream, such as a response to
     /// an order. A rate limit that it does not name stays in force.
     void sideNoticeReceived(const UpstreamRecord &upstream, const UpstreamNotice &notice, TimePoint now);
@@ -355,7 +361,11 @@
     /// Returns the KV memory of an engine that may be planned for.
     [[nodiscard]] Tokens usableMemory(const EngineProfile &profile) const;
     /// Describes a call that may wait.
-    [[nodiscard]] WaitingCall waitingCall(const RelayCall &call) const;
+    [[nodiscard]] WaitingCall waitingCall(const RelayCall &call, TimePoint now) const;
+    /// True if the customer of @p call is above its share while calls of others wait at other entries.
+    [[nodiscard]] bool yieldsToOthers(const RelayCall &call, TimePoint now) const;
+    /// Returns the predicted engine time of a generation.
+    [[nodiscard]] static Duration predictedWork(const RelayCall &call, const EngineProfile &profile);
     /// Returns when a waiting call is predicted to start; empty if that is not known.
     [[nodiscard]] std::optional<TimePoint>
     predictedStart(const RelayCall &call, const WaitingCall &waiting, TimePoint now) const;
@@ -433,6 +443,7 @@
     CellView m_cells;
     CallRanker m_ranker;
     WaitingRoom m_room;
+    CustomerShares m_shares;
     WaitCounts m_waits;
     /// Calls that had to leave the room and have not been refused yet.
     std::vector<CallNumber> m_displaced;
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -35,7 +35,7 @@
     // A call that may wait does not use the allowance for overcommit.
     const bool waits = generation && mayWait(call);
     const bool estimated = waits && !mayOvercommit(call, now);
-    if (estimated && !m_room.mayStart(waitingCall(call), now)) {
+    if (estimated && (!m_room.mayStart(waitingCall(call, now), now) || yieldsToOthers(call, now))) {
         return std::nullopt;
     }
     const Capacity most = estimated ? Capacity::Estimated : Capacity::Overcommitted;
@@ -237,6 +237,9 @@
     placement.pauseTarget = call.route.pauseTarget;
     placement.memory = typicalMemory(call, profile);
     placement.expected = expectedTime(call, profile, plan);
+    if (m_settings.shares.enabled) {
+        m_shares.noteSent(call.service, call.customer, predictedWork(call, profile), now);
+    }
     placement.prefills.push_back({plan.upstream.id, plan.prefillTime, Tokens()});
     for (const AttemptHelper &helper : plan.helpers) {
         placement.prefills.push_back({helper.upstream.id, plan.prefillTime, helper.reserved});
--- a/ibismast/relay/relaycorewaiting.cpp
+++ b/ibismast/relay/relaycorewaiting.cpp
@@ -58,11 +58,42 @@
         static_cast<std::int64_t>(static_cast<double>(profile.memory.value()) * m_settings.planner.memoryShare));
 }
 
-WaitingCall RelayCore::waitingCall(const RelayCall &call) const
+Duration RelayCore::predictedWork(const RelayCall &call, const EngineProfile &profile)
+{
+    // The streams of a batch share its passes.
+    const double passes = profile.typicalOutputTokens / static_cast<double>(profile.tokensPerPass);
+    const Duration pass = estimateDecodePass(profile, 1, call.size.prompt);
+    return estimatePrefillTime(profile, call.size.prompt)
+        + fromSeconds(passes * toSeconds(pass) / static_cast<double>(std::max(1, profile.slots)));
+}
+
+bool RelayCore::yieldsToOthers(const RelayCall &call, TimePoint now) const
+{
+    return m_shares.isAboveShare(call.service, call.customer, now)
+        && m_shares.othersWait(call.service, call.customer, now);
+}
+
+std::vector<CustomerWork> RelayCore::customerWork() const
+{
+    return m_settings.shares.enabled ? m_shares.ownReport(m_room.waitingWork()) : std::vector<CustomerWork>();
+}
+
+WaitingCall RelayCore::waitingCall(const RelayCall &call, TimePoint now) const
 {
     const EngineProfile &profile = *service(call.service)->engine;
     const Tokens memory = call.size.prompt + Tokens(static_cast<std::int64_t>(profile.typicalOutputTokens));
-    return {call.number, call.service, m_ranker.dueTime(rankedCall(call)), latestStart(call), memory, call.bodyBytes};
+    const bool yields = m_shares.isAboveShare(call.service, call.customer, now);
+    const TimePoint due =
+        m_ranker.dueTime(rankedCall(call)) + (yields ? m_settings.shares.yieldStep : Duration::zero());
+    return {call.number,
+            call.service,
+            due,
+            latestStart(call),
+            memory,
+            call.bodyBytes,
+            {},
+            call.customer,
+            predictedWork(call, profile)};
 }
 
 std::optional<TimePoint>
@@ -84,7 +115,7 @@
     if (!mayWait(call)) {
         return Error {ResultCode::NoUpstream, "no upstream has room", std::nullopt};
     }
-    const WaitingCall waiting = waitingCall(call);
+    const WaitingCall waiting = waitingCall(call, now);
     const std::optional<TimePoint> enteredAt = m_room.enteredAt(call.number);
     const std::optional<TimePoint> start = predictedStart(call, waiting, now);
     const auto report = [&](std::string_view event, std::string_view reason) {
@@ -96,6 +127,7 @@
                              {"due_ms", inMs(waiting.due - now)},
                              {"latest_start_ms", inMs(waiting.latestStart - now)},
                              {"predicted_start_ms", start ? inMs(*start - now) : "none"},
+                             {"share_use", std::to_string(m_shares.useOfShare(call.service, call.customer, now))},
                              {"before", std::to_string(m_room.callsBefore(waiting))},
                              {"waiting", std::to_string(m_room.size())},
                              {"waited_ms", enteredAt ? inMs(now - *enteredAt) : "0"},
@@ -113,7 +145,8 @@
         return Error {ResultCode::ShuttingDown, "the instance is shutting down", m_settings.stopRetryAfter};
     }
     if (now >= waiting.latestStart) {
-        return refuse("no upstream had room in time");
+        return refuse(yieldsToOthers(call, now) ? "the customer is above its share and others wait"
+                                                : "no upstream had room in time");
     }
     // A returning call would be lost; it waits to the end of its time.
     if (!call.returning && (!start || *start > waiting.latestStart)) {
--- a/ibismast/relay/waitingroom.cpp
+++ b/ibismast/relay/waitingroom.cpp
@@ -106,6 +106,15 @@
     return result;
 }
 
+std::vector<CustomerWork> WaitingRoom::waitingWork() const
+{
+    std::vector<CustomerWork> result;
+    for (const auto &[number, call] : m_calls) {
+        result.push_back({call.service, call.customer, Duration::zero(), call.work});
+    }
+    return result;
+}
+
 std::optional<TimePoint> WaitingRoom::enteredAt(const CallNumber &number) const
 {
     const auto found = m_calls.find(number);
--- a/ibismast/relay/waitingroom.h
+++ b/ibismast/relay/waitingroom.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibismast/core/result.h"
+#include "ibismast/relay/customershares.h"
 #include "ibismast/relay/engineload.h"
 
 #include <set>
@@ -49,6 +50,9 @@
     std::int64_t bytes = 0;
     /// Time at which the call began to wait; set by the room.
     TimePoint entered {};
+    CustomerId customer {};
+    /// Predicted engine time.
+    Duration work {};
 };
 
 /// Calls of this entry that wait for room at the engines, in the order of their due times.
@@ -71,6 +75,8 @@
     [[nodiscard]] std::size_t callsBefore(const WaitingCall &call) const;
     /// Returns up to @p count calls, those due first.
     [[nodiscard]] std::vector<CallNumber> first(std::size_t count) const;
+    /// Returns the work that waits for each customer.
+    [[nodiscard]] std::vector<CustomerWork> waitingWork() const;
     /// Returns when a call began to wait; empty if it does not wait.
     [[nodiscard]] std::optional<TimePoint> enteredAt(const CallNumber &number) const;
     [[nodiscard]] std::size_t size() const
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -27,6 +27,9 @@
 constexpr double LargestSlotUse = 1e6;
 constexpr double LargestRate = 1e9;
 constexpr std::int64_t LargestBacklogUs = 3'600'000'000;
+/// Limits of a report on customers' work: ten years of engine time, and customers that are used.
+constexpr std::int64_t LargestWorkUs = 315'360'000'000'000;
+constexpr std::size_t MostCustomers = 64;
 
 template<typename Message> std::string encode(const Message &message)
 {
@@ -224,6 +227,38 @@
     return reports;
 }
 
+void encodeCustomerWork(const std::vector<CustomerWork> &report, wire::relay::RelayNews &message)
+{
+    if (report.empty()) {
+        return;
+    }
+    message.__isset.customerWork = true;
+    for (const CustomerWork &customer : report) {
+        wire::relay::RelayCustomerWork &work = message.customerWork.emplace_back();
+        work.serviceName = customer.service.value();
+        work.customer = customer.customer.value();
+        work.workUs = customer.sent.count();
+        if (customer.waiting > Duration::zero()) {
+            work.__set_waitingUs(customer.waiting.count());
+        }
+    }
+}
+
+std::vector<CustomerWork> decodeCustomerWork(const wire::relay::RelayNews &message)
+{
+    std::vector<CustomerWork> report;
+    for (const wire::relay::RelayCustomerWork &work : message.customerWork) {
+        const std::int64_t waitingUs = work.__isset.waitingUs ? work.waitingUs : 0;
+        if (work.serviceName.empty() || work.workUs < 0 || work.workUs > LargestWorkUs || waitingUs < 0
+            || waitingUs > LargestBacklogUs || report.size() >= MostCustomers) {
+            continue;
+        }
+        report.push_back(
+            {ServiceName(work.serviceName), CustomerId(work.customer), Duration(work.workUs), Duration(waitingUs)});
+    }
+    return report;
+}
+
 wire::relay::RelayRecord toThrift(const StoredRecord &record)
 {
     wire::relay::RelayRecord result;
@@ -296,6 +331,7 @@
     }
     encodeQuarantine(news.quarantine, message);
     encodeRateLimits(news.load.rateLimits, message);
+    encodeCustomerWork(news.load.customerWork, message);
     return encode(message);
 }
 
@@ -339,6 +375,7 @@
     }
     news.quarantine = decodeQuarantine(message);
     news.load.rateLimits = decodeRateLimits(message);
+    news.load.customerWork = decodeCustomerWork(message);
     return news;
 }
 
