--- a/ibismast/relay/customershares.cpp
+++ b/ibismast/relay/customershares.cpp
@@ -117,6 +117,7 @@
                  entry.waiting + work.waiting};
     }
     std::vector<CustomerWork> report;
+    report.reserve(all.size());
     for (auto &[key, work] : all) {
         report.push_back(std::move(work));
     }
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -128,16 +128,6 @@
     }
 };
 
-/// Calls that could not begin when they arrived, since the start of the process.
-struct WaitCounts
-{
-    std::uint64_t entered = 0;
-    std::uint64_t started = 0;
-    /// Calls that were refused instead of waiting, and those refused while they waited.
-    std::uint64_t refusedAtOnce = 0;
-    std::uint64_t refusedLater = 0;
-};
-
 /// Decision logic of one entry instance that relays calls without parsing their bodies: admission by route and API key,
 /// choice of upstreams, retries, responses.
 ///
--- a/ibismast/relay/waitingroom.cpp
+++ b/ibismast/relay/waitingroom.cpp
@@ -1,8 +1,5 @@
 #include "ibismast/relay/waitingroom.h"
 
-#include <algorithm>
-#include <ranges>
-
 namespace ibismast
 {
 
@@ -91,17 +88,19 @@
 
 std::size_t WaitingRoom::callsBefore(const WaitingCall &call) const
 {
-    const auto before = std::ranges::subrange(m_order.begin(), m_order.lower_bound({call.due, call.number}));
-    return static_cast<std::size_t>(std::ranges::count_if(before, [&](const Position &position) {
-        return m_calls.at(position.second).service == call.service;
-    }));
+    const Position position {call.due, call.number};
+    std::size_t count = 0;
+    for (auto other = m_order.begin(); other != m_order.end() && *other < position; ++other) {
+        count += m_calls.at(other->second).service == call.service ? 1 : 0;
+    }
+    return count;
 }
 
 std::vector<CallNumber> WaitingRoom::first(std::size_t count) const
 {
     std::vector<CallNumber> result;
-    for (const Position &position : m_order | std::views::take(count)) {
-        result.push_back(position.second);
+    for (auto position = m_order.begin(); position != m_order.end() && result.size() < count; ++position) {
+        result.push_back(position->second);
     }
     return result;
 }
--- a/ibismast/relay/waitingroom.h
+++ b/ibismast/relay/waitingroom.h
@@ -55,6 +55,16 @@
     Duration work {};
 };
 
+/// Calls that could not begin when they arrived, since the start of the process.
+struct WaitCounts
+{
+    std::uint64_t entered = 0;
+    std::uint64_t started = 0;
+    /// Calls that were refused instead of waiting, and those refused while they waited.
+    std::uint64_t refusedAtOnce = 0;
+    std::uint64_t refusedLater = 0;
+};
+
 /// Calls of this entry that wait for room at the engines, in the order of their due times.
 class WaitingRoom
 {
