--- a/adapters/relay/relaysettings.cpp
+++ b/adapters/relay/relaysettings.cpp
@@ -96,6 +96,7 @@
     pace.growthStep = file.number("pace", "growth_step", pace.growthStep, 0.001, 1.0);
     pace.shrinkFactor = file.number("pace", "shrink_factor", pace.shrinkFactor, 0.05, 1.0);
     pace.toleranceFactor = file.number("pace", "tolerance_factor", pace.toleranceFactor, 1.0, 100.0);
+    settings.core.shares.enabled = file.integer("shares", "enabled", 0, 0, 1) != 0;
     const auto grace = file.number("stop", "grace_s", 8.0, 1.0, 600.0);
     settings.stop.total = fromSeconds(grace) - milliseconds(400);
     const auto descriptors = static_cast<std::size_t>(file.integer("limits", "descriptors", 4096, 300, 1'000'000));
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -44,6 +44,7 @@
     , m_cells(m_settings.cells, m_settings.domain)
     , m_ranker(m_settings.rank)
     , m_room(m_settings.waiting)
+    , m_shares(m_settings.shares)
 {
 }
 
@@ -337,6 +338,7 @@
         return m_directory.find(entry.first) == nullptr;
     });
     m_rateLimits.expire(now);
+    m_shares.expire(now);
     m_pauses.expire(now);
     m_evacuations.expire(now);
     m_cold.expire(now);
@@ -383,6 +385,9 @@
     m_cold.noteEntry(entry, now);
     m_cold.apply(entry, update.coldUpstreams, now);
     m_pace.apply(update.paces, now);
+    if (m_settings.shares.enabled && !update.customerWork.empty()) {
+        m_shares.applyReport(entry, update.customerWork, now);
+    }
 }
 
 std::vector<Placement> RelayCore::ownPlacements(TimePoint now) const
@@ -444,6 +449,7 @@
     m_loads.endAllOf(entry, now);
     m_rateLimits.dropEntry(entry);
     m_cold.dropEntry(entry);
+    m_shares.dropEntry(entry);
 }
 
 } // namespace ibismast
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -78,6 +78,7 @@
     WaitingRoomSettings waiting;
     ColdUpstreamsSettings cold;
     UpstreamPaceSettings pace;
+    CustomerSharesSettings shares;
     /// Limits on the retries of all entries together in ten seconds: a ratio to the requests of that time, and a number
     /// allowed in addition.
     double retryRatio = 0.2;
@@ -126,24 +127,16 @@
     std::vector<ColdUpstreamReport> coldUpstreams {};
     /// Shares of their concurrency that started and recovered upstreams may use.
     std::vector<UpstreamPaceReport> paces {};
+    /// Work of the entry's customers; only in heartbeats.
+    std::vector<CustomerWork> customerWork {};
 
     [[nodiscard]] bool empty() const
     {
         return placed.empty() && prefillsDone.empty() && ended.empty() && refused.empty() && rateLimits.empty()
-            && coldUpstreams.empty() && paces.empty();
+            && coldUpstreams.empty() && paces.empty() && customerWork.empty();
     }
 };
 
-/// Calls that could not begin when they arrived, since the start of the process.
-struct WaitCounts
-{
-    std::uint64_t entered = 0;
-    std::uint64_t started = 0;
-    /// Calls that were refused instead of waiting, and those refused while they waited.
-    std::uint64_t refusedAtOnce = 0;
-    std::uint64_t refusedLater = 0;
-};
-
 /// Decision logic of one entry instance that relays calls without parsing their bodies: admission by route and API key,
 /// choice of upstreams, retries, responses.
 ///
@@ -253,6 +246,8 @@
     /// The same for cold upstreams.
     [[nodiscard]] std::vector<ColdUpstreamReport> takeFleetColdReports();
     [[nodiscard]] std::vector<ColdUpstreamReport> nextColdReports(std::size_t count, TimePoint now);
+    /// Returns the work of this entry's customers for a heartbeat; empty unless shares are switched on.
+    [[nodiscard]] std::vector<CustomerWork> customerWork() const;
     /// Applies what a response to something else than a call of this entry says of @p upstream, such as a response to
     /// an order. A rate limit that it does not name stays in force.
     void sideNoticeReceived(const UpstreamRecord &upstream, const UpstreamNotice &notice, TimePoint now);
@@ -387,8 +382,16 @@
     [[nodiscard]] TimePoint abandonment(const RelayCall &call) const;
     /// Returns the time until which a start of a call that may wait is of use.
     [[nodiscard]] TimePoint latestStart(const RelayCall &call) const;
+    /// True if a call that may wait is planned beyond the estimated capacity, since it would be refused a second time.
+    [[nodiscard]] bool mayOvercommit(const RelayCall &call, TimePoint now) const;
+    /// Returns the KV memory of an engine that may be planned for.
+    [[nodiscard]] Tokens usableMemory(const EngineProfile &profile) const;
     /// Describes a call that may wait.
-    [[nodiscard]] WaitingCall waitingCall(const RelayCall &call) const;
+    [[nodiscard]] WaitingCall waitingCall(const RelayCall &call, TimePoint now) const;
+    /// True if the customer of @p call is above its share while calls of others wait at other entries.
+    [[nodiscard]] bool yieldsToOthers(const RelayCall &call, TimePoint now) const;
+    /// Returns the predicted engine time of a generation.
+    [[nodiscard]] static Duration predictedWork(const RelayCall &call, const EngineProfile &profile);
     /// Returns when a waiting call is predicted to start; empty if that is not known.
     [[nodiscard]] std::optional<TimePoint>
     predictedStart(const RelayCall &call, const WaitingCall &waiting, TimePoint now) const;
@@ -480,6 +483,7 @@
     CellView m_cells;
     CallRanker m_ranker;
     WaitingRoom m_room;
+    CustomerShares m_shares;
     WaitCounts m_waits;
     /// Calls that had to leave the room and have not been refused yet.
     std::vector<CallNumber> m_displaced;
--- a/ibismast/relay/relaycorewaiting.cpp
+++ b/ibismast/relay/relaycorewaiting.cpp
@@ -43,26 +43,69 @@
     return std::min(std::max(m_ranker.dueTime(ranked), call.arrived + m_settings.waiting.minWait), call.deadline);
 }
 
-WaitingCall RelayCore::waitingCall(const RelayCall &call) const
+bool RelayCore::mayOvercommit(const RelayCall &call, TimePoint now) const
+{
+    if (!call.returning) {
+        return false;
+    }
+    // Engines without other work, which a prompt beyond the memory of one of them would wait for, are rare in a crest.
+    return now >= latestStart(call) || call.size.prompt > usableMemory(*service(call.service)->engine);
+}
+
+Tokens RelayCore::usableMemory(const EngineProfile &profile) const
+{
+    return Tokens(
+        static_cast<std::int64_t>(static_cast<double>(profile.memory.value()) * m_settings.planner.memoryShare));
+}
+
+Duration RelayCore::predictedWork(const RelayCall &call, const EngineProfile &profile)
+{
+    // The streams of a batch share its passes.
+    const double passes = profile.typicalOutputTokens / static_cast<double>(profile.tokensPerPass);
+    const Duration pass = estimateDecodePass(profile, 1, call.size.prompt);
+    return estimatePrefillTime(profile, call.size.prompt)
+        + fromSeconds(passes * toSeconds(pass) / static_cast<double>(std::max(1, profile.slots)));
+}
+
+bool RelayCore::yieldsToOthers(const RelayCall &call, TimePoint now) const
+{
+    return m_shares.isAboveShare(call.service, call.customer, now)
+        && m_shares.othersWait(call.service, call.customer, now);
+}
+
+std::vector<CustomerWork> RelayCore::customerWork() const
+{
+    return m_settings.shares.enabled ? m_shares.ownReport(m_room.waitingWork()) : std::vector<CustomerWork>();
+}
+
+WaitingCall RelayCore::waitingCall(const RelayCall &call, TimePoint now) const
 {
     const EngineProfile &profile = *service(call.service)->engine;
     const Tokens memory = call.size.prompt + Tokens(static_cast<std::int64_t>(profile.typicalOutputTokens));
     const TimePoint latest = latestStart(call);
+    const bool yields = m_shares.isAboveShare(call.service, call.customer, now);
     // The objective of a returning call has passed. It must not make calls late that can still meet theirs.
-    const TimePoint due = call.returning ? latest : m_ranker.dueTime(rankedCall(call));
-    return {call.number, call.service, due, latest, memory, call.bodyBytes};
+    const TimePoint due = (call.returning ? latest : m_ranker.dueTime(rankedCall(call)))
+        + (yields ? m_settings.shares.yieldStep : Duration::zero());
+    return {call.number,
+            call.service,
+            due,
+            latest,
+            memory,
+            call.bodyBytes,
+            {},
+            call.customer,
+            predictedWork(call, profile)};
 }
 
 std::optional<TimePoint>
 RelayCore::predictedStart(const RelayCall &call, const WaitingCall &waiting, TimePoint now) const
 {
     const EngineProfile &profile = *service(call.service)->engine;
-    const Tokens usable(
-        static_cast<std::int64_t>(static_cast<double>(profile.memory.value()) * m_settings.planner.memoryShare));
     RoomForecast forecast(waiting.memory, now);
     for (const UpstreamDirectory::Member *member : m_directory.candidates(call.service, now).trusted) {
         if (m_admission.decide(*member, now).usable()) {
-            forecast.addEngine(m_loads.load(member->record.id), profile.slots, usable);
+            forecast.addEngine(m_loads.load(member->record.id), profile.slots, usableMemory(profile));
         }
     }
     // The other entries are assumed to have as many calls waiting.
@@ -74,7 +117,7 @@
     if (!mayWait(call)) {
         return Error {ResultCode::NoUpstream, "no upstream has room", std::nullopt};
     }
-    const WaitingCall waiting = waitingCall(call);
+    const WaitingCall waiting = waitingCall(call, now);
     const std::optional<TimePoint> enteredAt = m_room.enteredAt(call.number);
     const std::optional<TimePoint> start = predictedStart(call, waiting, now);
     const auto report = [&](std::string_view event, std::string_view reason) {
@@ -86,6 +129,7 @@
                              {"due_ms", inMs(waiting.due - now)},
                              {"latest_start_ms", inMs(waiting.latestStart - now)},
                              {"predicted_start_ms", start ? inMs(*start - now) : "none"},
+                             {"share_use", std::to_string(m_shares.useOfShare(call.service, call.customer, now))},
                              {"before", std::to_string(m_room.callsBefore(waiting))},
                              {"waiting", std::to_string(m_room.size())},
                              {"waited_ms", enteredAt ? inMs(now - *enteredAt) : "0"},
@@ -103,7 +147,8 @@
         return Error {ResultCode::ShuttingDown, "the instance is shutting down", m_settings.stopRetryAfter};
     }
     if (now >= waiting.latestStart) {
-        return refuse("no upstream had room in time");
+        return refuse(yieldsToOthers(call, now) ? "the customer is above its share and others wait"
+                                                : "no upstream had room in time");
     }
     if (!start || *start > waiting.latestStart) {
         return refuse("no upstream is predicted to have room in time");
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -31,6 +31,9 @@
 constexpr double LargestSlotUse = 1e6;
 constexpr double LargestRate = 1e9;
 constexpr std::int64_t LargestBacklogUs = 3'600'000'000;
+/// Limits of a report on customers' work: ten years of engine time, and customers that are used.
+constexpr std::int64_t LargestWorkUs = 315'360'000'000'000;
+constexpr std::size_t MostCustomers = 64;
 
 template<typename Message> std::string encode(const Message &message)
 {
@@ -313,6 +316,38 @@
     return reports;
 }
 
+void encodeCustomerWork(const std::vector<CustomerWork> &report, wire::relay::RelayNews &message)
+{
+    if (report.empty()) {
+        return;
+    }
+    message.__isset.customerWork = true;
+    for (const CustomerWork &customer : report) {
+        wire::relay::RelayCustomerWork &work = message.customerWork.emplace_back();
+        work.serviceName = customer.service.value();
+        work.customer = customer.customer.value();
+        work.workUs = customer.sent.count();
+        if (customer.waiting > Duration::zero()) {
+            work.__set_waitingUs(customer.waiting.count());
+        }
+    }
+}
+
+std::vector<CustomerWork> decodeCustomerWork(const wire::relay::RelayNews &message)
+{
+    std::vector<CustomerWork> report;
+    for (const wire::relay::RelayCustomerWork &work : message.customerWork) {
+        const std::int64_t waitingUs = work.__isset.waitingUs ? work.waitingUs : 0;
+        if (work.serviceName.empty() || work.workUs < 0 || work.workUs > LargestWorkUs || waitingUs < 0
+            || waitingUs > LargestBacklogUs || report.size() >= MostCustomers) {
+            continue;
+        }
+        report.push_back(
+            {ServiceName(work.serviceName), CustomerId(work.customer), Duration(work.workUs), Duration(waitingUs)});
+    }
+    return report;
+}
+
 wire::relay::RelayRecord toThrift(const StoredRecord &record)
 {
     wire::relay::RelayRecord result;
@@ -390,6 +425,7 @@
     encodeRateLimits(news.load.rateLimits, message);
     encodeColdUpstreams(news.load.coldUpstreams, message);
     encodePaces(news.load.paces, message);
+    encodeCustomerWork(news.load.customerWork, message);
     return encode(message);
 }
 
@@ -438,6 +474,7 @@
     news.load.rateLimits = decodeRateLimits(message);
     news.load.coldUpstreams = decodeColdUpstreams(message);
     news.load.paces = decodePaces(message);
+    news.load.customerWork = decodeCustomerWork(message);
     return news;
 }
 
