Pass on no answer that lacks the id of its call

Cause: an answer counted as another call's only if it named that call. A failure without an id was taken for the answer to the call under way, so that an upstream's repeated answer reached the next caller of the connection.

Change: an answer without an id is not valid, whatever its status. On a connection that has carried an answer before, it is skipped like an answer to another call, and the call waits for its own. On a new connection there is nothing to repeat, so the attempt fails at once.

--- a/UnitTests/adapters/relay/relayprocesstest.cpp
+++ b/UnitTests/adapters/relay/relayprocesstest.cpp
@@ -18,7 +18,7 @@
 /// Limit by which a test recognises that the configuration is in force.
 constexpr std::uint64_t MaxBodyBytes = 1'000;
 
-/// Store with one configuration and three engines, all at one address.
+/// Store with one configuration and three engines by default, all at one address.
 class FixedStore final : public ClusterStore
 {
 public:
@@ -27,7 +27,11 @@
     void readUpstreams(Duration /*timeout*/, UpstreamsHandler handler) override
     {
         boost::asio::post(*m_loop, [this, handler = std::move(handler)] {
-            handler(StoredUpstreams {{{"e1", m_address, 1}, {"e2", m_address, 1}, {"e3", m_address, 1}}, 1});
+            StoredUpstreams stored {{}, 1};
+            for (const std::string &id : ids) {
+                stored.records.push_back({id, m_address, 1});
+            }
+            handler(stored);
             listRead = true;
         });
     }
@@ -43,6 +47,7 @@
         // Nothing changes during a test.
     }
 
+    std::vector<std::string> ids {"e1", "e2", "e3"};
     bool listRead = false;
 
 private:
@@ -388,3 +393,48 @@
     loop.restart();
     loop.run_for(50ms);
 }
+
+// Guards against a repeated answer without an id that reaches the next call of its connection (review case 2), and
+// against the answer to that call being lost with it. On a new connection there is nothing to repeat, so that nothing
+// else is waited for.
+TEST_CASE_METHOD(ProcessFixture, "an answer without an id reaches no caller", "[relay]")
+{
+    const bool keptConnection = GENERATE(true, false);
+    const std::string status = GENERATE(as<std::string>(), "500 Error", "404 Not Found", "503 Busy", "200 OK");
+    const std::string notice = GENERATE(as<std::string>(), "", "Ibismast-Not-Executed: 1\r\n");
+    CAPTURE(keptConnection, status, notice);
+    store.ids = {"e1"};
+    REQUIRE(await([this] {
+        return store.listRead && process.limits().maxBodyBytes == MaxBodyBytes;
+    }));
+    const auto sendCall = [this](const std::string &id) {
+        caller.received.clear();
+        caller.write("POST /a HTTP/1.1\r\nHost: h\r\nIbismast-Token-Counts: 1000,100\r\nContent-Length: 2\r\n"
+                     "Ibismast-Attempt-Id: "
+                     + id + "\r\n\r\n{}");
+        REQUIRE(await([this, &id] {
+            return upstream.received.find("Ibismast-Attempt-Id: " + id) != std::string::npos;
+        }));
+    };
+    const auto answerTo = [](const std::string &id) {
+        return "HTTP/1.1 200 OK\r\nIbismast-Attempt-Id: " + id
+            + "\r\nIbismast-Response-Seal: s\r\nContent-Type: text/event-stream\r\nContent-Length: 14\r\n\r\n"
+              "id:1\ndata:x\n\n\n";
+    };
+    if (keptConnection) {
+        sendCall("r1");
+        upstream.write(answerTo("r1"));
+        REQUIRE(await([this] {
+            return caller.received.find("data:x\n\n\n") != std::string::npos;
+        }));
+    }
+    sendCall("r2");
+    upstream.write("HTTP/1.1 " + status + "\r\nIbismast-Response-Seal: old\r\n" + notice
+                   + "Content-Length: 6\r\n\r\nfailed" + answerTo("r2"));
+    const std::string expected = keptConnection ? "data:x\n\n\n" : "HTTP/1.1 502";
+    CHECK(await([this, &expected] {
+        return caller.received.find(expected) != std::string::npos;
+    }));
+    CHECK(caller.received.find("old") == std::string::npos);
+    CHECK(caller.received.find("HTTP/1.1 ") == caller.received.rfind("HTTP/1.1 "));
+}
--- a/UnitTests/platform/platformtest.cpp
+++ b/UnitTests/platform/platformtest.cpp
@@ -281,9 +281,12 @@
          false},
         {503, {{"Ibismast-Attempt-Id", "r1"}, {"Ibismast-Not-Executed", "1"}}, false, true, true},
         {503, {{"Ibismast-Attempt-Id", "r0"}, {"Ibismast-Not-Executed", "1"}}, true, true, false},
-        {503, {{"Ibismast-Not-Executed", "1"}}, false, true, false},
-        {421, {{"Ibismast-Not-Executed", "1"}}, false, true, false},
-        {503, {}, false, true, false},
+        {503, {{"Ibismast-Not-Executed", "1"}}, false, false, false},
+        {421, {{"Ibismast-Not-Executed", "1"}}, false, false, false},
+        {503, {}, false, false, false},
+        {500, {{"Ibismast-Response-Seal", "s"}}, false, false, false},
+        {404, {}, false, false, false},
+        {404, {{"Ibismast-Attempt-Id", "r1"}}, false, true, false},
     }));
     HttpHead head;
     head.status = row.status;
--- a/adapters/relay/callprotocol.h
+++ b/adapters/relay/callprotocol.h
@@ -26,8 +26,10 @@
 struct DecodedAnswer
 {
     ResponseHead head;
-    /// True if the answer belongs to another call.
+    /// True if the answer names another call.
     bool foreign = false;
+    /// True if the answer names no call. It is not valid then.
+    bool unidentified = false;
 };
 
 /// Header names of the platform, behind the product's types.
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -141,6 +141,21 @@
     armTimer();
 }
 
+void RelayProcess::sendReleases()
+{
+    const TimePoint now = processNow();
+    for (const AttemptHelper &holder : m_releases.takeDue(now)) {
+        if (!m_core.takeOrder(holder.upstream, PausedOrder::Release, now)) {
+            continue;
+        }
+        m_platform.orders->release(holder, [this, reservation = holder.reservationId](bool answered) {
+            if (answered) {
+                m_releases.answered(reservation);
+            }
+        });
+    }
+}
+
 void RelayProcess::armTimer()
 {
     const TimePoint now = processNow();
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -364,21 +364,6 @@
     }
 }
 
-void RelayProcess::sendReleases()
-{
-    const TimePoint now = processNow();
-    for (const AttemptHelper &holder : m_releases.takeDue(now)) {
-        if (!m_core.takeOrder(holder.upstream, PausedOrder::Release, now)) {
-            continue;
-        }
-        m_platform.orders->release(holder, [this, reservation = holder.reservationId](bool answered) {
-            if (answered) {
-                m_releases.answered(reservation);
-            }
-        });
-    }
-}
-
 void RelayProcess::inspectMemory(CallNumber number, const InspectEngineMemory &inspect)
 {
     if (m_core.pauseEnd(inspect.holder.upstream, processNow())) {
@@ -409,17 +394,21 @@
         if (found == m_exchanges.end()) {
             return true;
         }
-        const DecodedAnswer decoded = m_platform.protocol->decodeAnswer(head, found->second->requestId);
-        if (decoded.foreign) {
+        Exchange &exchange = *found->second;
+        const DecodedAnswer decoded = m_platform.protocol->decodeAnswer(head, exchange.requestId);
+        // On a new connection there is no earlier answer to repeat, and none but this one to wait for.
+        const bool kept = exchange.connection && exchange.connection->hasAnswered();
+        if (decoded.foreign || (decoded.unidentified && kept)) {
             m_listener->onEvent("foreign_answer_skipped",
-                                {{"request", found->second->requestId},
-                                 {"upstream", found->second->upstream.id.value()},
-                                 {"status", std::to_string(head.status)}});
+                                {{"request", exchange.requestId},
+                                 {"upstream", exchange.upstream.id.value()},
+                                 {"status", std::to_string(head.status)},
+                                 {"identified", decoded.foreign ? "true" : "false"}});
             // A late response may be of any age, but a shutdown is not taken back.
-            m_core.sideNoticeReceived(found->second->upstream, {.leaving = decoded.head.notice.leaving}, processNow());
+            m_core.sideNoticeReceived(exchange.upstream, {.leaving = decoded.head.notice.leaving}, processNow());
             return false;
         }
-        found->second->answer = head;
+        exchange.answer = head;
         step([&](RelayActions &actions) {
             m_core.headReceived(number, attempt, decoded.head, processNow(), actions);
         });
--- a/adapters/relay/upstreamconnection.cpp
+++ b/adapters/relay/upstreamconnection.cpp
@@ -213,6 +213,7 @@
 {
     // An answer that came before the whole request was read leaves the connection in an unknown state.
     m_reusable = m_reusable && !m_writing;
+    m_hasAnswered = true;
     m_paused = false;
     const std::shared_ptr<const AnswerHandler> handler = std::exchange(m_handler, nullptr);
     if (!m_reusable) {
--- a/adapters/relay/upstreamconnection.h
+++ b/adapters/relay/upstreamconnection.h
@@ -62,6 +62,11 @@
     void close();
     /// True if another request may be sent.
     [[nodiscard]] bool isIdle() const;
+    /// True if the connection has carried an answer before, which the upstream may repeat.
+    [[nodiscard]] bool hasAnswered() const
+    {
+        return m_hasAnswered;
+    }
     /// Time until which the upstream is expected to keep the idle connection.
     [[nodiscard]] TimePoint idleUntil() const
     {
@@ -107,6 +112,7 @@
     int m_skippedResponses = 0;
     std::size_t m_skippedBytes = 0;
     bool m_reusable = false;
+    bool m_hasAnswered = false;
     TimePoint m_idleUntil;
 };
 
