Keep a stopping process until its answers have been sent

Cause: a call ends when its answer has been handed to the caller's connection, and a stop waited for open calls only. Bytes that the kernel had not taken were lost with the process. Besides, the times of idle and closing connections ran while an answer was still being read.

Change: a stop also waits until no connection holds unsent bytes, within its time; answers cut at its end count as cut. A connection with unsent bytes may last for the head and idle timeouts together.

--- a/UnitTests/adapters/relay/callerconnectiontest.cpp
+++ b/UnitTests/adapters/relay/callerconnectiontest.cpp
@@ -205,6 +205,31 @@
     }));
 }
 
+// Guards against an answer that is cut while its caller reads it, by the times of idle connections or of those that are
+// closing, and against a caller that holds its answer for ever.
+TEST_CASE_METHOD(ServerFixture, "an answer may be read as slowly as a body may be sent", "[relay]")
+{
+    constexpr std::size_t AnswerBytes = std::size_t {14} << 20;
+    const bool closing = GENERATE(false, true);
+    const auto [elapsed, open] = GENERATE(table<std::chrono::seconds, bool>({
+        {std::chrono::seconds(4), true},
+        {std::chrono::seconds(16), true},
+        {std::chrono::seconds(19), false},
+    }));
+    CAPTURE(closing, elapsed.count());
+    caller.socket.set_option(boost::asio::socket_base::receive_buffer_size(64 * 1024));
+    caller.pause();
+    caller.write(Get);
+    awaitRequests(1);
+    if (closing) {
+        server.closeAfterAnswers();
+    }
+    handler.last->answer(HttpHeadBuilder::response(200), std::string(AnswerBytes, 'x'));
+    REQUIRE(handler.last->unsentBytes() > 0);
+    server.enforceTimes(processNow() + elapsed);
+    CHECK(handler.last->isOpen() == open);
+}
+
 // Guards against work for a caller that has left.
 TEST_CASE_METHOD(ServerFixture, "a caller that leaves is noticed while its answer is due", "[relay]")
 {
--- a/adapters/relay/callerconnection.cpp
+++ b/adapters/relay/callerconnection.cpp
@@ -273,20 +273,23 @@
     }
     const RelayLimits limits = m_handler->limits();
     const Duration elapsed = now - m_phaseStart;
-    if (m_lastAnswer) {
-        // The caller closes its side when it has read the answer; it is not waited for longer.
-        if (elapsed > limits.headTimeout) {
-            close();
-        }
-        return;
-    }
-    if (m_parser && m_parser->started()) {
+    if (!m_lastAnswer && m_parser && m_parser->started()) {
         // A body may take as long as an idle connection.
         const Duration limit = m_parser->headDone() ? limits.headTimeout + limits.idleTimeout : limits.headTimeout;
         if (elapsed > limit) {
             refuse({ResultCode::RequestTimeout, "the request was sent too slowly", std::nullopt});
         }
-    } else if (elapsed > limits.idleTimeout) {
+        return;
+    }
+    Duration limit = limits.idleTimeout;
+    if (unsentBytes() > 0) {
+        // An answer may be read as slowly as a body may be sent.
+        limit += limits.headTimeout;
+    } else if (m_lastAnswer) {
+        // The caller closes its side when it has read the answer; it is not waited for longer.
+        limit = limits.headTimeout;
+    }
+    if (elapsed > limit) {
         close();
     }
 }
--- a/adapters/relay/callerconnection.h
+++ b/adapters/relay/callerconnection.h
@@ -62,6 +62,11 @@
     {
         return m_out.size() + m_writing.size();
     }
+    /// True from a whole request to the end of its answer.
+    [[nodiscard]] bool isAnswering() const
+    {
+        return m_answering;
+    }
     /// True while no request is being read or answered.
     [[nodiscard]] bool isIdle() const;
     /// Closes the connection if reading a request or the pause before it has taken too long.
--- a/adapters/relay/callerserver.cpp
+++ b/adapters/relay/callerserver.cpp
@@ -2,6 +2,8 @@
 
 #include "adapters/plumbing/logging.h"
 
+#include <algorithm>
+
 namespace ibismast
 {
 
@@ -103,6 +105,14 @@
     });
 }
 
+std::size_t CallerServer::unsentAnswers() const
+{
+    const auto count = std::ranges::count_if(m_connections, [](const std::shared_ptr<CallerConnection> &connection) {
+        return connection->isOpen() && !connection->isAnswering() && connection->unsentBytes() > 0;
+    });
+    return static_cast<std::size_t>(count);
+}
+
 std::uint16_t CallerServer::port() const
 {
     ErrorCode ignored;
--- a/adapters/relay/callerserver.h
+++ b/adapters/relay/callerserver.h
@@ -27,6 +27,8 @@
     {
         return m_connections.size();
     }
+    /// Number of ended answers of which bytes still wait for their callers to read.
+    [[nodiscard]] std::size_t unsentAnswers() const;
     /// Port that is listened on; differs from the asked one if that was 0.
     [[nodiscard]] std::uint16_t port() const;
 
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -224,11 +224,12 @@
         m_callers.closeIdle();
     }
     // Connections are accepted to the end: where several instances stop at once, the balancer has no other.
-    const bool done = m_idleClosed && m_core.openCalls() == 0 && !m_releases.nextDue();
+    // Answers are kept until the kernel holds them whole, which delivers them behind the end of the process.
+    const bool done = m_idleClosed && m_core.openCalls() == 0 && m_core.unsentBytes() == 0 && !m_releases.nextDue();
     if (!done && elapsed < m_settings.stop.total) {
         return;
     }
-    const std::size_t cut = m_core.openCalls();
+    const std::size_t cut = m_core.openCalls() + m_callers.unsentAnswers();
     m_peers.close();
     const auto stopped = std::exchange(m_stopped, nullptr);
     stopped(cut);
--- a/adapters/relay/relaysettings.h
+++ b/adapters/relay/relaysettings.h
@@ -14,7 +14,7 @@
     /// Least time from the signal to the end: the balancer takes an instance out after two misses of its question,
     /// which comes once a second.
     Duration listen = std::chrono::milliseconds(2600);
-    /// Time from the signal to the end of the process; requests still open then are cut.
+    /// Time from the signal to the end of the process; requests and answers still open then are cut.
     Duration total = std::chrono::milliseconds(7600);
 };
 
