--- a/UnitTests/adapters/relay/relayprocesstest.cpp
+++ b/UnitTests/adapters/relay/relayprocesstest.cpp
@@ -1,205 +1,9 @@
-#include "adapters/relay/relayprocess.h"
-#include "UnitTests/adapters/relay/loopbackpeer.h"
-#include "platform/platformprotocol.h"
-
-#include <boost/asio/post.hpp>
-#include <catch2/catch.hpp>
-
-#include <set>
+#include "UnitTests/adapters/relay/relayprocessfixture.h"
 
 using namespace ibismast;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 
-namespace
-{
-
-const tcp::endpoint AnyPort(boost::asio::ip::address_v4::loopback(), 0);
-/// Limit by which a test recognises that the configuration is in force.
-constexpr std::uint64_t MaxBodyBytes = 1'000;
-
-/// Store with one configuration and three engines, all at one address.
-class FixedStore final : public ClusterStore
-{
-public:
-    FixedStore(boost::asio::io_context &loop, std::string address) : m_loop(&loop), m_address(std::move(address)) { }
-
-    void readUpstreams(Duration /*timeout*/, UpstreamsHandler handler) override
-    {
-        boost::asio::post(*m_loop, [this, handler = std::move(handler)] {
-            handler(StoredUpstreams {{{"e1", m_address, 1}, {"e2", m_address, 1}, {"e3", m_address, 1}}, 1});
-            listRead = true;
-        });
-    }
-    void readConfig(Duration /*timeout*/, ConfigHandler handler) override
-    {
-        boost::asio::post(*m_loop, [handler = std::move(handler)] {
-            handler(StoredConfig {StoredRecord {"c", "", 1}, 1});
-        });
-    }
-    void
-    awaitConfig(std::int64_t /*revision*/, Duration /*wait*/, Duration /*timeout*/, ConfigHandler /*handler*/) override
-    {
-        // Nothing changes during a test.
-    }
-
-    bool listRead = false;
-
-private:
-    boost::asio::io_context *m_loop;
-    std::string m_address;
-};
-
-/// Decodes records whose key is the engine's id and whose value is its address. An engine holds 100,000 tokens.
-class EngineDecoder final : public RecordDecoder
-{
-public:
-    Result<RelayConfig> decodeConfig(const StoredRecord & /*record*/) const override
-    {
-        RelayConfig config;
-        config.version = RelayConfigVersion(1);
-        config.limits.maxBodyBytes = MaxBodyBytes;
-        RelayRoute route;
-        route.host = "h";
-        route.pathPrefix = "/";
-        route.kind = CallKind::Stream;
-        route.shares = {{ServiceName("pool"), 1}};
-        route.isPublic = true;
-        config.routes.push_back(route);
-        EngineProfile engine;
-        engine.slots = 4;
-        engine.memory = Tokens(100'000);
-        config.services.emplace(ServiceName("pool"), RelayService {ServiceName("pool"), 64, engine});
-        return config;
-    }
-    Result<UpstreamRecord> decodeUpstream(const StoredRecord &record) const override
-    {
-        UpstreamRecord upstream;
-        upstream.id = InstanceId(record.key);
-        upstream.service = ServiceName("pool");
-        upstream.address = UpstreamAddress(record.value);
-        return upstream;
-    }
-};
-
-/// Engines that reserve memory at once and count reservations and releases.
-class CountingOrders final : public EngineOrders
-{
-public:
-    explicit CountingOrders(boost::asio::io_context &loop) : m_loop(&loop) { }
-
-    void reserve(const AttemptHelper &holder, Duration /*hold*/, GrantHandler handler) override
-    {
-        reserved.insert(holder.reservationId);
-        holders.insert(holder.upstream.id);
-        boost::asio::post(*m_loop, [handler = std::move(handler)] {
-            handler(true);
-        });
-    }
-    void inspect(const AttemptHelper & /*holder*/, StateHandler handler) override
-    {
-        handler(ReservationState::Used);
-    }
-    void release(const AttemptHelper &holder, ReleaseHandler handler) override
-    {
-        ++releaseOrders[holder.upstream.id];
-        const bool answered = lostReleases == 0;
-        if (answered) {
-            released.insert(holder.reservationId);
-        } else {
-            --lostReleases;
-        }
-        boost::asio::post(*m_loop, [handler = std::move(handler), answered] {
-            handler(answered);
-        });
-    }
-
-    /// Reports that the engine @p id asks for a pause.
-    void pause(const InstanceId &id, Duration time)
-    {
-        UpstreamRecord engine;
-        engine.id = id;
-        reportNotice(engine, {.pause = time});
-    }
-    /// Reports that the engine @p id has announced its leave.
-    void leave(const InstanceId &id)
-    {
-        UpstreamRecord engine;
-        engine.id = id;
-        engine.address = address;
-        reportNotice(engine, {.leaving = true});
-    }
-
-    /// Address of all engines.
-    UpstreamAddress address;
-    std::set<std::string> reserved;
-    /// Engines at which memory is reserved.
-    std::set<InstanceId> holders;
-    std::map<InstanceId, int> releaseOrders;
-    std::set<std::string> released;
-    /// Number of releases that are lost from now on.
-    int lostReleases = 0;
-
-private:
-    boost::asio::io_context *m_loop;
-};
-
-class ProcessFixture
-{
-protected:
-    ProcessFixture()
-    {
-        REQUIRE(errorOf(process.start()) == nullptr);
-        caller.socket.connect(callerAcceptor.local_endpoint());
-        connection = std::make_shared<CallerConnection>(callerAcceptor.accept(), process);
-        connection->start();
-        caller.read();
-        orders.address = UpstreamAddress("127.0.0.1:" + std::to_string(upstreamAcceptor.local_endpoint().port()));
-        acceptUpstream();
-    }
-    /// Accepts the next connection to the engines in place of the present one.
-    void acceptUpstream()
-    {
-        upstream.socket.close();
-        upstreamAcceptor.async_accept(upstream.socket, [this](const boost::system::error_code &error) {
-            if (!error) {
-                upstream.read();
-            }
-        });
-    }
-    static RelaySettings settings()
-    {
-        RelaySettings result;
-        result.core.self = InstanceId("self");
-        result.listen = AnyPort;
-        result.ready = AnyPort;
-        result.control = AnyPort;
-        result.peers = {AnyPort.address(), 0};
-        return result;
-    }
-    [[nodiscard]] bool await(const std::function<bool()> &condition)
-    {
-        return runUntil(loop, condition);
-    }
-
-    boost::asio::io_context loop {1};
-    tcp::acceptor upstreamAcceptor {loop, AnyPort};
-    tcp::acceptor callerAcceptor {loop, AnyPort};
-    LoopbackPeer upstream {loop};
-    LoopbackPeer caller {loop};
-    EventListener listener;
-    Metrics metrics;
-    PlatformProtocol protocol;
-    EngineDecoder decoder;
-    FixedStore store {loop, "127.0.0.1:" + std::to_string(upstreamAcceptor.local_endpoint().port())};
-    CountingOrders orders {loop};
-    RelayProcess process {
-        loop, settings(), {&protocol, &decoder, &store, &orders, "/ready"}, Incarnation(1), listener, metrics};
-    std::shared_ptr<CallerConnection> connection;
-};
-
-} // namespace
-
 // Guards against engine memory that stays reserved after a call: answered calls sent no release, and a lost release was
 // not sent again.
 TEST_CASE_METHOD(ProcessFixture, "reserved memory is released however a call ends", "[relay]")
@@ -388,3 +192,48 @@
     loop.restart();
     loop.run_for(50ms);
 }
+
+// Guards against a repeated answer without an id that reaches the next call of its connection (review case 2), and
+// against the answer to that call being lost with it. On a new connection there is nothing to repeat, so that nothing
+// else is waited for.
+TEST_CASE_METHOD(ProcessFixture, "an answer without an id reaches no caller", "[relay]")
+{
+    const bool keptConnection = GENERATE(true, false);
+    const std::string status = GENERATE(as<std::string>(), "500 Error", "404 Not Found", "503 Busy", "200 OK");
+    const std::string notice = GENERATE(as<std::string>(), "", "Ibismast-Not-Executed: 1\r\n");
+    CAPTURE(keptConnection, status, notice);
+    store.ids = {"e1"};
+    REQUIRE(await([this] {
+        return store.listRead && process.limits().maxBodyBytes == MaxBodyBytes;
+    }));
+    const auto sendCall = [this](const std::string &id) {
+        caller.received.clear();
+        caller.write("POST /a HTTP/1.1\r\nHost: h\r\nIbismast-Token-Counts: 1000,100\r\nContent-Length: 2\r\n"
+                     "Ibismast-Attempt-Id: "
+                     + id + "\r\n\r\n{}");
+        REQUIRE(await([this, &id] {
+            return upstream.received.find("Ibismast-Attempt-Id: " + id) != std::string::npos;
+        }));
+    };
+    const auto answerTo = [](const std::string &id) {
+        return "HTTP/1.1 200 OK\r\nIbismast-Attempt-Id: " + id
+            + "\r\nIbismast-Response-Seal: s\r\nContent-Type: text/event-stream\r\nContent-Length: 14\r\n\r\n"
+              "id:1\ndata:x\n\n\n";
+    };
+    if (keptConnection) {
+        sendCall("r1");
+        upstream.write(answerTo("r1"));
+        REQUIRE(await([this] {
+            return caller.received.find("data:x\n\n\n") != std::string::npos;
+        }));
+    }
+    sendCall("r2");
+    upstream.write("HTTP/1.1 " + status + "\r\nIbismast-Response-Seal: old\r\n" + notice
+                   + "Content-Length: 6\r\n\r\nfailed" + answerTo("r2"));
+    const std::string expected = keptConnection ? "data:x\n\n\n" : "HTTP/1.1 502";
+    CHECK(await([this, &expected] {
+        return caller.received.find(expected) != std::string::npos;
+    }));
+    CHECK(caller.received.find("old") == std::string::npos);
+    CHECK(caller.received.find("HTTP/1.1 ") == caller.received.rfind("HTTP/1.1 "));
+}
