Keep what clients hold within one account of memory

Unfinished bodies, unread answers and silent connections of callers were limited one by one, not together: 40 unfinished bodies of legal size took 170 MB, and connections above the maximum were dropped, so silent ones shut out ordinary callers.

ClientLimits counts connections, unfinished and open requests, incomplete responses and unsent bytes against half of [limits] memory_mb. When unfinished requests hold a quarter of that, large ones are read no further, but for one; then no further large ones begin; then the largest gives way, first at the address that holds most. A refused request has not been passed on, so its 503 or 408 says so rightly. Requests that have been received are not given up. Unread responses are cut, the largest first. A new connection takes the place of the least useful one, also where descriptors run out. At most 256 KiB are read behind a refused request. Pages of the process take no bodies beyond 4 KiB. The limit of response buffers is at most half of the account.

The test of hostile clients now passes memory_mb without asking for it; crowd and bounds are as before.

--- a/UnitTests/adapters/relay/hostileclientstest.cpp
+++ b/UnitTests/adapters/relay/hostileclientstest.cpp
@@ -2,10 +2,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <unistd.h>
-
-#include <cstdlib>
-
 using namespace ibismast;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
@@ -117,24 +113,8 @@
 const std::string LargeChunk = "4000\r\n" + std::string(16 * KiB, 'x') + "\r\n";
 const std::string ByteChunks = repeated("1\r\nx\r\n", 4'096);
 
-/// Returns the limits of the settings file for @p program. A program that does not know the memory limit refuses the
-/// key; it is started without, so that the crowd decides the outcome.
-std::string limitsFor(const std::string &program)
-{
-    const std::string descriptors = "[limits]\ndescriptors = " + std::to_string(Descriptors) + "\n";
-    const std::string memory = "memory_mb = " + std::to_string(MemoryMb) + "\n";
-    std::string settings = (std::filesystem::temp_directory_path() / "ibismast-check-XXXXXX").string();
-    const int file = mkstemp(settings.data());
-    const std::string text = "[instance]\nid = e\ndomain = z\n[http]\nlisten = 127.0.0.1:1\nready = 127.0.0.1:1\n"
-                             "[peers]\ncopy_listen = 127.0.0.1:1\nports = 1\n[store]\naddress = 127.0.0.1:1\n"
-        + descriptors + memory;
-    const bool written = write(file, text.data(), text.size()) == static_cast<ssize_t>(text.size());
-    close(file);
-    const std::string command = "'" + program + "' --settings '" + settings + "' --check > /dev/null 2>&1";
-    const bool known = written && std::system(command.c_str()) == 0;
-    std::filesystem::remove(settings);
-    return known ? descriptors + memory : descriptors;
-}
+const std::string Limits =
+    "[limits]\ndescriptors = " + std::to_string(Descriptors) + "\nmemory_mb = " + std::to_string(MemoryMb) + "\n";
 
 } // namespace
 
@@ -171,9 +151,8 @@
     }));
     CAPTURE(crowd.name);
     constexpr Duration Quiet = 1s;
-    const std::string program = IBISMAST_RELAY_PROGRAM;
     boost::asio::io_context loop(1);
-    EntryProgram entry(loop, program, limitsFor(program));
+    EntryProgram entry(loop, IBISMAST_RELAY_PROGRAM, Limits);
     REQUIRE(entry.awaitReady());
 
     std::size_t moved = 0;
@@ -212,9 +191,8 @@
 {
     const std::string request = GENERATE(withLength(MaxBodyBytes) + std::string(MaxBodyBytes, 'x'),
                                          post(Chunked) + repeated(LargeChunk, 256) + "0\r\n\r\n");
-    const std::string program = IBISMAST_RELAY_PROGRAM;
     boost::asio::io_context loop(1);
-    EntryProgram entry(loop, program, limitsFor(program));
+    EntryProgram entry(loop, IBISMAST_RELAY_PROGRAM, Limits);
     REQUIRE(entry.awaitReady());
     for (int repetition = 0; repetition < 3; ++repetition) {
         CHECK(entry.ask(entry.callers(), request, " bytes").find("read 4194304 bytes") != std::string::npos);
--- a/adapters/plumbing/httpmessage.cpp
+++ b/adapters/plumbing/httpmessage.cpp
@@ -126,6 +126,8 @@
     HttpMessageLimits limits;
     /// Bytes of an element that is not complete yet: a line of the head or of a chunk.
     std::string pending;
+    /// Bytes of the head so far.
+    std::size_t headBytes = 0;
     bool started = false;
 };
 
@@ -212,6 +214,7 @@
         // The library neither limits chunk extensions nor trailers, so the limit of the head holds for each step.
         const std::size_t size = std::min<std::size_t>(input.size() - used, m_private->limits.maxHeadBytes);
         std::size_t parsed = 0;
+        const bool inHead = !m_private->headDone();
         const std::optional<Error> error = runGuarded(
             [&](boost::beast::error_code &code) {
                 parsed = m_private->put(boost::asio::buffer(input.data() + used, size), code);
@@ -220,6 +223,7 @@
         if (error) {
             return *error;
         }
+        m_private->headBytes += inHead ? parsed : 0;
         used += parsed;
         if (parsed == 0 && size == m_private->limits.maxHeadBytes) {
             return m_private->headDone() ? longLine(m_private->limits)
@@ -270,6 +274,11 @@
     return m_private->head();
 }
 
+std::size_t HttpMessageParser::heldBytes() const
+{
+    return m_private->headBytes + m_private->pending.size() + m_private->body().size();
+}
+
 std::string HttpMessageParser::takeBody()
 {
     return std::exchange(m_private->body(), std::string());
--- a/adapters/plumbing/httpmessage.h
+++ b/adapters/plumbing/httpmessage.h
@@ -65,6 +65,8 @@
     [[nodiscard]] bool done() const;
     /// Returns the head; valid once `headDone`.
     [[nodiscard]] HttpHead head() const;
+    /// Bytes that the parser holds of a message that is not complete.
+    [[nodiscard]] std::size_t heldBytes() const;
     /// Returns the part of the body received since the last call. May be called before `done` to stream a response.
     [[nodiscard]] std::string takeBody();
 
--- a/adapters/relay/callerconnection.cpp
+++ b/adapters/relay/callerconnection.cpp
@@ -23,6 +23,10 @@
 /// A caller that acknowledges nothing for this long is gone.
 constexpr Duration CallerSilence = std::chrono::seconds(4);
 
+/// Bytes that are read and dropped behind a refused request, so that its caller can read the refusal: a connection that
+/// is closed with unread bytes is reset.
+constexpr std::size_t MaxDiscardedBytes = std::size_t {256} * 1024;
+
 constexpr int HeadTooLargeStatus = 431;
 
 } // namespace
@@ -32,8 +36,10 @@
 {
 }
 
-void CallerConnection::start()
+void CallerConnection::start(ConnectionOwner *owner, ClientNumber number)
 {
+    m_owner = owner;
+    m_number = number;
     prepareSocket(m_socket, CallerSilence);
     read();
 }
@@ -46,39 +52,70 @@
 
 void CallerConnection::read()
 {
+    if (m_owner != nullptr && !m_owner->mayRead(*this)) {
+        m_waiting = true;
+        return;
+    }
     const std::shared_ptr<CallerConnection> self = shared_from_this();
     m_socket.async_read_some(boost::asio::buffer(m_buffer), [self](const ErrorCode &error, std::size_t size) {
         if (!self->m_open) {
             return;
         }
         if (error) {
-            const bool waiting = self->m_answering;
-            self->close();
-            if (waiting) {
-                self->m_handler->callerGone(self);
-            }
+            self->closeAnswering();
             return;
         }
         self->received(std::string_view(self->m_buffer.data(), size));
+        self->reportState();
         if (self->m_open) {
             self->read();
         }
     });
 }
 
+void CallerConnection::resume()
+{
+    if (std::exchange(m_waiting, false) && m_open) {
+        read();
+    }
+}
+
+void CallerConnection::giveWay(const Error &error)
+{
+    if (!m_open) {
+        return;
+    }
+    if (state().phase == ClientPhase::Receiving) {
+        refuse(error);
+        resume();
+    } else {
+        closeAnswering();
+    }
+}
+
+void CallerConnection::closeAnswering()
+{
+    const bool waiting = m_answering;
+    close();
+    if (waiting) {
+        m_handler->callerGone(shared_from_this());
+    }
+}
+
 void CallerConnection::received(std::string_view bytes)
 {
     if (m_lastAnswer) {
+        m_discardedBytes += bytes.size();
+        if (m_discardedBytes > MaxDiscardedBytes) {
+            close();
+        }
         return;
     }
+    m_requestSeen = true;
     m_pending.append(bytes);
     if (m_answering || hasWaitingRequest()) {
         if (m_pending.size() > MaxPendingBytes) {
-            const bool waiting = m_answering;
-            close();
-            if (waiting) {
-                m_handler->callerGone(shared_from_this());
-            }
+            closeAnswering();
         }
         return;
     }
@@ -125,6 +162,7 @@
     std::string body = m_parser->takeBody();
     m_parser.reset();
     m_answering = true;
+    reportState();
     if (!m_request.keepAlive) {
         m_closing = true;
     }
@@ -137,8 +175,10 @@
     const int status = headTooLarge ? HeadTooLargeStatus : resultCodeInfo(error.code).httpStatus;
     m_answering = true;
     m_closing = true;
-    m_pending.clear();
+    m_parser.reset();
+    std::string().swap(m_pending);
     answer(HttpHeadBuilder::response(status).header("Content-Type", "text/plain"), error.message + "\n");
+    reportState();
 }
 
 void CallerConnection::answer(HttpHeadBuilder head, std::string_view body)
@@ -204,11 +244,7 @@
     }
     const std::size_t size = m_out.size() + bytes.size() + moreBytes.size();
     if (size > MaxUnsentBytes) {
-        const bool waiting = m_answering;
-        close();
-        if (waiting) {
-            m_handler->callerGone(shared_from_this());
-        }
+        closeAnswering();
         return;
     }
     if (size > KeptBufferBytes) {
@@ -216,16 +252,42 @@
     }
     m_out.append(bytes);
     m_out.append(moreBytes);
-    reportUnsent();
+    reportState();
     flush();
 }
 
-void CallerConnection::reportUnsent()
+ClientState CallerConnection::state() const
+{
+    ClientState state;
+    if (!m_open) {
+        state.phase = ClientPhase::Closing;
+        return state;
+    }
+    state.unsent = static_cast<std::int64_t>(unsentBytes());
+    if (m_lastAnswer) {
+        state.phase = ClientPhase::Closing;
+        return state;
+    }
+    state.unfinished = static_cast<std::int64_t>(m_pending.size() + (m_parser ? m_parser->heldBytes() : 0));
+    if (m_answering || state.unsent > 0) {
+        state.phase = ClientPhase::Answering;
+    } else if (state.unfinished > 0) {
+        state.phase = ClientPhase::Receiving;
+    } else {
+        state.phase = m_requestSeen ? ClientPhase::Idle : ClientPhase::Silent;
+    }
+    return state;
+}
+
+void CallerConnection::reportState()
 {
-    const std::size_t unsent = m_open ? unsentBytes() : 0;
-    const std::size_t reported = std::exchange(m_reportedUnsent, unsent);
-    if (unsent != reported) {
-        m_handler->unsentBytesChanged(static_cast<std::int64_t>(unsent) - static_cast<std::int64_t>(reported));
+    const ClientState now = state();
+    const ClientState before = std::exchange(m_reported, now);
+    if (now.unsent != before.unsent) {
+        m_handler->unsentBytesChanged(now.unsent - before.unsent);
+    }
+    if (m_owner != nullptr && m_open && now != before) {
+        m_owner->stateChanged(*this, now);
     }
 }
 
@@ -254,7 +316,7 @@
             if (!self->m_open) {
                 return;
             }
-            self->reportUnsent();
+            self->reportState();
             if (error) {
                 return;
             }
@@ -293,8 +355,14 @@
 
 void CallerConnection::close()
 {
+    if (!m_open) {
+        return;
+    }
     m_open = false;
-    reportUnsent();
+    reportState();
+    if (m_owner != nullptr) {
+        m_owner->connectionClosed(*this);
+    }
     ErrorCode ignored;
     m_socket.close(ignored);
 }
--- a/adapters/relay/callerconnection.h
+++ b/adapters/relay/callerconnection.h
@@ -3,6 +3,8 @@
 #include "adapters/relay/httpwriter.h"
 #include "adapters/relay/sockets.h"
 
+#include "ibismast/relay/clientlimits.h"
+
 #include <array>
 #include <memory>
 
@@ -29,14 +31,35 @@
     [[nodiscard]] virtual RelayLimits limits() const = 0;
 };
 
+/// Keeps the account of what the connections of a server hold.
+class ConnectionOwner
+{
+public:
+    virtual ~ConnectionOwner() = default;
+
+    /// What the connection holds has changed to @p state. Connections are told to give way after the current step.
+    virtual void stateChanged(const CallerConnection &connection, const ClientState &state) = 0;
+    virtual void connectionClosed(const CallerConnection &connection) = 0;
+    /// True if the connection is to be read now; otherwise it is resumed later.
+    [[nodiscard]] virtual bool mayRead(const CallerConnection &connection) = 0;
+};
+
 /// One HTTP/1.1 connection of a caller. Requests are answered one at a time, in their order.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
     CallerConnection(boost::asio::ip::tcp::socket socket, CallerHandler &handler);
 
-    /// Begins to read.
-    void start();
+    /// Begins to read. @p owner, if there is one, knows the connection as @p number.
+    void start(ConnectionOwner *owner = nullptr, ClientNumber number = ClientNumber());
+    [[nodiscard]] ClientNumber number() const
+    {
+        return m_number;
+    }
+    /// Reads on after `ConnectionOwner::mayRead` has returned false.
+    void resume();
+    /// Gives up what the connection holds: an unfinished request is refused with @p error, an answer under way is cut.
+    void giveWay(const Error &error);
     /// Head of the request that is being answered.
     [[nodiscard]] const HttpHead &request() const
     {
@@ -81,7 +104,10 @@
     /// True if a request has been read that waits until the answers before it have been sent.
     [[nodiscard]] bool hasWaitingRequest() const;
     void write(std::string_view bytes, std::string_view moreBytes = {});
-    void reportUnsent();
+    void reportState();
+    [[nodiscard]] ClientState state() const;
+    /// Closes the connection and tells the handler if it has an open request.
+    void closeAnswering();
     void flush();
     void announceClose(HttpHeadBuilder &head);
     void answerEnded();
@@ -96,9 +122,15 @@
     HttpHead m_request;
     std::string m_out;
     std::string m_writing;
-    /// Unsent bytes that the handler knows of.
-    std::size_t m_reportedUnsent = 0;
+    ConnectionOwner *m_owner = nullptr;
+    ClientNumber m_number;
+    /// State that the owner knows of; the handler knows its unsent bytes.
+    ClientState m_reported;
+    /// Bytes that were dropped behind the last request.
+    std::size_t m_discardedBytes = 0;
     bool m_open = true;
+    bool m_waiting = false;
+    bool m_requestSeen = false;
     bool m_answering = false;
     bool m_continueSent = false;
     /// The connection closes behind the present or next answer.
--- a/adapters/relay/pageserver.cpp
+++ b/adapters/relay/pageserver.cpp
@@ -8,11 +8,24 @@
 
 /// Connections of the balancer, of operators and of other entries at one time.
 constexpr std::size_t MaxPageConnections = 64;
+/// Bytes that they hold together; half of it for pages that are not read.
+constexpr std::int64_t MaxPageBytes = std::int64_t {32} << 20;
+/// Largest body of a request for a page.
+constexpr std::uint64_t MaxRequestBodyBytes = 4096;
 constexpr int NotFoundStatus = 404;
 
+ClientLimitsSettings pageLimits()
+{
+    ClientLimitsSettings limits;
+    limits.maxConnections = MaxPageConnections;
+    limits.maxBytes = MaxPageBytes;
+    limits.unsentShare = 0.5;
+    return limits;
+}
+
 } // namespace
 
-PageServer::PageServer(boost::asio::io_context &loop) : m_server(loop, *this, MaxPageConnections) { }
+PageServer::PageServer(boost::asio::io_context &loop) : m_server(loop, *this, pageLimits()) { }
 
 void PageServer::add(const std::string &path, PageSource source)
 {
@@ -47,7 +60,9 @@
 
 RelayLimits PageServer::limits() const
 {
-    return {};
+    RelayLimits limits;
+    limits.maxBodyBytes = MaxRequestBodyBytes;
+    return limits;
 }
 
 } // namespace ibismast
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -28,6 +28,8 @@
     std::shared_ptr<CallerConnection> caller;
     std::string requestId;
     std::string body;
+    /// Account of the body and of its copy in the connection to the upstream.
+    std::optional<HeldRequest> held;
     int attempt = 0;
     UpstreamRecord upstream;
     std::shared_ptr<UpstreamConnection> connection;
@@ -52,7 +54,7 @@
     , m_core(m_settings.core, incarnation.value(), listener)
     , m_watch(m_settings.watch, *platform.decoder, m_core, incarnation.value() + 1, listener)
     , m_pool(loop, m_settings.upstream, MaxIdlePerUpstream)
-    , m_callers(loop, *this, m_settings.maxConnections)
+    , m_callers(loop, *this, m_settings.clients)
     , m_readyPage(loop)
     , m_copyPage(loop)
     , m_metricsPage(loop)
@@ -82,6 +84,11 @@
     }
     auto &incoming = std::get<IncomingCall>(decoded);
     incoming.contentHash = requestContentHash(request.method, request.target, body);
+    const auto held = static_cast<std::int64_t>(2 * body.size());
+    if (!m_callers.limits().mayStart(held)) {
+        refuse(*connection, incoming.requestId, {ResultCode::QueueFull, "requests hold too much memory", std::nullopt});
+        return;
+    }
     RelayActions actions;
     const Result<CallNumber> admitted = m_core.submit(incoming, processNow(), actions);
     if (const Error *error = errorOf(admitted)) {
@@ -93,6 +100,7 @@
     exchange->caller = connection;
     exchange->requestId = incoming.requestId;
     exchange->body = std::move(body);
+    exchange->held.emplace(m_callers.limits(), held);
     m_exchanges.emplace(number, std::move(exchange));
     m_callOf.emplace(connection.get(), number);
     perform(actions);
@@ -276,6 +284,7 @@
 void RelayProcess::unsentBytesChanged(std::int64_t change)
 {
     m_core.unsentBytesChanged(change);
+    m_callers.limits().setBuffered(m_core.bufferedBytes());
 }
 
 void RelayProcess::perform(const RelayActions &actions)
--- a/adapters/relay/relaysettings.cpp
+++ b/adapters/relay/relaysettings.cpp
@@ -76,7 +76,14 @@
     settings.stop.total = fromSeconds(grace) - milliseconds(400);
     const auto descriptors = static_cast<std::size_t>(file.integer("limits", "descriptors", 4096, 300, 1'000'000));
     // Upstream connections are at most as many as callers' requests.
-    settings.maxConnections = (descriptors - DescriptorsForFiles) * 2 / 3;
+    settings.clients.maxConnections = (descriptors - DescriptorsForFiles) * 2 / 3;
+    const std::int64_t memory = file.integer("limits", "memory_mb", 512, 32, 1'000'000) << 20;
+    // The other half is for the program, the records of the fleet and what the allocator keeps.
+    settings.clients.maxBytes = memory / 2;
+    settings.clients.maxConnections =
+        std::min(settings.clients.maxConnections,
+                 static_cast<std::size_t>(settings.clients.maxBytes / 2 / settings.clients.connectionBytes));
+    settings.core.maxBufferedBytes = std::min(settings.core.maxBufferedBytes, settings.clients.maxBytes / 2);
     return settings;
 }
 
--- a/adapters/relay/relaysettings.h
+++ b/adapters/relay/relaysettings.h
@@ -3,6 +3,7 @@
 #include "adapters/plumbing/settingsfile.h"
 #include "adapters/relay/upstreamconnection.h"
 
+#include "ibismast/relay/clientlimits.h"
 #include "ibismast/relay/clusterwatch.h"
 
 namespace ibismast
@@ -38,7 +39,8 @@
     std::vector<std::string> seeds;
     /// Address of the platform's store.
     boost::asio::ip::tcp::endpoint store;
-    std::size_t maxConnections = 3000;
+    /// Limits on what callers hold.
+    ClientLimitsSettings clients;
 };
 
 /// Reads the settings of a relay process; faults are collected in @p file.
