Refuse request bodies whose end the head does not tell

The HTTP library takes a request with a Transfer-Encoding other than chunked for one without a body, so its body was run as the next request of the connection.

--- a/UnitTests/adapters/relay/callerconnectiontest.cpp
+++ b/UnitTests/adapters/relay/callerconnectiontest.cpp
@@ -136,6 +136,13 @@
         {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", " 400 "},
         {"GET / HTTP/1.1\r\nX: " + std::string(2'000, 'x') + "\r\n\r\n", " 431 "},
         {"POST / HTTP/1.1\r\nContent-Length: 3000\r\n\r\n", " 413 "},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n" + Get, " 400 "},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: identity\r\n\r\n" + Get, " 400 "},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + Get, " 400 "},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked, gzip\r\n\r\n" + Get, " 400 "},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding:\r\n\r\n" + Get, " 400 "},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n" + Get, " 400 "},
+        {"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + Get, " 400 "},
     }));
     caller.write(request);
     CHECK(awaitReceived(status));
--- a/adapters/plumbing/httpmessage.cpp
+++ b/adapters/plumbing/httpmessage.cpp
@@ -14,6 +14,9 @@
 namespace
 {
 
+/// Lowest version of HTTP whose messages may be chunked, as the library writes it.
+constexpr unsigned ChunkedVersion = 11;
+
 /// Body that grows with the bytes that arrive. The library's own text body reserves the length that a message claims,
 /// which may be larger than the memory of the process.
 struct GrowingBody
@@ -122,6 +125,8 @@
     [[nodiscard]] virtual bool done() const = 0;
     [[nodiscard]] virtual HttpHead head() const = 0;
     virtual std::string &body() = 0;
+    /// False if the head of a request does not say where its body ends.
+    [[nodiscard]] virtual bool framed() const = 0;
 
     HttpMessageLimits limits;
     /// Bytes of an element that is not complete yet: a line of the head or of a chunk.
@@ -175,6 +180,18 @@
         result.keepAlive = message.keep_alive();
         return result;
     }
+    [[nodiscard]] bool framed() const override
+    {
+        if constexpr (IsRequest) {
+            const auto &message = m_parser.get();
+            const auto count = message.count(http::field::transfer_encoding);
+            // The library takes a request with any other coding for one without a body.
+            return count == 0
+                || (count == 1 && message.version() >= ChunkedVersion
+                    && boost::beast::iequals(message[http::field::transfer_encoding], "chunked"));
+        }
+        return true;
+    }
     std::string &body() override
     {
         return m_parser.get().body();
@@ -223,6 +240,9 @@
         if (error) {
             return *error;
         }
+        if (inHead && m_private->headDone() && !m_private->framed()) {
+            return Error {ResultCode::MalformedRequest, "a request body needs a length or chunks", std::nullopt};
+        }
         m_private->headBytes += inHead ? parsed : 0;
         used += parsed;
         if (parsed == 0 && size == m_private->limits.maxHeadBytes) {
