--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -165,13 +165,34 @@
 
 void RelayProcess::everySecond(TimePoint now)
 {
+    m_callers.limits().setBuffered(m_core.bufferedBytes());
     m_callers.enforceTimes(now);
+    reportGivenWay();
     m_readyPage.enforceTimes(now);
     m_copyPage.enforceTimes(now);
     m_metricsPage.enforceTimes(now);
     m_pool.expire(now);
 }
 
+void RelayProcess::reportGivenWay()
+{
+    // One line a second and reason at most, whatever the number of clients.
+    for (const auto &[reason, count] : m_callers.givenWay()) {
+        std::uint64_t &reported = m_givenWayReported[reason];
+        if (count == reported) {
+            continue;
+        }
+        const ClientLimits &limits = m_callers.limits();
+        m_listener->onEvent("clients_gave_way",
+                            {{"reason", std::string(toString(reason))},
+                             {"count", std::to_string(count - reported)},
+                             {"connections", std::to_string(m_callers.connections())},
+                             {"held_bytes", std::to_string(limits.heldBytes())},
+                             {"unfinished_bytes", std::to_string(limits.unfinishedBytes())}});
+        reported = count;
+    }
+}
+
 std::string RelayProcess::metricsText()
 {
     m_metrics->set("ibismast_open_calls", {}, static_cast<double>(m_core.openCalls()));
@@ -182,6 +203,13 @@
     m_metrics->set("ibismast_paused_upstreams", {}, static_cast<double>(m_core.pausedUpstreams()));
     m_metrics->set("ibismast_buffered_bytes", {}, static_cast<double>(m_core.bufferedBytes()));
     m_metrics->set("ibismast_unsent_bytes", {}, static_cast<double>(m_core.unsentBytes()));
+    m_metrics->set("ibismast_held_bytes", {}, static_cast<double>(m_callers.limits().heldBytes()));
+    m_metrics->set("ibismast_unfinished_request_bytes", {}, static_cast<double>(m_callers.limits().unfinishedBytes()));
+    m_metrics->set("ibismast_open_request_bytes", {}, static_cast<double>(m_callers.limits().openRequestBytes()));
+    for (const auto &[reason, count] : m_callers.givenWay()) {
+        m_metrics->set(
+            "ibismast_clients_gave_way", {{"reason", std::string(toString(reason))}}, static_cast<double>(count));
+    }
     m_metrics->set("ibismast_undecodable_datagrams", {}, static_cast<double>(m_peers.undecodable()));
     return m_metrics->text();
 }
--- a/adapters/relay/relayprocess.h
+++ b/adapters/relay/relayprocess.h
@@ -87,6 +87,8 @@
     void tick();
     void armTimer();
     void everySecond(TimePoint now);
+    /// Logs how many clients have given way since the last call.
+    void reportGivenWay();
     [[nodiscard]] std::string metricsText();
     void checkStop(TimePoint now);
 
@@ -110,6 +112,8 @@
     TimePoint m_armed = TimePoint::max();
     std::map<CallNumber, std::unique_ptr<Exchange>> m_exchanges;
     std::map<const CallerConnection *, CallNumber> m_callOf;
+    /// Clients that have given way, as far as they have been logged.
+    std::map<GiveWayReason, std::uint64_t> m_givenWayReported;
     TimePoint m_nextGreeting = TimePoint::min();
     TimePoint m_nextHousekeeping = TimePoint::min();
     std::optional<TimePoint> m_stopBegun;
--- a/ibismast/relay/clientlimits.cpp
+++ b/ibismast/relay/clientlimits.cpp
@@ -17,6 +17,23 @@
 
 } // namespace
 
+std::string_view toString(GiveWayReason reason)
+{
+    switch (reason) {
+    case GiveWayReason::LargestRequest:
+        return "largest_request";
+    case GiveWayReason::NewRequest:
+        return "new_request";
+    case GiveWayReason::StalledRequest:
+        return "stalled_request";
+    case GiveWayReason::UnreadResponses:
+        return "unread_responses";
+    case GiveWayReason::Connections:
+        return "connections";
+    }
+    return "unknown";
+}
+
 ClientNumber ClientLimits::connected(const ClientAddress &address)
 {
     const ClientNumber number(++m_lastNumber);
--- a/ibismast/relay/clientlimits.h
+++ b/ibismast/relay/clientlimits.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace ibismast
@@ -81,6 +82,9 @@
     Connections,
 };
 
+/// Returns the name of @p reason in logs and metrics.
+[[nodiscard]] std::string_view toString(GiveWayReason reason);
+
 /// A client that gives way and the reason for it.
 struct GivenWay
 {
