--- a/adapters/relay/callerserver.cpp
+++ b/adapters/relay/callerserver.cpp
@@ -57,7 +57,7 @@
 
 void CallerServer::accept()
 {
-    m_acceptor.async_accept([this](const ErrorCode &error, boost::asio::ip::tcp::socket socket) {
+    m_acceptor.async_accept(m_peer, [this](const ErrorCode &error, boost::asio::ip::tcp::socket socket) {
         if (!m_acceptor.is_open()) {
             return;
         }
@@ -82,12 +82,7 @@
     if (m_limits.full() && !makePlace()) {
         return;
     }
-    ErrorCode gone;
-    const auto peer = socket.remote_endpoint(gone);
-    if (gone) {
-        return;
-    }
-    const ClientNumber number = m_limits.connected(ClientAddress(peer.address().to_string()));
+    const ClientNumber number = m_limits.connected(ClientAddress(m_peer.address().to_string()));
     auto connection = std::make_shared<CallerConnection>(std::move(socket), *m_handler);
     if (m_closing) {
         connection->closeAfterAnswer();
--- a/adapters/relay/callerserver.h
+++ b/adapters/relay/callerserver.h
@@ -61,6 +61,7 @@
     CallerHandler *m_handler;
     ClientLimits m_limits;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::endpoint m_peer;
     boost::asio::steady_timer m_pause;
     std::unordered_map<ClientNumber, std::shared_ptr<CallerConnection>> m_connections;
     std::map<GiveWayReason, std::uint64_t> m_givenWay;
