--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -1,7 +1,10 @@
 #include "adapters/relay/relayprocess.h"
 
+#include "adapters/plumbing/jsontext.h"
 #include "adapters/plumbing/processclock.h"
 
+#include <fmt/format.h>
+
 namespace ibismast
 {
 
@@ -64,6 +67,35 @@
     return config != nullptr ? config->limits : RelayLimits();
 }
 
+void RelayProcess::refuse(CallerConnection &connection, const std::string &requestId, const Error &error)
+{
+    const ResultCodeInfo &info = resultCodeInfo(error.code);
+    m_listener->onEvent(
+        "call_refused",
+        {{"request", requestId},
+         {"code", std::string(info.name)},
+         {"status", std::to_string(info.httpStatus)},
+         {"reason", error.message},
+         {"config_version",
+          m_core.config() != nullptr ? std::to_string(m_core.config()->version.value()) : std::string("none")}});
+    HttpHeadBuilder head = HttpHeadBuilder::response(info.httpStatus);
+    head.headers(m_platform.protocol->ownAnswerHeaders(requestId)).header("Content-Type", "application/json");
+    if (error.retryAfter) {
+        head.header("Retry-After", fmt::format("{:.2f}", toSeconds(*error.retryAfter)));
+    }
+    connection.answer(std::move(head),
+                      fmt::format(R"({{"code":{},"name":"{}","message":{}}})",
+                                  static_cast<int>(error.code),
+                                  info.name,
+                                  jsonString(error.message)));
+}
+
+void RelayProcess::unsentBytesChanged(std::int64_t change)
+{
+    m_core.unsentBytesChanged(change);
+    m_callers.limits().setBuffered(m_core.bufferedBytes());
+}
+
 void RelayProcess::carryOut(const WatchRequest &request)
 {
     std::visit(
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -1,10 +1,7 @@
 #include "adapters/relay/relayprocess.h"
 
-#include "adapters/plumbing/jsontext.h"
 #include "adapters/plumbing/processclock.h"
 
-#include <fmt/format.h>
-
 namespace ibismast
 {
 
@@ -122,29 +119,6 @@
     sendNews();
 }
 
-void RelayProcess::refuse(CallerConnection &connection, const std::string &requestId, const Error &error)
-{
-    const ResultCodeInfo &info = resultCodeInfo(error.code);
-    m_listener->onEvent(
-        "call_refused",
-        {{"request", requestId},
-         {"code", std::string(info.name)},
-         {"status", std::to_string(info.httpStatus)},
-         {"reason", error.message},
-         {"config_version",
-          m_core.config() != nullptr ? std::to_string(m_core.config()->version.value()) : std::string("none")}});
-    HttpHeadBuilder head = HttpHeadBuilder::response(info.httpStatus);
-    head.headers(m_platform.protocol->ownAnswerHeaders(requestId)).header("Content-Type", "application/json");
-    if (error.retryAfter) {
-        head.header("Retry-After", fmt::format("{:.2f}", toSeconds(*error.retryAfter)));
-    }
-    connection.answer(std::move(head),
-                      fmt::format(R"({{"code":{},"name":"{}","message":{}}})",
-                                  static_cast<int>(error.code),
-                                  info.name,
-                                  jsonString(error.message)));
-}
-
 void RelayProcess::closeExchange(CallNumber number)
 {
     const auto found = m_exchanges.find(number);
@@ -281,12 +255,6 @@
     }
 }
 
-void RelayProcess::unsentBytesChanged(std::int64_t change)
-{
-    m_core.unsentBytesChanged(change);
-    m_callers.limits().setBuffered(m_core.bufferedBytes());
-}
-
 void RelayProcess::perform(const RelayActions &actions)
 {
     for (const RelayAction &action : actions) {
