--- a/adapters/plumbing/httpmessage.cpp
+++ b/adapters/plumbing/httpmessage.cpp
@@ -14,6 +14,9 @@
 namespace
 {
 
+/// Lowest version of HTTP whose messages may be chunked, as the library writes it.
+constexpr unsigned ChunkedVersion = 11;
+
 /// Body that grows with the bytes that arrive. The library's own text body reserves the length that a message claims,
 /// which may be larger than the memory of the process.
 struct GrowingBody
@@ -122,10 +125,14 @@
     [[nodiscard]] virtual bool done() const = 0;
     [[nodiscard]] virtual HttpHead head() const = 0;
     virtual std::string &body() = 0;
+    /// False if the head of a request does not say where its body ends.
+    [[nodiscard]] virtual bool framed() const = 0;
 
     HttpMessageLimits limits;
     /// Bytes of an element that is not complete yet: a line of the head or of a chunk.
     std::string pending;
+    /// Bytes of the head so far.
+    std::size_t headBytes = 0;
     bool started = false;
 };
 
@@ -173,6 +180,18 @@
         result.keepAlive = message.keep_alive();
         return result;
     }
+    [[nodiscard]] bool framed() const override
+    {
+        if constexpr (IsRequest) {
+            const auto &message = m_parser.get();
+            const auto count = message.count(http::field::transfer_encoding);
+            // The library takes a request with any other coding for one without a body.
+            return count == 0
+                || (count == 1 && message.version() >= ChunkedVersion
+                    && boost::beast::iequals(message[http::field::transfer_encoding], "chunked"));
+        }
+        return true;
+    }
     std::string &body() override
     {
         return m_parser.get().body();
@@ -212,6 +231,7 @@
         // The library neither limits chunk extensions nor trailers, so the limit of the head holds for each step.
         const std::size_t size = std::min<std::size_t>(input.size() - used, m_private->limits.maxHeadBytes);
         std::size_t parsed = 0;
+        const bool inHead = !m_private->headDone();
         const std::optional<Error> error = runGuarded(
             [&](boost::beast::error_code &code) {
                 parsed = m_private->put(boost::asio::buffer(input.data() + used, size), code);
@@ -220,6 +240,10 @@
         if (error) {
             return *error;
         }
+        if (inHead && m_private->headDone() && !m_private->framed()) {
+            return Error {ResultCode::MalformedRequest, "a request body needs a length or chunks", std::nullopt};
+        }
+        m_private->headBytes += inHead ? parsed : 0;
         used += parsed;
         if (parsed == 0 && size == m_private->limits.maxHeadBytes) {
             return m_private->headDone() ? longLine(m_private->limits)
@@ -270,6 +294,11 @@
     return m_private->head();
 }
 
+std::size_t HttpMessageParser::heldBytes() const
+{
+    return m_private->headBytes + m_private->pending.size() + m_private->body().size();
+}
+
 std::string HttpMessageParser::takeBody()
 {
     return std::exchange(m_private->body(), std::string());
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -1,7 +1,10 @@
 #include "adapters/relay/relayprocess.h"
 
+#include "adapters/plumbing/jsontext.h"
 #include "adapters/plumbing/processclock.h"
 
+#include <fmt/format.h>
+
 namespace ibismast
 {
 
@@ -64,6 +67,35 @@
     return config != nullptr ? config->limits : RelayLimits();
 }
 
+void RelayProcess::refuse(CallerConnection &connection, const std::string &requestId, const Error &error)
+{
+    const ResultCodeInfo &info = resultCodeInfo(error.code);
+    m_listener->onEvent(
+        "call_refused",
+        {{"request", requestId},
+         {"code", std::string(info.name)},
+         {"status", std::to_string(info.httpStatus)},
+         {"reason", error.message},
+         {"config_version",
+          m_core.config() != nullptr ? std::to_string(m_core.config()->version.value()) : std::string("none")}});
+    HttpHeadBuilder head = HttpHeadBuilder::response(info.httpStatus);
+    head.headers(m_platform.protocol->ownAnswerHeaders(requestId)).header("Content-Type", "application/json");
+    if (error.retryAfter) {
+        head.header("Retry-After", fmt::format("{:.2f}", toSeconds(*error.retryAfter)));
+    }
+    connection.answer(std::move(head),
+                      fmt::format(R"({{"code":{},"name":"{}","message":{}}})",
+                                  static_cast<int>(error.code),
+                                  info.name,
+                                  jsonString(error.message)));
+}
+
+void RelayProcess::unsentBytesChanged(std::int64_t change)
+{
+    m_core.unsentBytesChanged(change);
+    m_callers.limits().setBuffered(m_core.bufferedBytes());
+}
+
 void RelayProcess::carryOut(const WatchRequest &request)
 {
     std::visit(
@@ -180,13 +212,34 @@
 
 void RelayProcess::everySecond(TimePoint now)
 {
+    m_callers.limits().setBuffered(m_core.bufferedBytes());
     m_callers.enforceTimes(now);
+    reportGivenWay();
     m_readyPage.enforceTimes(now);
     m_copyPage.enforceTimes(now);
     m_metricsPage.enforceTimes(now);
     m_pool.expire(now);
 }
 
+void RelayProcess::reportGivenWay()
+{
+    // One line a second and reason at most, whatever the number of clients.
+    for (const auto &[reason, count] : m_callers.givenWay()) {
+        std::uint64_t &reported = m_givenWayReported[reason];
+        if (count == reported) {
+            continue;
+        }
+        const ClientLimits &limits = m_callers.limits();
+        m_listener->onEvent("clients_gave_way",
+                            {{"reason", std::string(toString(reason))},
+                             {"count", std::to_string(count - reported)},
+                             {"connections", std::to_string(m_callers.connections())},
+                             {"held_bytes", std::to_string(limits.heldBytes())},
+                             {"unfinished_bytes", std::to_string(limits.unfinishedBytes())}});
+        reported = count;
+    }
+}
+
 std::string RelayProcess::metricsText()
 {
     m_metrics->set("ibismast_open_calls", {}, static_cast<double>(m_core.openCalls()));
@@ -207,6 +260,13 @@
     m_metrics->set("ibismast_waits_total", {{"outcome", "started"}}, static_cast<double>(waits.started));
     m_metrics->set("ibismast_waits_total", {{"outcome", "refused_at_once"}}, static_cast<double>(waits.refusedAtOnce));
     m_metrics->set("ibismast_waits_total", {{"outcome", "refused_later"}}, static_cast<double>(waits.refusedLater));
+    m_metrics->set("ibismast_held_bytes", {}, static_cast<double>(m_callers.limits().heldBytes()));
+    m_metrics->set("ibismast_unfinished_request_bytes", {}, static_cast<double>(m_callers.limits().unfinishedBytes()));
+    m_metrics->set("ibismast_open_request_bytes", {}, static_cast<double>(m_callers.limits().openRequestBytes()));
+    for (const auto &[reason, count] : m_callers.givenWay()) {
+        m_metrics->set(
+            "ibismast_clients_gave_way", {{"reason", std::string(toString(reason))}}, static_cast<double>(count));
+    }
     m_metrics->set("ibismast_undecodable_datagrams", {}, static_cast<double>(m_peers.undecodable()));
     return m_metrics->text();
 }
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -1,10 +1,7 @@
 #include "adapters/relay/relayprocess.h"
 
-#include "adapters/plumbing/jsontext.h"
 #include "adapters/plumbing/processclock.h"
 
-#include <fmt/format.h>
-
 namespace ibismast
 {
 
@@ -28,6 +25,8 @@
     std::shared_ptr<CallerConnection> caller;
     std::string requestId;
     std::string body;
+    /// Account of the body and of its copy in the connection to the upstream.
+    std::optional<HeldRequest> held;
     int attempt = 0;
     UpstreamRecord upstream;
     std::shared_ptr<UpstreamConnection> connection;
@@ -52,7 +51,7 @@
     , m_core(m_settings.core, incarnation.value(), listener)
     , m_watch(m_settings.watch, *platform.decoder, m_core, incarnation.value() + 1, listener)
     , m_pool(loop, m_settings.upstream, MaxIdlePerUpstream)
-    , m_callers(loop, *this, m_settings.maxConnections)
+    , m_callers(loop, *this, m_settings.clients)
     , m_readyPage(loop)
     , m_copyPage(loop)
     , m_metricsPage(loop)
@@ -83,6 +82,11 @@
     auto &incoming = std::get<IncomingCall>(decoded);
     incoming.contentHash = requestContentHash(request.method, request.target, body);
     incoming.bodyBytes = static_cast<std::int64_t>(body.size());
+    const auto held = static_cast<std::int64_t>(2 * body.size());
+    if (!m_callers.limits().mayStart(held)) {
+        refuse(*connection, incoming.requestId, {ResultCode::QueueFull, "requests hold too much memory", std::nullopt});
+        return;
+    }
     RelayActions actions;
     const Result<CallNumber> admitted = m_core.submit(incoming, processNow(), actions);
     if (const Error *error = errorOf(admitted)) {
@@ -94,6 +98,7 @@
     exchange->caller = connection;
     exchange->requestId = incoming.requestId;
     exchange->body = std::move(body);
+    exchange->held.emplace(m_callers.limits(), held);
     m_exchanges.emplace(number, std::move(exchange));
     m_callOf.emplace(connection.get(), number);
     perform(actions);
@@ -115,29 +120,6 @@
     sendNews();
 }
 
-void RelayProcess::refuse(CallerConnection &connection, const std::string &requestId, const Error &error)
-{
-    const ResultCodeInfo &info = resultCodeInfo(error.code);
-    m_listener->onEvent(
-        "call_refused",
-        {{"request", requestId},
-         {"code", std::string(info.name)},
-         {"status", std::to_string(info.httpStatus)},
-         {"reason", error.message},
-         {"config_version",
-          m_core.config() != nullptr ? std::to_string(m_core.config()->version.value()) : std::string("none")}});
-    HttpHeadBuilder head = HttpHeadBuilder::response(info.httpStatus);
-    head.headers(m_platform.protocol->ownAnswerHeaders(requestId)).header("Content-Type", "application/json");
-    if (error.retryAfter) {
-        head.header("Retry-After", fmt::format("{:.2f}", toSeconds(*error.retryAfter)));
-    }
-    connection.answer(std::move(head),
-                      fmt::format(R"({{"code":{},"name":"{}","message":{}}})",
-                                  static_cast<int>(error.code),
-                                  info.name,
-                                  jsonString(error.message)));
-}
-
 void RelayProcess::closeExchange(CallNumber number)
 {
     const auto found = m_exchanges.find(number);
@@ -274,11 +256,6 @@
     }
 }
 
-void RelayProcess::unsentBytesChanged(std::int64_t change)
-{
-    m_core.unsentBytesChanged(change);
-}
-
 void RelayProcess::perform(const RelayActions &actions)
 {
     for (const RelayAction &action : actions) {
