--- a/UnitTests/relay/callflowfixture.h
+++ b/UnitTests/relay/callflowfixture.h
@@ -108,7 +108,7 @@
         return progress;
     }
     void upstreamSucceeded(const InstanceId & /*upstream*/) override { }
-    void upstreamFailed(const InstanceId &upstream, TimePoint /*now*/) override
+    void upstreamFailed(const InstanceId &upstream, UpstreamFault /*fault*/, TimePoint /*now*/) override
     {
         failed.push_back(upstream.value());
     }
--- a/UnitTests/relay/callranktest.cpp
+++ b/UnitTests/relay/callranktest.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-// Guards against urgent calls that wait behind less urgent ones of the same age in a crest.
+// Guards against urgent calls that wait behind less urgent ones of the same age in a burst.
 TEST_CASE("of two calls that arrive together the more urgent one is due first", "[relay][rank]")
 {
     const auto [first, second] = GENERATE(table<RankedCall, RankedCall>({
@@ -33,9 +33,9 @@
     CHECK(ranker.dueTime(first) < ranker.dueTime(second));
 }
 
-// Guards against kinds, customers and sizes that are never served in a long crest of more urgent calls that takes all
+// Guards against kinds, customers and sizes that are never served in a long burst of more urgent calls that takes all
 // the room: every call gets room in a bounded time.
-TEST_CASE("no call starves behind a crest of urgent calls", "[relay][rank]")
+TEST_CASE("no call starves behind a burst of urgent calls", "[relay][rank]")
 {
     const RankedCall late = GENERATE(rankedCall(1, 300ms, 30ms),
                                      rankedCall(5, 300ms, 30ms),
--- a/UnitTests/relay/clientlimitstest.cpp
+++ b/UnitTests/relay/clientlimitstest.cpp
@@ -148,6 +148,45 @@
     CHECK(limits.mayStart(60 * KiB));
 }
 
+// Guards against clients that are cut though they hold next to nothing, since open requests fill the account.
+TEST_CASE_METHOD(LimitsFixture, "clients that hold little do not give way to open requests", "[relay]")
+{
+    const auto [unfinished, unsent, givesWay] = GENERATE(table<std::int64_t, std::int64_t, bool>({
+        {100, 0, false},
+        {0, 8 * KiB, false},
+        {64 * KiB, 0, false},
+        {65 * KiB, 0, true},
+        {0, 65 * KiB, true},
+    }));
+    limits.openRequestsChanged(24 * MiB);
+    connect("10.0.0.1", {unsent > 0 ? ClientPhase::Answering : ClientPhase::Receiving, unfinished, unsent});
+    collect();
+    CHECK(gaveWay.empty() != givesWay);
+    CHECK_FALSE(limits.mayStart(KiB));
+}
+
+// Guards against large requests that are not read because the one that was read first has been received.
+TEST_CASE_METHOD(LimitsFixture, "the next large request is read when the first one has been received", "[relay]")
+{
+    const std::int64_t left = GENERATE(std::int64_t {0}, std::int64_t {1}, 64 * KiB);
+    std::vector<ClientNumber> clients;
+    for (int index = 0; index < 6; ++index) {
+        clients.push_back(connect("10.0.0.1", {ClientPhase::Receiving, 3 * MiB / 2, 0}));
+    }
+    ClientNumber first;
+    for (const ClientNumber client : clients) {
+        if (limits.mayRead(client)) {
+            first = client;
+        }
+    }
+    limits.update(first, {ClientPhase::Answering, left, 0});
+    const std::vector<ClientNumber> resumed = limits.takeResumed();
+    CHECK(std::ranges::any_of(clients, [&](ClientNumber client) {
+        return client != first && limits.mayRead(client);
+    }));
+    CHECK_FALSE(std::ranges::count(resumed, first) > 0);
+}
+
 // Guards against connections without requests that keep ordinary callers out.
 TEST_CASE("the least useful connection gives its place to a new one", "[relay]")
 {
--- a/adapters/relay/callerconnection.cpp
+++ b/adapters/relay/callerconnection.cpp
@@ -23,10 +23,6 @@
 /// A caller that acknowledges nothing for this long is gone.
 constexpr Duration CallerSilence = std::chrono::seconds(4);
 
-/// Bytes that are read and dropped behind a refused request, so that its caller can read the refusal: a connection that
-/// is closed with unread bytes is reset.
-constexpr std::size_t MaxDiscardedBytes = std::size_t {256} * 1024;
-
 constexpr int HeadTooLargeStatus = 431;
 
 } // namespace
@@ -87,7 +83,6 @@
     }
     if (state().phase == ClientPhase::Receiving) {
         refuse(error);
-        resume();
     } else {
         closeAnswering();
     }
@@ -106,7 +101,8 @@
 {
     if (m_lastAnswer) {
         m_discardedBytes += bytes.size();
-        if (m_discardedBytes > MaxDiscardedBytes) {
+        // A caller that sends a whole body of legal size before it reads must still find the refusal.
+        if (m_discardedBytes > m_handler->limits().maxBodyBytes) {
             close();
         }
         return;
@@ -163,6 +159,7 @@
     m_parser.reset();
     m_answering = true;
     reportState();
+    resume();
     if (!m_request.keepAlive) {
         m_closing = true;
     }
@@ -178,6 +175,8 @@
     m_parser.reset();
     std::string().swap(m_pending);
     answer(HttpHeadBuilder::response(status).header("Content-Type", "text/plain"), error.message + "\n");
+    // What the caller still sends is dropped, so that a close with unread bytes does not destroy the answer.
+    resume();
     reportState();
 }
 
@@ -265,7 +264,7 @@
     }
     state.unsent = static_cast<std::int64_t>(unsentBytes());
     if (m_lastAnswer) {
-        state.phase = ClientPhase::Closing;
+        state.phase = state.unsent > 0 ? ClientPhase::Answering : ClientPhase::Closing;
         return state;
     }
     state.unfinished = static_cast<std::int64_t>(m_pending.size() + (m_parser ? m_parser->heldBytes() : 0));
@@ -301,6 +300,9 @@
             // Everything has been handed to the kernel, which delivers it behind the close.
             ErrorCode ignored;
             m_socket.shutdown(boost::asio::socket_base::shutdown_send, ignored);
+        }
+        if (!m_answering && !(m_parser && m_parser->started())) {
+            // The pause before the next request begins when the answer has been sent.
             m_phaseStart = processNow();
         }
         return;
--- a/adapters/relay/upstreamconnection.cpp
+++ b/adapters/relay/upstreamconnection.cpp
@@ -215,6 +215,10 @@
     m_reusable = m_reusable && !m_writing;
     m_hasAnswered = true;
     m_paused = false;
+    if (!m_writing) {
+        // An idle connection must not keep the body of its last request.
+        std::string().swap(m_request);
+    }
     const std::shared_ptr<const AnswerHandler> handler = std::exchange(m_handler, nullptr);
     if (!m_reusable) {
         close();
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -112,7 +112,8 @@
     const bool begun = m_current->succeeded();
     const bool hasEvents = m_current->hasEvents;
     if (failure != AttemptFailure::BuffersFull) {
-        m_environment->upstreamFailed(upstream, now);
+        const bool connection = failure == AttemptFailure::NotSent || failure == AttemptFailure::Broken;
+        m_environment->upstreamFailed(upstream, connection ? UpstreamFault::Connection : UpstreamFault::Response, now);
     }
     closeAttempt(now, actions);
     if (failure == AttemptFailure::NotSent) {
@@ -198,7 +199,7 @@
         return;
     }
     ++m_ranAttempts;
-    m_environment->upstreamFailed(m_current->plan.upstream.id, now);
+    m_environment->upstreamFailed(m_current->plan.upstream.id, UpstreamFault::Response, now);
     actions.emplace_back(AbortAttempt {attempt});
     closeAttempt(now, actions);
     retryOrEnd("upstream failed with " + std::to_string(head.status), ResultCode::UpstreamFailed, now, actions);
@@ -333,7 +334,7 @@
     if (status < FirstServerError) {
         m_environment->upstreamSucceeded(m_current->plan.upstream.id);
     } else {
-        m_environment->upstreamFailed(m_current->plan.upstream.id, now);
+        m_environment->upstreamFailed(m_current->plan.upstream.id, UpstreamFault::Response, now);
     }
     const std::string outcome = std::to_string(status);
     if (isStream() && m_current->succeeded()) {
@@ -399,6 +400,8 @@
     }
     if (m_waitingUntil && now < m_call.deadline) {
         if (m_waitsToBegin) {
+            // Upstreams that have declined the call are asked again after a pause only.
+            forgetDeclines();
             checkRoom(now, actions);
         } else {
             retryAfterWait(now, actions);
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -182,6 +182,14 @@
     UpstreamNotice notice {};
 };
 
+/// How an upstream failed.
+enum class UpstreamFault : std::uint8_t {
+    /// Its connection could not be opened or broke off, as when the upstream has crashed.
+    Connection,
+    /// It answers, but with failures, too late or without end.
+    Response,
+};
+
 /// Reason why an attempt ended without a complete response.
 enum class AttemptFailure : std::uint8_t {
     /// No byte of the call has been sent.
@@ -268,7 +276,7 @@
     /// A call to @p upstream was answered without a server error.
     virtual void upstreamSucceeded(const InstanceId &upstream) = 0;
     /// An attempt at @p upstream has failed or stalled.
-    virtual void upstreamFailed(const InstanceId &upstream, TimePoint now) = 0;
+    virtual void upstreamFailed(const InstanceId &upstream, UpstreamFault fault, TimePoint now) = 0;
     /// @p upstream has declined a call because it has no room.
     virtual void upstreamDeclined(const InstanceId &upstream, TimePoint now) = 0;
     /// A response of another upstream reports a failure of the upstream at @p address. Returns the id of that upstream,
--- a/ibismast/relay/callflowattempts.cpp
+++ b/ibismast/relay/callflowattempts.cpp
@@ -55,9 +55,9 @@
         }
         return;
     }
-    forgetDeclines();
     m_waitsToBegin = true;
-    m_waitingUntil = now + m_settings.waitRecheckInterval;
+    // All waiting calls are checked at the same times, so that they share the wake-ups of the process.
+    m_waitingUntil = now + m_settings.waitRecheckInterval - now.time_since_epoch() % m_settings.waitRecheckInterval;
 }
 
 void CallFlow::checkRoom(TimePoint now, CallActions &actions)
@@ -187,7 +187,7 @@
 
 void CallFlow::endIdleAttempt(TimePoint now, CallActions &actions)
 {
-    m_environment->upstreamFailed(m_current->plan.upstream.id, now);
+    m_environment->upstreamFailed(m_current->plan.upstream.id, UpstreamFault::Response, now);
     actions.emplace_back(AbortAttempt {m_attempt});
     closeAttempt(now, actions);
     ++m_ranAttempts;
@@ -197,7 +197,9 @@
 
 void CallFlow::failOverIfFaster(TimePoint now, CallActions &actions)
 {
-    std::optional<AttemptPlan> plan = planAttempt(now);
+    // The upstream has got the request, though no answer shows that it has begun.
+    m_call.begun = true;
+    std::optional<AttemptPlan> plan = m_environment->planAttempt(m_call, m_tried, now);
     const Duration silentTime = now - m_current->lastProgress;
     const bool better = plan && (m_headSent || !m_environment->checkPrompt(m_call, now))
         && toSeconds(plan->timeToFirstEvent) <= toSeconds(silentTime) * m_settings.failoverTimeRatio;
@@ -211,7 +213,7 @@
                          {"upstream", m_current->plan.upstream.id.value()},
                          {"silent_ms", inMs(silentTime)}});
     actions.emplace_back(AbortAttempt {m_attempt});
-    m_environment->upstreamFailed(m_current->plan.upstream.id, now);
+    m_environment->upstreamFailed(m_current->plan.upstream.id, UpstreamFault::Response, now);
     closeAttempt(now, actions);
     ++m_ranAttempts;
     m_mayHaveRun = true;
--- a/ibismast/relay/clientlimits.cpp
+++ b/ibismast/relay/clientlimits.cpp
@@ -78,9 +78,9 @@
     if (state.unfinished == 0) {
         entry.lastUnfinished = 0;
         setReading(entry, true);
-        if (m_favoured == client) {
-            m_favoured.reset();
-        }
+    }
+    if (m_favoured == client && !large(entry)) {
+        m_favoured.reset();
     }
     const bool becameLarge = large(entry) && former.unfinished <= m_settings.smallRequestBytes;
     if (becameLarge && unfinishedWithUnread() > shareOf(unfinishedLimit(), m_settings.refusalShare)) {
@@ -112,10 +112,9 @@
 
 bool ClientLimits::mayStart(std::int64_t bytes) const
 {
-    const std::int64_t limit = bytes > 2 * m_settings.smallRequestBytes
-        ? shareOf(m_settings.maxBytes, m_settings.startShare)
-        : m_settings.maxBytes;
-    return heldBytes() + bytes <= limit;
+    const bool small = bytes <= 2 * m_settings.smallRequestBytes;
+    return heldBytes() + bytes
+        <= shareOf(m_settings.maxBytes, small ? m_settings.smallStartShare : m_settings.startShare);
 }
 
 std::vector<ClientNumber> ClientLimits::takeResumed()
@@ -151,14 +150,19 @@
             return GivenWay {client, GiveWayReason::NewRequest};
         }
     }
+    // Open requests may fill the account too. Clients that hold little then free nothing by giving way.
     const bool over = heldBytes() > m_settings.maxBytes;
-    if (over || unfinishedWithUnread() > unfinishedLimit()) {
-        if (const std::optional<ClientNumber> client = largestUnfinished()) {
+    const bool requestsOver = unfinishedWithUnread() > unfinishedLimit();
+    if (over || requestsOver) {
+        const std::optional<ClientNumber> client = largestUnfinished();
+        if (client && (requestsOver || m_clients.at(*client).state.unfinished > m_settings.smallRequestBytes)) {
             return GivenWay {*client, GiveWayReason::LargestRequest};
         }
     }
-    if (over || m_unsent > shareOf(m_settings.maxBytes, m_settings.unsentShare)) {
-        if (const std::optional<ClientNumber> client = largestUnsent()) {
+    const bool responsesOver = m_unsent > shareOf(m_settings.maxBytes, m_settings.unsentShare);
+    if (over || responsesOver) {
+        const std::optional<ClientNumber> client = largestUnsent();
+        if (client && (responsesOver || m_clients.at(*client).state.unsent > m_settings.smallRequestBytes)) {
             return GivenWay {*client, GiveWayReason::UnreadResponses};
         }
     }
--- a/ibismast/relay/clientlimits.h
+++ b/ibismast/relay/clientlimits.h
@@ -54,8 +54,10 @@
     double unfinishedShare = 0.5;
     /// Share of `maxBytes` for responses that wait to be sent.
     double unsentShare = 0.375;
-    /// Share of `maxBytes` above which a finished request that is not small is refused.
+    /// Share of `maxBytes` above which a finished request that is not small is refused, and the same for small ones.
+    /// The rest is left for the connections and responses of the requests that have been taken.
     double startShare = 0.75;
+    double smallStartShare = 0.9;
     /// Share of the limit for unfinished requests above which large ones are read no further, but for one.
     double slowReadingShare = 0.5;
     /// The same for the start of further large requests.
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -316,7 +316,7 @@
     void upstreamProgressed(const InstanceId &upstream, TimePoint now) override;
     [[nodiscard]] TimePoint lastProgress(const InstanceId &upstream) const override;
     void upstreamSucceeded(const InstanceId &upstream) override;
-    void upstreamFailed(const InstanceId &upstream, TimePoint now) override;
+    void upstreamFailed(const InstanceId &upstream, UpstreamFault fault, TimePoint now) override;
     void upstreamDeclined(const InstanceId &upstream, TimePoint now) override;
     std::optional<InstanceId> upstreamFailedAt(const UpstreamAddress &address, TimePoint now) override;
 
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -72,7 +72,7 @@
             return plan;
         }
     }
-    if (!kept.empty() || candidates.leaving > 0) {
+    if ((!kept.empty() || candidates.leaving > 0) && !m_room.enteredAt(call.number)) {
         m_listener->onEvent("no_plan",
                             {{"request", call.requestId},
                              {"service", call.service.value()},
@@ -411,11 +411,13 @@
     m_directory.noteSuccess(upstream);
 }
 
-void RelayCore::upstreamFailed(const InstanceId &upstream, TimePoint now)
+void RelayCore::upstreamFailed(const InstanceId &upstream, UpstreamFault fault, TimePoint now)
 {
     m_directory.noteFailure(upstream, now);
     if (const UpstreamDirectory::Member *member = m_directory.find(upstream)) {
-        m_cold.noteFailure(*member, now);
+        if (fault == UpstreamFault::Connection) {
+            m_cold.noteFailure(*member, now);
+        }
         if (const UpstreamRunKey key = runKey(member->record); m_pace.noteFailure(key, now)) {
             announcePace(upstream, key, "failed", now);
         }
--- a/ibismast/relay/relaycorewaiting.cpp
+++ b/ibismast/relay/relaycorewaiting.cpp
@@ -29,7 +29,9 @@
 
 TimePoint RelayCore::abandonment(const RelayCall &call) const
 {
-    return std::min(call.deadline, call.arrived + callerSilence(call.route, m_settings.call));
+    const bool stream = call.route.kind == CallKind::Stream || call.route.kind == CallKind::ResumableStream;
+    // Callers of other kinds wait for the whole response.
+    return stream ? std::min(call.deadline, call.arrived + callerSilence(call.route, m_settings.call)) : call.deadline;
 }
 
 TimePoint RelayCore::latestStart(const RelayCall &call) const
@@ -45,11 +47,7 @@
 
 bool RelayCore::mayOvercommit(const RelayCall &call, TimePoint now) const
 {
-    if (!call.returning) {
-        return false;
-    }
-    // Engines without other work, which a prompt beyond the memory of one of them would wait for, are rare in a crest.
-    return now >= latestStart(call) || call.size.prompt > usableMemory(*service(call.service)->engine);
+    return call.returning && now >= latestStart(call);
 }
 
 Tokens RelayCore::usableMemory(const EngineProfile &profile) const
