Log how much of an answer arrived before it was given up

The log said "no answer in time" for a silent store and for a transfer that was cut while it arrived, so the hypotheses could not be told apart.

--- a/adapters/relay/httprequester.cpp
+++ b/adapters/relay/httprequester.cpp
@@ -57,7 +57,10 @@
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (!error && m_handler) {
             m_connection->close();
-            finish(Error {ResultCode::StoreUnavailable, "no answer in time", std::nullopt});
+            const std::size_t received = m_answer.body.size();
+            finish(Error {ResultCode::StoreUnavailable,
+                          "no answer in time, " + std::to_string(received) + " bytes of it received",
+                          std::nullopt});
         }
     });
     m_connection->send(std::move(request),
--- a/ibismast/relay/clusterwatch.cpp
+++ b/ibismast/relay/clusterwatch.cpp
@@ -264,6 +264,7 @@
                         {{"version", std::to_string(version.value())},
                          {"revision", std::to_string(record.revision.number)},
                          {"era", std::to_string(record.revision.era.value())},
+                         {"bytes", std::to_string(record.value.size())},
                          {"source", std::string(source)}});
     m_announcementDue = true;
     m_core->applyConfig(std::move(std::get<RelayConfig>(config)), now);
