Do not give up an answer that arrives steadily

A read had 500 ms for the whole answer.

TransferDeadline gives an answer its timeout, and more time as long as it arrives: at most 500 ms without a byte, and at least 64 KiB/s in the mean. HttpRequester uses it, so it holds for reads of the configuration and of the list, for copies between entries and for orders. Test "an answer may take longer than its timeout while it arrives" failed on the code before (the read had failed while its last piece was held back).

--- a/UnitTests/platform/platformstoretest.cpp
+++ b/UnitTests/platform/platformstoretest.cpp
@@ -1,6 +1,7 @@
 #include "platform/platformstore.h"
 
 #include "UnitTests/adapters/relay/loopbackpeer.h"
+#include "adapters/plumbing/processclock.h"
 
 #include <catch2/catch.hpp>
 
@@ -82,6 +83,42 @@
     CHECK(config->revision.era == StoreEra(second));
 }
 
+// Guards against a configuration that is never read because its transfer takes longer than the timeout of a read, at
+// each attempt (issue 51).
+TEST_CASE_METHOD(StoreFixture, "an answer may take longer than its timeout while it arrives", "[platform]")
+{
+    constexpr Duration Timeout = 20ms;
+    constexpr std::size_t PieceBytes = 32 * 1024;
+    const std::string value(std::size_t {1} << 20, 'A');
+    const std::string body = R"({"key":"op/config","value":")" + value + R"(","revision":4,"as_of":9})";
+    std::optional<Result<StoredConfig>> result;
+    store.readConfig(Timeout, [&result](Result<StoredConfig> read) {
+        result = std::move(read);
+    });
+    REQUIRE(runUntil(loop, [this] {
+        return peer.received.find("\r\n\r\n") != std::string::npos;
+    }));
+    peer.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+    const TimePoint start = processNow();
+    std::size_t sent = 0;
+    // The last piece is held back until the timeout has passed.
+    while (!result && (sent + PieceBytes < body.size() || processNow() - start < 2 * Timeout)) {
+        if (sent + PieceBytes < body.size()) {
+            peer.write(body.substr(sent, PieceBytes));
+            sent += PieceBytes;
+        }
+        loop.restart();
+        loop.run_one_for(1ms);
+    }
+    REQUIRE_FALSE(result);
+    peer.write(body.substr(sent));
+    REQUIRE(runUntil(loop, [&result] {
+        return result.has_value();
+    }));
+    REQUIRE(errorOf(*result) == nullptr);
+    CHECK(std::get<StoredConfig>(*result).record->value.size() == value.size() / 4 * 3);
+}
+
 // Guards against an answer of the store that ends the process by a trailer of 64 KiB (review case 1). `HttpRequester`
 // also reads the answers to orders and reports, and copies.
 TEST_CASE_METHOD(StoreFixture, "an answer that the library cannot hold is no answer", "[platform]")
--- a/adapters/relay/httprequester.cpp
+++ b/adapters/relay/httprequester.cpp
@@ -53,16 +53,8 @@
         }
         m_connection = std::make_shared<UpstreamConnection>(*m_loop, m_endpoint, m_connectionSettings);
     }
-    m_timer.expires_after(timeout);
-    m_timer.async_wait([this](const boost::system::error_code &error) {
-        if (!error && m_handler) {
-            m_connection->close();
-            const std::size_t received = m_answer.body.size();
-            finish(Error {ResultCode::StoreUnavailable,
-                          "no answer in time, " + std::to_string(received) + " bytes of it received",
-                          std::nullopt});
-        }
-    });
+    m_deadline.emplace(TransferSettings(), timeout, processNow());
+    awaitDeadline();
     m_connection->send(std::move(request),
                        {[this](const HttpHead &head) {
                             m_answer.status = head.status;
@@ -70,6 +62,7 @@
                             return true;
                         },
                         [this](std::string_view bytes) {
+                            m_deadline->received(bytes.size(), processNow());
                             m_answer.body.append(bytes);
                         },
                         [this] {
@@ -80,6 +73,24 @@
                         }});
 }
 
+void HttpRequester::awaitDeadline()
+{
+    m_timer.expires_after(m_deadline->due() - processNow());
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (error || !m_handler) {
+            return;
+        }
+        if (processNow() < m_deadline->due()) {
+            awaitDeadline();
+            return;
+        }
+        m_connection->close();
+        finish(Error {ResultCode::StoreUnavailable,
+                      "no answer in time, " + std::to_string(m_deadline->receivedBytes()) + " bytes of it received",
+                      std::nullopt});
+    });
+}
+
 void HttpRequester::finish(Result<HttpAnswer> result)
 {
     m_timer.cancel();
--- a/adapters/relay/httprequester.h
+++ b/adapters/relay/httprequester.h
@@ -3,6 +3,7 @@
 #include "adapters/relay/upstreamconnection.h"
 
 #include "ibismast/core/result.h"
+#include "ibismast/relay/transferdeadline.h"
 
 namespace ibismast
 {
@@ -29,8 +30,9 @@
     HttpRequester(const HttpRequester &) = delete;
     HttpRequester &operator=(const HttpRequester &) = delete;
 
-    /// Sends a GET. @p handler is called exactly once, within @p timeout, unless the object is destroyed before. A
-    /// request whose answer is late ends its connection, so that the answer cannot be taken for that of the next one.
+    /// Sends a GET. @p handler is called exactly once, unless the object is destroyed before. An answer may take longer
+    /// than @p timeout only while it arrives steadily (`TransferDeadline`). A request whose answer is given up ends its
+    /// connection, so that the answer cannot be taken for that of the next one.
     void get(const std::string &target, Duration timeout, Handler handler);
     /// Sends a POST of a JSON body; like `get` otherwise.
     void post(const std::string &target, const std::string &body, Duration timeout, Handler handler);
@@ -38,6 +40,8 @@
 private:
     void send(std::string request, Duration timeout, Handler handler);
     [[nodiscard]] std::string host() const;
+    /// Arms the timer for the time at which the answer is given up.
+    void awaitDeadline();
     void finish(Result<HttpAnswer> result);
 
     boost::asio::io_context *m_loop;
@@ -47,6 +51,7 @@
     std::shared_ptr<UpstreamConnection> m_connection;
     Handler m_handler;
     HttpAnswer m_answer;
+    std::optional<TransferDeadline> m_deadline;
 };
 
 } // namespace ibismast
