Copy the configuration only to entries that need it

An entry asks for it if the store does not answer it, or returns an older version than another entry had announced (a restored store), and takes it from a random one of those that have the newest, since all that need it would ask the same one. It neither reads nor copies two configurations at once.

The existing test of an entry that starts beside a restored store found the need for m_storeLacksConfig.

--- a/UnitTests/relay/clusterwatchfixture.h
+++ b/UnitTests/relay/clusterwatchfixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibismast/relay/clusterwatch.h"
+#include "ibismast/relay/transferdeadline.h"
 
 #include <algorithm>
 #include <memory>
@@ -57,7 +58,9 @@
                                                return "await" + std::to_string(await.revision) + " ";
                                            },
                                            [](const FetchRecordCopy &fetch) {
-                                               return "fetch:" + fetch.address + " ";
+                                               const auto &after = fetch.contents.configAfter;
+                                               return "fetch:" + fetch.address
+                                                   + (after ? ">" + std::to_string(after->value()) : "") + " ";
                                            }},
                                request);
         }
@@ -87,6 +90,14 @@
 class SharingFleet
 {
 public:
+    /// Links of the entries, which carry one transfer after the other, and sizes of what is transferred.
+    struct Links
+    {
+        double bytesPerSecond = 0.0;
+        std::size_t configBytes = 0;
+        std::size_t listBytes = 0;
+    };
+
     /// Creates @p size entries in @p domains failure domains, which the operators evacuate if @p evacuationTime is set.
     explicit SharingFleet(std::size_t size,
                           std::size_t domains = 1,
@@ -207,12 +218,20 @@
 
     /// Number of calls to the store.
     int storeCalls = 0;
+    /// Number of copies between entries that contained a configuration.
+    int copiedConfigs = 0;
+    /// Empty if transfers take no time.
+    std::optional<Links> links;
 
 private:
     struct PendingAnswer
     {
         TimePoint due;
         WatchRequest request;
+        /// True if the answer is on the link.
+        bool arriving = false;
+        /// True if the entry gives the answer up before it has arrived.
+        bool late = false;
     };
     struct Entry
     {
@@ -240,10 +259,10 @@
                 return;
             }
             for (std::size_t index = 0; index < answers.size();) {
-                if (fleet.isDue(answers[index])) {
+                if (fleet.isDue(answers[index]) && !fleet.beginTransfer(*this, answers[index])) {
                     const PendingAnswer answer = answers[index];
                     answers.erase(answers.begin() + static_cast<std::ptrdiff_t>(index));
-                    fleet.deliver(*this, answer.request);
+                    fleet.deliver(*this, answer);
                 } else {
                     ++index;
                 }
@@ -255,7 +274,7 @@
             for (const WatchRequest &request : requests) {
                 fleet.storeCalls += std::holds_alternative<FetchRecordCopy>(request) ? 0 : 1;
                 const Duration time = disconnected ? fleet.timeoutOf(request) : fleet.answerTimeOf(request);
-                answers.push_back({now + (refused ? Duration(5ms) : time), request});
+                answers.push_back({now + (refused ? Duration(5ms) : time), request, false, false});
             }
             const bool evacuationsChanged = watch.takeEvacuationAnnouncementDue();
             if (watch.takeAnnouncementDue() || evacuationsChanged || now >= nextAnnouncement) {
@@ -281,6 +300,8 @@
         RelayCore core;
         ClusterWatch watch;
         std::vector<PendingAnswer> answers;
+        /// Time at which the last transfer over the entry's link ends.
+        TimePoint linkFree = TimePoint::min();
     };
 
     static Duration timeoutOf(const WatchRequest &request)
@@ -300,48 +321,103 @@
     {
         const auto *await = std::get_if<AwaitConfig>(&answer.request);
         return m_now >= answer.due
-            || (await != nullptr
+            || (!answer.arriving && await != nullptr
                 && ((m_operatorRevision > await->revision && !m_deaf) || m_revision < await->revision
                     || await->revision < m_oldestRevision));
     }
-    void deliver(Entry &entry, const WatchRequest &request)
+    [[nodiscard]] Entry *find(const std::string &address)
+    {
+        const auto found = std::ranges::find(m_entries, address, [](const auto &entry) {
+            return entry->name;
+        });
+        return found == m_entries.end() ? nullptr : found->get();
+    }
+    /// Returns the size of the answer to @p request as the store and the entries are now.
+    [[nodiscard]] std::size_t bytesOf(const Entry &entry, const WatchRequest &request)
+    {
+        const bool refused = entry.disconnected || entry.refused;
+        return std::visit(Overloaded {[&](const ReadUpstreams & /*read*/) {
+                                          return refused ? 0 : links->listBytes;
+                                      },
+                                      [&](const ReadConfig & /*read*/) {
+                                          return refused ? 0 : links->configBytes;
+                                      },
+                                      [&](const AwaitConfig &await) {
+                                          return refused || m_configRevision <= await.revision ? 0 : links->configBytes;
+                                      },
+                                      [&](const FetchRecordCopy &fetch) {
+                                          const Entry *source = find(fetch.address);
+                                          const bool config =
+                                              source != nullptr && source->watch.copy(fetch.contents, m_now).config;
+                                          return links->listBytes + (config ? links->configBytes : 0);
+                                      }},
+                          request);
+    }
+    /// Puts a due answer on the links that it needs. Returns false if it has arrived already.
+    bool beginTransfer(Entry &entry, PendingAnswer &answer)
     {
+        const std::size_t bytes = links && !answer.arriving ? bytesOf(entry, answer.request) : 0;
+        if (bytes == 0) {
+            return false;
+        }
+        const auto *fetch = std::get_if<FetchRecordCopy>(&answer.request);
+        Entry *source = fetch != nullptr ? find(fetch->address) : nullptr;
+        TimePoint start = std::max(m_now, entry.linkFree);
+        start = source != nullptr ? std::max(start, source->linkFree) : start;
+        const TimePoint arrival = start + fromSeconds(static_cast<double>(bytes) / links->bytesPerSecond);
+        TransferDeadline deadline(TransferSettings(), timeoutOf(answer.request), m_now);
+        if (start < deadline.due()) {
+            // Bytes arrive steadily from then on.
+            deadline.received(bytes, arrival);
+        }
+        answer.arriving = true;
+        answer.late = arrival > deadline.due();
+        answer.due = std::min(arrival, deadline.due());
+        entry.linkFree = answer.due;
+        if (source != nullptr) {
+            source->linkFree = answer.due;
+        }
+        return true;
+    }
+    void deliver(Entry &entry, const PendingAnswer &answer)
+    {
+        const WatchRequest &request = answer.request;
         const Error failure {ResultCode::StoreUnavailable, "no answer", std::nullopt};
-        const bool fails = entry.disconnected || entry.refused;
+        const bool fails = entry.disconnected || entry.refused || answer.late;
         const StoredConfig config {
             StoredRecord {"c", std::to_string(m_config), {m_configRevision, m_era}}, {m_revision, m_era}, m_evacuated};
-        std::visit(Overloaded {[&](const ReadUpstreams & /*read*/) {
-                                   entry.watch.upstreamsRead(fails ? Result<StoredUpstreams>(failure)
-                                                                   : StoredUpstreams {m_upstreams, {m_revision, m_era}},
-                                                             m_now);
-                               },
-                               [&](const ReadConfig & /*read*/) {
-                                   entry.watch.configRead(fails ? Result<StoredConfig>(failure) : config, m_now);
-                               },
-                               [&](const AwaitConfig &await) {
-                                   const bool compacted =
-                                       m_revision < await.revision || await.revision < m_oldestRevision;
-                                   StoredConfig answer {std::nullopt, config.revision};
-                                   if (m_configRevision > await.revision && !m_deaf) {
-                                       answer.record = config.record;
-                                   }
-                                   if (m_operatorRevision > await.revision && !m_deaf) {
-                                       answer.evacuationChanges[FailureDomain("z")] = !m_evacuated.empty();
-                                   }
-                                   if (m_deaf) {
-                                       answer.revision.number = await.revision;
-                                   }
-                                   entry.watch.configAwaited(
-                                       fails || compacted ? Result<StoredConfig>(failure) : answer, m_now);
-                               },
-                               [&](const FetchRecordCopy &fetch) {
-                                   for (const auto &other : m_entries) {
-                                       if (other->name == fetch.address) {
-                                           entry.watch.copyReceived(other->watch.copy(m_now), m_now);
-                                       }
-                                   }
-                               }},
-                   request);
+        std::visit(
+            Overloaded {[&](const ReadUpstreams & /*read*/) {
+                            entry.watch.upstreamsRead(fails ? Result<StoredUpstreams>(failure)
+                                                            : StoredUpstreams {m_upstreams, {m_revision, m_era}},
+                                                      m_now);
+                        },
+                        [&](const ReadConfig & /*read*/) {
+                            entry.watch.configRead(fails ? Result<StoredConfig>(failure) : config, m_now);
+                        },
+                        [&](const AwaitConfig &await) {
+                            const bool compacted = m_revision < await.revision || await.revision < m_oldestRevision;
+                            StoredConfig answer {std::nullopt, config.revision};
+                            if (m_configRevision > await.revision && !m_deaf) {
+                                answer.record = config.record;
+                            }
+                            if (m_operatorRevision > await.revision && !m_deaf) {
+                                answer.evacuationChanges[FailureDomain("z")] = !m_evacuated.empty();
+                            }
+                            if (m_deaf) {
+                                answer.revision.number = await.revision;
+                            }
+                            entry.watch.configAwaited(fails || compacted ? Result<StoredConfig>(failure) : answer,
+                                                      m_now);
+                        },
+                        [&](const FetchRecordCopy &fetch) {
+                            if (const Entry *source = find(fetch.address)) {
+                                const RecordCopy copy = source->watch.copy(fetch.contents, m_now);
+                                copiedConfigs += copy.config ? 1 : 0;
+                                entry.watch.copyReceived(answer.late ? Result<RecordCopy>(failure) : copy, m_now);
+                            }
+                        }},
+            request);
     }
 
     TimePoint m_now {1'000s};
--- a/UnitTests/relay/clusterwatchtest.cpp
+++ b/UnitTests/relay/clusterwatchtest.cpp
@@ -53,8 +53,9 @@
     }
     CHECK(version() == row.expected);
     // An entry hands out the configuration that it has in force.
-    REQUIRE(watch.copy(now).config);
-    CHECK(watch.copy(now).config->value == std::to_string(row.expected));
+    const RecordCopy copy = watch.copy({RelayConfigVersion()}, now);
+    REQUIRE(copy.config);
+    CHECK(copy.config->value == std::to_string(row.expected));
     watch.configAwaited(StoredConfig {StoredRecord {"c", "9", {6, StoreEra(2)}}, {6, StoreEra(2)}}, now);
     CHECK(version() == 9);
 }
@@ -115,7 +116,7 @@
     SECTION("outdated configuration")
     {
         watch.noteEntry(InstanceId("p"), peer(8), now);
-        CHECK(due() == "fetch:peer ");
+        CHECK(due() == "fetch:peer>7 ");
         watch.copyReceived(RecordCopy {StoredRecord {"c", "8", 6}, {}, 0ms}, now);
         CHECK(version() == 8);
     }
@@ -136,7 +137,7 @@
 TEST_CASE_METHOD(WatchFixture, "a configuration is fetched only from an entry with a newer one", "[relay]")
 {
     const auto [theirs, expected] =
-        GENERATE(table<std::int64_t, std::string>({{0, ""}, {6, ""}, {7, ""}, {8, "fetch:peer "}}));
+        GENERATE(table<std::int64_t, std::string>({{0, ""}, {6, ""}, {7, ""}, {8, "fetch:peer>7 "}}));
     (void)due();
     watch.upstreamsRead(StoredUpstreams {{{"a", "1:1", 5}}, 5}, now);
     watch.configRead(StoredConfig {StoredRecord {"c", "7", 4}, 5}, now);
--- a/UnitTests/relay/evacuationspreadtest.cpp
+++ b/UnitTests/relay/evacuationspreadtest.cpp
@@ -118,7 +118,7 @@
     tell("news", {{y}, {13}});
     CHECK_FALSE(watch.takeEvacuationAnnouncementDue());
     CHECK(watch.knowledge(now).evacuations == EvacuatedDomains {{y}, {13}});
-    CHECK(watch.copy(now).evacuations == EvacuatedDomains {{y}, {13}});
+    CHECK(watch.copy({}, now).evacuations == EvacuatedDomains {{y}, {13}});
 }
 
 // Guards against changes of a restored store that are applied to what was read of the former one.
--- a/UnitTests/relay/sharedreadstest.cpp
+++ b/UnitTests/relay/sharedreadstest.cpp
@@ -193,3 +193,52 @@
         return core.config()->version == RelayConfigVersion(3);
     }) <= 2s);
 }
+
+// Guards against a large configuration that some entries never get, because its transfer takes longer than the timeout
+// of a read, from the store as well as from other entries (issue 51).
+TEST_CASE("a large configuration reaches all entries over narrow links", "[relay]")
+{
+    const std::size_t entries = GENERATE(9, 35);
+    // 14 Mbit/s, and the part of it that callers leave on a busy day.
+    const double bytesPerSecond = GENERATE(1.75e6, 1.0e6);
+    const auto [firstRefused, lastRefused] =
+        GENERATE_COPY(table<std::size_t, std::size_t>({{1, 0}, {0, entries / 3}, {entries / 2, entries - 1}}));
+    // Entries that the store refuses have more time to apply a configuration.
+    const Duration bound = firstRefused > lastRefused ? 3s : 9s;
+    SharingFleet fleet(entries, 3);
+    fleet.store(false, 1);
+    fleet.run(5s);
+    fleet.links = SharingFleet::Links {bytesPerSecond, 745'000, 40'000};
+    fleet.refuse(firstRefused, lastRefused);
+    for (std::int64_t version = 2; version <= 4; ++version) {
+        fleet.store(false, version);
+        CAPTURE(entries, bytesPerSecond, firstRefused, lastRefused, version);
+        CHECK(fleet.runUntilAll([version](const RelayCore &core) {
+            return core.config()->version.value() == version;
+        }) <= bound);
+        fleet.run(4s);
+    }
+}
+
+// Guards against links that are full of copies of a configuration that their receivers have (issue 51): most copies are
+// made for the list of upstreams.
+TEST_CASE("a copy contains the configuration only for entries that cannot read it", "[relay]")
+{
+    const auto [entries, refused] = GENERATE(table<std::size_t, std::size_t>({{9, 0}, {9, 3}, {35, 0}, {35, 12}}));
+    SharingFleet fleet(entries, 3);
+    fleet.store(false, 1);
+    fleet.run(5s);
+    if (refused > 0) {
+        fleet.refuse(0, refused - 1);
+    }
+    fleet.copiedConfigs = 0;
+    fleet.run(10s);
+    CHECK(fleet.copiedConfigs == 0);
+    fleet.store(false, 2);
+    fleet.run(10s);
+    CAPTURE(entries, refused);
+    CHECK(fleet.all([](const RelayCore &core) {
+        return core.config()->version.value() == 2;
+    }));
+    CHECK(fleet.copiedConfigs <= static_cast<int>(refused));
+}
--- a/adapters/relay/pageserver.cpp
+++ b/adapters/relay/pageserver.cpp
@@ -45,13 +45,16 @@
 void PageServer::requestReceived(const std::shared_ptr<CallerConnection> &connection, std::string /*body*/)
 {
     const std::string &target = connection->request().target;
-    const auto page = m_pages.find(target.substr(0, target.find('?')));
+    const std::size_t pathEnd = target.find('?');
+    const auto page = m_pages.find(target.substr(0, pathEnd));
     if (page == m_pages.end()) {
         connection->answer(HttpHeadBuilder::response(NotFoundStatus).header("Content-Type", "text/plain"),
                            "no such page\n");
         return;
     }
-    const Page content = page->second();
+    const std::string_view query =
+        pathEnd == std::string::npos ? std::string_view() : std::string_view(target).substr(pathEnd + 1);
+    const Page content = page->second(query);
     connection->answer(HttpHeadBuilder::response(content.status).header("Content-Type", content.contentType),
                        content.body);
 }
--- a/adapters/relay/pageserver.h
+++ b/adapters/relay/pageserver.h
@@ -17,7 +17,8 @@
 class PageServer final : public CallerHandler
 {
 public:
-    using PageSource = std::function<Page()>;
+    /// Gets the query of the request, without its question mark.
+    using PageSource = std::function<Page(std::string_view query)>;
 
     explicit PageServer(boost::asio::io_context &loop);
 
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/plumbing/jsontext.h"
 #include "adapters/plumbing/processclock.h"
+#include "adapters/relay/copyquery.h"
 
 #include <fmt/format.h>
 
@@ -31,14 +32,15 @@
 
 Result<Success> RelayProcess::start()
 {
-    m_readyPage.add(m_platform.readyPath, [this] {
+    m_readyPage.add(m_platform.readyPath, [this](std::string_view /*query*/) {
         const bool ready = m_core.ready() && !m_stopBegun;
         return Page {ready ? OkStatus : UnavailableStatus, "text/plain", ready ? "ready\n" : "not ready\n"};
     });
-    m_copyPage.add(CopyPath, [this] {
-        return Page {OkStatus, "application/octet-stream", encodeRecordCopy(m_watch.copy(processNow()))};
+    m_copyPage.add(CopyPath, [this](std::string_view query) {
+        const RecordCopy copy = m_watch.copy(decodeCopyQuery(query), processNow());
+        return Page {OkStatus, "application/octet-stream", encodeRecordCopy(copy)};
     });
-    m_metricsPage.add(MetricsPath, [this] {
+    m_metricsPage.add(MetricsPath, [this](std::string_view /*query*/) {
         return Page {OkStatus, "text/plain; version=0.0.4", metricsText()};
     });
     std::vector<Result<Success>> results;
@@ -134,7 +136,8 @@
         return;
     }
     m_copyRequester = std::make_unique<HttpRequester>(*m_loop, *endpoint, MaxCopyBytes);
-    m_copyRequester->get(CopyPath, ask.timeout, [this](const Result<HttpAnswer> &result) {
+    const std::string target = std::string(CopyPath) + "?" + encodeCopyQuery(ask.contents);
+    m_copyRequester->get(target, ask.timeout, [this](const Result<HttpAnswer> &result) {
         if (const Error *error = errorOf(result)) {
             m_watch.copyReceived(*error, processNow());
         } else {
--- a/ibismast/relay/clusterwatch.cpp
+++ b/ibismast/relay/clusterwatch.cpp
@@ -55,15 +55,18 @@
             // If the copy does not arrive, the store is read after all.
             m_nextList = now + m_settings.readTimeout;
             m_copyRequestPending = true;
-            requests.emplace_back(FetchRecordCopy {*source, m_settings.readTimeout});
+            requests.emplace_back(FetchRecordCopy {*source, m_settings.readTimeout, {}});
         } else {
             m_listPending = true;
             requests.emplace_back(ReadUpstreams {m_settings.readTimeout});
         }
     }
-    if (!m_configPending && now >= m_nextConfig && (m_configReadNeeded || !othersAwaitConfig(now))) {
+    // Two transfers of a large configuration at once would each take twice as long.
+    if (!m_configPending && !m_configCopyPending && now >= m_nextConfig
+        && (m_configReadNeeded || !othersAwaitConfig(now))) {
         m_configPending = true;
         if (m_configReadNeeded) {
+            m_announcedBeforeRead = newestVersion();
             requests.emplace_back(ReadConfig {m_settings.readTimeout});
         } else {
             requests.emplace_back(AwaitConfig {
@@ -71,10 +74,11 @@
         }
     }
     if (!m_copyRequestPending && now >= m_nextCopyRequest) {
-        if (const std::optional<std::string> entry = nextCopySource(now)) {
+        if (std::optional<FetchRecordCopy> copy = nextCopy(now)) {
             m_copyRequestPending = true;
+            m_configCopyPending = copy->contents.configAfter.has_value();
             m_nextCopyRequest = now + m_settings.copyRequestInterval;
-            requests.emplace_back(FetchRecordCopy {*entry, m_settings.readTimeout});
+            requests.emplace_back(*std::move(copy));
         }
     }
 }
@@ -173,6 +177,7 @@
     if (stored.record) {
         applyConfig(*stored.record, "store", now);
     }
+    m_storeLacksConfig = configVersion() < m_announcedBeforeRead;
 }
 
 void ClusterWatch::configAwaited(const Result<StoredConfig> &result, TimePoint now)
@@ -206,6 +211,7 @@
 void ClusterWatch::copyReceived(const Result<RecordCopy> &result, TimePoint now)
 {
     m_copyRequestPending = false;
+    m_configCopyPending = false;
     if (const Error *error = errorOf(result)) {
         m_listener->onEvent("copy_failed", {{"reason", error->message}});
         return;
@@ -260,6 +266,7 @@
         return;
     }
     m_config = record;
+    m_storeLacksConfig = false;
     m_listener->onEvent("config_received",
                         {{"version", std::to_string(version.value())},
                          {"revision", std::to_string(record.revision.number)},
--- a/ibismast/relay/clusterwatch.h
+++ b/ibismast/relay/clusterwatch.h
@@ -31,6 +31,7 @@
 {
     std::string address;
     Duration timeout {};
+    CopyContents contents;
 };
 /// Request that the surrounding process has to carry out. Each one is answered by exactly one call of the matching
 /// method of `ClusterWatch`, also if it fails.
@@ -110,8 +111,8 @@
     [[nodiscard]] bool takeEvacuationAnnouncementDue();
     /// Removes entries that have not announced themselves for some time.
     void expire(TimePoint now);
-    /// Returns a copy of this entry's records for other entries.
-    [[nodiscard]] RecordCopy copy(TimePoint now) const;
+    /// Returns the part @p contents of this entry's records for another entry.
+    [[nodiscard]] RecordCopy copy(const CopyContents &contents, TimePoint now) const;
     /// Revision of the list of upstreams; 0 if there is none.
     [[nodiscard]] std::int64_t listRevision() const
     {
@@ -137,8 +138,10 @@
     void noteStoreResult(bool answered, std::string_view reason, TimePoint now);
     /// Returns the pause after a failed read and advances the backoff.
     [[nodiscard]] Duration nextRetryPause();
-    /// Returns the address of the entry whose copy should be fetched now, or nothing if no copy is needed.
-    [[nodiscard]] std::optional<std::string> nextCopySource(TimePoint now);
+    /// Returns the request for another entry's copy that is due now, or nothing if no copy is needed.
+    [[nodiscard]] std::optional<FetchRecordCopy> nextCopy(TimePoint now);
+    /// Returns the request for a copy of a newer configuration, or nothing if the store supplies it.
+    [[nodiscard]] std::optional<FetchRecordCopy> nextConfigCopy();
     /// Returns the address of an entry whose copy has newer reports than this entry and makes a read of the store
     /// unnecessary; empty if there is none.
     [[nodiscard]] std::optional<std::string> reportSource(TimePoint now);
@@ -152,6 +155,8 @@
     [[nodiscard]] bool othersAwaitConfig(TimePoint now) const;
     /// Records that another entry has read, at @p read, the same list as this entry has.
     void confirmList(TimePoint read);
+    /// Returns the latest version in force at any entry, this one included.
+    [[nodiscard]] RelayConfigVersion newestVersion() const;
     /// Version in force; 0 if there is none.
     [[nodiscard]] RelayConfigVersion configVersion() const;
 
@@ -182,6 +187,8 @@
     bool m_listPending = false;
     bool m_configPending = false;
     bool m_copyRequestPending = false;
+    /// True while the copy that has been requested may contain a configuration.
+    bool m_configCopyPending = false;
     /// Revision of the store up to which changes of the operators' records have been seen.
     RecordRevision m_configSeenRevision;
     /// Evacuated domains at that revision.
@@ -190,6 +197,11 @@
     StoreEra m_storeEra;
     /// True if the configuration must be read before changes of it can be awaited.
     bool m_configReadNeeded = true;
+    /// Latest version that another entry had announced when the pending read of the configuration began.
+    RelayConfigVersion m_announcedBeforeRead;
+    /// True if the store has returned an older configuration than another entry had announced, as a restored store
+    /// does.
+    bool m_storeLacksConfig = false;
     TimePoint m_nextList = TimePoint::min();
     TimePoint m_nextConfig = TimePoint::min();
     TimePoint m_nextCopyRequest = TimePoint::min();
--- a/ibismast/relay/clusterwatchentries.cpp
+++ b/ibismast/relay/clusterwatchentries.cpp
@@ -16,17 +16,46 @@
 
 // What entries tell each other of their records, and how they share reads of the store.
 
-std::optional<std::string> ClusterWatch::nextCopySource(TimePoint now)
+std::optional<FetchRecordCopy> ClusterWatch::nextConfigCopy()
 {
+    // A configuration may be large, so the entries of a large fleet read it from the store while that supplies it.
+    const bool storeSupplies = m_storeAvailable && !m_storeLacksConfig;
+    if ((sharesReads() && storeSupplies) || (m_configPending && m_configReadNeeded)) {
+        return std::nullopt;
+    }
     const RelayConfigVersion version = configVersion();
-    // A configuration may be large, so the entries of a large fleet read it from the store while that is available.
-    if (!sharesReads() || !m_storeAvailable) {
-        for (const auto &[id, entry] : m_entries) {
-            if (entry.knowledge.configVersion > version) {
-                return entry.knowledge.copyAddress;
-            }
+    const RelayConfigVersion newest = newestVersion();
+    std::vector<const KnownEntry *> sources;
+    for (const auto &[id, entry] : m_entries) {
+        if (newest > version && entry.knowledge.configVersion == newest) {
+            sources.push_back(&entry);
         }
     }
+    if (sources.empty()) {
+        return std::nullopt;
+    }
+    // Many entries may need the copy at once, which takes much of the link of the one that serves it.
+    const KnownEntry &source = *sources[m_random.below(sources.size())];
+    return FetchRecordCopy {source.knowledge.copyAddress, m_settings.readTimeout, {version}};
+}
+
+RelayConfigVersion ClusterWatch::newestVersion() const
+{
+    RelayConfigVersion newest = configVersion();
+    for (const auto &[id, entry] : m_entries) {
+        newest = std::max(newest, entry.knowledge.configVersion);
+    }
+    return newest;
+}
+
+std::optional<FetchRecordCopy> ClusterWatch::nextCopy(TimePoint now)
+{
+    if (std::optional<FetchRecordCopy> copy = nextConfigCopy()) {
+        return copy;
+    }
+    const auto listOf = [this](const KnownEntry &entry) {
+        return FetchRecordCopy {entry.knowledge.copyAddress, m_settings.readTimeout, {}};
+    };
     const bool stale = !m_upstreams || now - m_listTime >= m_settings.staleListAge;
     std::vector<const KnownEntry *> newer;
     for (const auto &[id, entry] : m_entries) {
@@ -36,14 +65,14 @@
         }
     }
     if (!newer.empty() && (stale || !m_storeAvailable)) {
-        return newer[m_random.below(newer.size())]->knowledge.copyAddress;
+        return listOf(*newer[m_random.below(newer.size())]);
     }
     if (m_entries.empty() || !stale) {
         return std::nullopt;
     }
     auto chosen = m_entries.begin();
     std::advance(chosen, static_cast<std::ptrdiff_t>(m_random.below(m_entries.size())));
-    return chosen->second.knowledge.copyAddress;
+    return listOf(chosen->second);
 }
 
 std::optional<std::string> ClusterWatch::reportSource(TimePoint now)
@@ -114,7 +143,7 @@
     if (!sharesReads()) {
         return;
     }
-    if (knowledge.configVersion > configVersion() && m_storeAvailable && !m_configPending) {
+    if (knowledge.configVersion > configVersion() && m_storeAvailable && !m_storeLacksConfig && !m_configPending) {
         m_configReadNeeded = true;
         m_nextConfig = std::min(m_nextConfig, now);
     }
@@ -162,10 +191,12 @@
     });
 }
 
-RecordCopy ClusterWatch::copy(TimePoint now) const
+RecordCopy ClusterWatch::copy(const CopyContents &contents, TimePoint now) const
 {
     RecordCopy result;
-    result.config = m_config;
+    if (contents.configAfter && configVersion() > *contents.configAfter) {
+        result.config = m_config;
+    }
     if (m_upstreams) {
         result.upstreams = *m_upstreams;
         result.age = now - m_listTime;
--- a/ibismast/relay/platformrecords.h
+++ b/ibismast/relay/platformrecords.h
@@ -38,6 +38,16 @@
     std::map<FailureDomain, bool> evacuationChanges {};
 };
 
+/// Parts of a `RecordCopy` that an entry asks for. The list of upstreams is always among them.
+struct CopyContents
+{
+    /// The configuration is copied if its version is newer than this; empty if it is not needed. It may be large, and
+    /// most copies are made for the list.
+    std::optional<RelayConfigVersion> configAfter;
+
+    bool operator==(const CopyContents &) const = default;
+};
+
 /// Records as last read by one entry. Entries fetch this copy from each other while the store is unavailable.
 struct RecordCopy
 {
