Do not serve a request whose caller left before it was read

The trace of one: sent to front-cm-barn-b-3 at 9.879 s, given up by its caller at 10.879 s since it had not been read, sent to an upstream at 11.850 s.

CallerConnection now looks for the end of the connection before it hands a request on.

--- a/adapters/relay/callerconnection.cpp
+++ b/adapters/relay/callerconnection.cpp
@@ -154,6 +154,11 @@
     if (!hasWaitingRequest() || unsentBytes() > MaxBacklogBytes) {
         return;
     }
+    // An entry that has fallen behind reads requests whose callers have left meanwhile.
+    if (closedByPeer(m_socket)) {
+        close();
+        return;
+    }
     m_request = m_parser->head();
     std::string body = m_parser->takeBody();
     m_parser.reset();
--- a/adapters/relay/sockets.cpp
+++ b/adapters/relay/sockets.cpp
@@ -2,7 +2,9 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
+#include <cerrno>
 #include <charconv>
 
 namespace ibismast
@@ -68,4 +70,11 @@
     socket.set_option(UserTimeout(silenceMs), ignored);
 }
 
+bool closedByPeer(tcp::socket &socket)
+{
+    char next = 0;
+    const ssize_t size = ::recv(socket.native_handle(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 } // namespace ibismast
--- a/adapters/relay/sockets.h
+++ b/adapters/relay/sockets.h
@@ -21,4 +21,7 @@
 /// probes end the connection after about @p silence. A cut link gives no other sign.
 void prepareSocket(boost::asio::ip::tcp::socket &socket, Duration silence);
 
+/// Returns whether the peer has closed or reset the connection and everything that it sent before has been read.
+[[nodiscard]] bool closedByPeer(boost::asio::ip::tcp::socket &socket);
+
 } // namespace ibismast
