Check for callers that have left only before calls are relayed

RelayProcess asks for it now, where such a call would be cut by the next read in any case. The test moved with it and uses the process: three of its four rows fail without the check (memory of engines is reserved for a caller that has left), the fourth is a caller that stays.

--- a/UnitTests/adapters/relay/relayprocesstest.cpp
+++ b/UnitTests/adapters/relay/relayprocesstest.cpp
@@ -237,3 +237,37 @@
     CHECK(caller.received.find("old") == std::string::npos);
     CHECK(caller.received.find("HTTP/1.1 ") == caller.received.rfind("HTTP/1.1 "));
 }
+
+// Guards against requests that an entry which has fallen behind sends to upstreams after their callers have left (GONE
+// on khonkae-fair-grown).
+TEST_CASE_METHOD(ProcessFixture, "a request whose caller has left before it is read is not served", "[relay]")
+{
+    struct Row
+    {
+        std::string name;
+        std::string framedBody;
+        bool reset;
+        bool served;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"stays", "Content-Length: 2\r\n\r\n{}", false, true},
+        {"closed", "Content-Length: 2\r\n\r\n{}", false, false},
+        {"closed behind chunks", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", false, false},
+        {"reset", "Content-Length: 2\r\n\r\n{}", true, false},
+    }));
+    CAPTURE(row.name);
+    REQUIRE(await([this] {
+        return store.listRead && process.limits().maxBodyBytes == MaxBodyBytes;
+    }));
+    caller.write("POST /a HTTP/1.1\r\nHost: h\r\nIbismast-Attempt-Id: r1\r\nIbismast-Token-Counts: 150000,100\r\n"
+                 + row.framedBody);
+    if (row.reset) {
+        caller.reset();
+    } else if (!row.served) {
+        caller.socket.close();
+    }
+    CHECK(await([this, &row] {
+        return row.served ? !orders.reserved.empty() : !connection->isOpen();
+    }));
+    CHECK(orders.reserved.empty() != row.served);
+}
--- a/adapters/relay/callerconnection.cpp
+++ b/adapters/relay/callerconnection.cpp
@@ -154,11 +154,6 @@
     if (!hasWaitingRequest() || unsentBytes() > MaxBacklogBytes) {
         return;
     }
-    // An entry that has fallen behind reads requests whose callers have left meanwhile.
-    if (closedByPeer(m_socket)) {
-        close();
-        return;
-    }
     m_request = m_parser->head();
     std::string body = m_parser->takeBody();
     m_parser.reset();
@@ -171,6 +166,11 @@
     m_handler->requestReceived(shared_from_this(), std::move(body));
 }
 
+bool CallerConnection::callerHasLeft()
+{
+    return closedByPeer(m_socket);
+}
+
 void CallerConnection::refuse(const Error &error)
 {
     const bool headTooLarge = error.message.find("head exceeds") != std::string::npos;
--- a/adapters/relay/callerconnection.h
+++ b/adapters/relay/callerconnection.h
@@ -74,6 +74,8 @@
     void endBody();
     /// Closes the connection; an answer under way does not look complete.
     void cut();
+    /// Returns whether the caller has closed the connection behind what has been read of it.
+    [[nodiscard]] bool callerHasLeft();
 
     /// From now on the connection closes after its present or next answer.
     void closeAfterAnswer()
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -79,6 +79,11 @@
         refuse(*connection, {}, *error);
         return;
     }
+    // An entry that has fallen behind reads requests whose callers have left meanwhile.
+    if (connection->callerHasLeft()) {
+        connection->cut();
+        return;
+    }
     auto &incoming = std::get<IncomingCall>(decoded);
     incoming.contentHash = requestContentHash(request.method, request.target, body);
     incoming.bodyBytes = static_cast<std::int64_t>(body.size());
