Give very long prompts the engines that their objective needs

Callers saw answers to very long prompts at twice their objective, and captions that found no engine for seconds after a burst of long prompts. Cause: each prompt of more than 6 s of one engine was planned to end at 2.6 times its objective on few engines while any long prompt was known.

Now a very long prompt gets the fewest engines that meet its objective. Only one whose prefill exceeds a tenth of the fleet's time within its objective is still placed late on few engines, and these may keep a fifth of the fleet busy (three tenths for calls that return).

--- a/UnitTests/relay/engineplannertest.cpp
+++ b/UnitTests/relay/engineplannertest.cpp
@@ -46,10 +46,11 @@
         }
     }
     /// Plans a prompt and adds the placement to the loads.
-    std::optional<EnginePlan> place(std::int64_t prompt, Duration objective, Duration pauseTarget)
+    std::optional<EnginePlan>
+    place(std::int64_t prompt, Duration objective, Duration pauseTarget, const EngineOvercommit &overcommit = {})
     {
         const GenerationQuery query {{Tokens(prompt), Tokens(1'600)}, objective, pauseTarget};
-        std::optional<EnginePlan> plan = planner.plan(query, profile, engines, now);
+        std::optional<EnginePlan> plan = planner.plan(query, profile, engines, now, overcommit);
         if (!plan) {
             return plan;
         }
@@ -267,6 +268,73 @@
     CHECK(third->delay == Duration::zero());
 }
 
+// Load: prompts whose prefill takes longer than their objective on one engine, beside other long prompts. Guards
+// against very long prompts that are placed on so few engines that they miss an objective which more engines would
+// meet.
+TEST_CASE_METHOD(PlannerFixture, "a very long prompt gets the engines that its objective needs", "[relay][load]")
+{
+    const auto [prompt, objective] = GENERATE(
+        table<std::int64_t, Duration>({{250'000, 3s}, {280'000, 3s}, {280'000, 8s}, {380'000, 8s}, {330'000, 4s}}));
+    CAPTURE(prompt);
+    profile.memory = Tokens(1'000'000);
+    addEngines(45);
+    REQUIRE(placeLong());
+    const std::optional<EnginePlan> plan = place(prompt, objective, 1s);
+    REQUIRE(plan);
+    CHECK(plan->firstEvent <= objective);
+    // Engines beyond these would shorten a response that is in time already.
+    CHECK(plan->helpers.size() + 1 <= 12);
+}
+
+// Load: prompts that take a large part of the fleet's time, one after the other. Guards against engines that are all
+// busy with them for seconds when a burst of short prompts comes.
+TEST_CASE_METHOD(PlannerFixture, "outsized prompts keep only a share of the engines busy", "[relay][load]")
+{
+    const auto [returning, mostEngines] = GENERATE(table<bool, std::size_t>({{false, 9}, {true, 13}}));
+    profile.memory = Tokens(2'000'000);
+    addEngines(45);
+    REQUIRE(placeLong());
+    int placed = 0;
+    for (int prompt = 0; prompt < 10; ++prompt) {
+        placed += place(700'000, 4s, 1s, {0, 1.0, returning}) ? 1 : 0;
+    }
+    CHECK(placed > 0);
+    const auto busy = std::ranges::count_if(engines, [this](const auto *engine) {
+        return loads.load(engine->record.id).backlog(now) > 2s;
+    });
+    CHECK(static_cast<std::size_t>(busy) <= mostEngines);
+}
+
+// Load: calls that come while all engines read long prompts. Guards against calls that are sent to an engine which will
+// answer them late, although they could wait for a better one.
+TEST_CASE_METHOD(PlannerFixture, "a plan beyond the limit of the first event counts as none", "[relay][load]")
+{
+    struct Row
+    {
+        std::int64_t prompt;
+        int backlogPrompts;
+        Duration limit;
+        bool planned;
+    };
+    const Row row = GENERATE(values<Row>({
+        {ShortPrompt, 0, 300ms, true},
+        {ShortPrompt, 2, 300ms, false},
+        {ShortPrompt, 2, 10s, true},
+        {ShortPrompt, 2, Duration::max(), true},
+        // Idle engines would miss the limit too.
+        {ShortPrompt, 2, 50ms, true},
+        {45'000, 2, 1s, false},
+        {45'000, 2, 10s, true},
+    }));
+    CAPTURE(row.prompt, row.backlogPrompts);
+    addEngines(2);
+    for (int prompt = 0; prompt < row.backlogPrompts; ++prompt) {
+        REQUIRE(placeLong());
+    }
+    const GenerationQuery query {{Tokens(row.prompt), Tokens(1'600)}, 300ms, 250ms, 0, row.limit};
+    CHECK(planner.plan(query, profile, engines, now).has_value() == row.planned);
+}
+
 // Load: more short prompts than slots. Guards against calls that queue at the engines beyond their objective.
 TEST_CASE_METHOD(PlannerFixture, "no plan is returned when all slots of the fleet are taken", "[relay][load]")
 {
--- a/ibismast/relay/engineplanner.cpp
+++ b/ibismast/relay/engineplanner.cpp
@@ -99,6 +99,11 @@
     return load.streamsBelowPauseTarget(m_settings.sensitivePauseLimit) > 0;
 }
 
+Duration EnginePlanner::firstEventLimit(const GenerationQuery &query, Duration idleTime)
+{
+    return idleTime > query.firstEventLimit ? Duration::max() : query.firstEventLimit;
+}
+
 std::optional<EnginePlan> EnginePlanner::planWhole(const GenerationQuery &query,
                                                    const EngineProfile &profile,
                                                    const std::vector<const UpstreamDirectory::Member *> &engines,
@@ -111,6 +116,7 @@
     const double busy = std::min(1.0, m_loads->longPromptDemand(now) / static_cast<double>(engines.size()));
     const Duration openingCost =
         m_settings.openedEngineCost + fromSeconds(toSeconds(m_settings.openedBusyEngineCost) * busy);
+    const Duration limit = firstEventLimit(query, prefillTime + estimateDecodePass(profile, 1, query.size.prompt));
     std::optional<EnginePlan> best;
     Duration bestCost = Duration::max();
     for (const auto *engine : engines) {
@@ -132,6 +138,9 @@
         }
         const Duration own = prefillTime + estimateDecodePass(profile, load.streams() + 1, load.memory());
         const Duration firstEvent = wait + fromSeconds(toSeconds(own) * slow);
+        if (firstEvent > limit) {
+            continue;
+        }
         const double late = toSeconds(firstEvent) - toSeconds(query.objective) * m_settings.shortObjectiveShare;
         if (late > 0.0) {
             cost += fromSeconds(late * m_settings.lateCostFactor);
@@ -201,6 +210,18 @@
         && m_loads->longPromptDemand(now) > m_settings.veryLongBusyShare * static_cast<double>(engines);
 }
 
+bool EnginePlanner::exceedsOutsizedShare(const std::vector<const UpstreamDirectory::Member *> &engines,
+                                         std::size_t parts,
+                                         bool returning,
+                                         TimePoint now) const
+{
+    const auto busy = static_cast<std::size_t>(std::ranges::count_if(engines, [&](const auto *engine) {
+        return m_loads->load(engine->record.id).backlog(now) > m_settings.outsizedBacklog;
+    }));
+    const double share = returning ? m_settings.outsizedReturningShare : m_settings.outsizedEngineShare;
+    return busy > 0 && static_cast<double>(busy + parts) > share * static_cast<double>(engines.size());
+}
+
 std::optional<EnginePlan> EnginePlanner::planSplit(const GenerationQuery &query,
                                                    const EngineProfile &profile,
                                                    const std::vector<const UpstreamDirectory::Member *> &engines,
@@ -210,8 +231,10 @@
     const Duration prefillTime = estimatePrefillTime(profile, query.size.prompt);
     const Tokens memory = memoryOf(query, profile);
     const bool fewEngines = needsFewEngines(prefillTime, engines.size(), now);
+    const double fleetTime = toSeconds(query.objective) * static_cast<double>(engines.size());
+    const bool outsized = fewEngines && toSeconds(prefillTime) > fleetTime * m_settings.outsizedFleetShare;
     const Duration targetEnd = fromSeconds(
-        toSeconds(query.objective) * (fewEngines ? m_settings.veryLongObjectiveFactor : m_settings.longObjectiveShare));
+        toSeconds(query.objective) * (outsized ? m_settings.outsizedObjectiveFactor : m_settings.longObjectiveShare));
     const Duration shortestPart = prefillTime / static_cast<int>(std::min(engines.size(), m_settings.maxHelpers + 1));
     const bool exceedsMemory = memory > usableMemory(profile);
     const auto split = [&](const std::vector<Candidate> &candidates) {
@@ -256,7 +279,7 @@
     std::ranges::stable_sort(chosen, {}, [](const Candidate &candidate) {
         return candidate.load->memory();
     });
-    if (best.parts == 0) {
+    if (best.parts == 0 || (outsized && exceedsOutsizedShare(engines, best.parts, overcommit.returning, now))) {
         return std::nullopt;
     }
     const auto decodingEngine = std::ranges::find_if(chosen, [&](const Candidate &candidate) {
@@ -272,6 +295,10 @@
     plan.partTime = prefillTime / static_cast<int>(best.parts);
     plan.delay = fromSeconds(toSeconds(candidates[best.parts - 1].start) * m_settings.delayShare);
     plan.firstEvent = best.end + estimateDecodePass(profile, chosen.front().load->streams() + 1, memory);
+    const Duration idleTime = shortestPart + estimateDecodePass(profile, 1, memory);
+    if (!outsized && plan.firstEvent > firstEventLimit(query, idleTime)) {
+        return std::nullopt;
+    }
     for (auto helper = std::next(chosen.begin()); helper != chosen.end(); ++helper) {
         plan.helpers.push_back({helper->engine, Tokens()});
     }
--- a/ibismast/relay/engineplanner.h
+++ b/ibismast/relay/engineplanner.h
@@ -29,6 +29,9 @@
     /// differ between entries, because entries that choose the same engine at the same time queue there. An entry keeps
     /// its index, so that its requests concentrate on few engines and leave others idle.
     std::size_t firstChoice = 0;
+    /// Longest predicted time to the first event. A longer one counts as no plan, unless idle engines would need longer
+    /// too.
+    Duration firstEventLimit = Duration::max();
 };
 
 /// Engine that executes a part of the prefill for the decoding engine.
@@ -108,11 +111,21 @@
     Duration sensitivePauseLimit = std::chrono::milliseconds(400);
     /// Prefill time above which a prompt is very long. Its cost grows with the square of its length, so that it makes
     /// several prompts of usual length miss their objective. While long prompts keep more than `veryLongBusyShare` of
-    /// the fleet busy, it gets only as many engines as it needs to end within `veryLongObjectiveFactor` times its
-    /// objective, well before callers give up at four times.
+    /// the fleet busy, it gets only as many engines as it needs to end within `longObjectiveShare` of its objective,
+    /// idle ones if there are enough.
     Duration veryLongPrefill = std::chrono::seconds(6);
     double veryLongBusyShare = 0.0;
-    double veryLongObjectiveFactor = 2.6;
+    /// A very long prompt is outsized if its prefill takes more than this share of the time that all engines together
+    /// have within its objective. It gets only as many engines as it needs to end within `outsizedObjectiveFactor`
+    /// times its objective, well before callers give up at four times.
+    double outsizedFleetShare = 0.1;
+    double outsizedObjectiveFactor = 2.6;
+    /// Share of the engines that may have a backlog of more than `outsizedBacklog` once an outsized prompt is placed,
+    /// for a new call and for one that is retried after a refusal. Such engines decode no streams in time, and may be
+    /// needed for a burst of short prompts before the prefill ends.
+    double outsizedEngineShare = 0.2;
+    double outsizedReturningShare = 0.3;
+    Duration outsizedBacklog = std::chrono::seconds(2);
     /// Share of the predicted wait for earlier prefill that a long prompt spends at the entry. The rest allows for
     /// predictions that are too long.
     double delayShare = 0.8;
@@ -218,8 +231,16 @@
     /// Returns the split with the fewest parts that ends within @p limit, or the best split if none does.
     [[nodiscard]] Split
     smallestSplit(const std::vector<Candidate> &candidates, Duration prefillTime, Duration limit) const;
+    /// True if too many engines would be busy for long with an outsized prompt on @p parts more of them.
+    [[nodiscard]] bool exceedsOutsizedShare(const std::vector<const UpstreamDirectory::Member *> &engines,
+                                            std::size_t parts,
+                                            bool returning,
+                                            TimePoint now) const;
     /// True if a prompt is so long that, split over as many engines as possible, it would delay too many other prompts.
     [[nodiscard]] bool needsFewEngines(Duration prefillTime, std::size_t engines, TimePoint now) const;
+    /// Returns the limit of the predicted time to the first event; the maximum duration if @p idleTime, the time that
+    /// idle engines need, exceeds it.
+    [[nodiscard]] static Duration firstEventLimit(const GenerationQuery &query, Duration idleTime);
 
     EnginePlannerSettings m_settings;
     const EngineLoadTable *m_loads;
