Leave free slots to new calls while others come back in a burst

Callers saw late answers to half of the short prompts in a burst that the engines could nearly serve in time. Cause: refused calls came back within a third of a second and took any free slot, although they were late already; new calls found none, were refused and came back in turn. Calls were also sent to engines that read long prompts, with a predicted first event of 1.4 s for an objective of 0.3 s; 87 of these were given up by their callers.

NewCallReserve keeps slots for the new calls of 300 ms, by the placements and refusals of all entries; returning calls start beyond these only, and a refusal in such a shortage names the longest Retry-After. A plan beyond the objective, or beyond half of a returning caller's patience, counts as none. The latest useful start allows for the passes of a full engine.

--- a/UnitTests/relay/waitingcallstest.cpp
+++ b/UnitTests/relay/waitingcallstest.cpp
@@ -282,6 +282,41 @@
     CHECK_FALSE(started(returning));
 }
 
+// Load: a burst whose excess is refused and comes back. Guards against returning calls, which are late already, that
+// take the slots of new ones, and against a Retry-After that brings callers back into the same burst.
+TEST_CASE_METHOD(WaitingFixture, "returning calls leave the free slots to the new calls of a burst", "[relay][waiting]")
+{
+    const auto [burst, pause, starts] =
+        GENERATE(table<int, Duration, bool>({{0, 0s, true}, {30, 0s, false}, {30, 5s, true}}));
+    CAPTURE(burst);
+    begin();
+    LoadUpdate update;
+    update.refused.assign(static_cast<std::size_t>(burst), 9);
+    update.refused.push_back(7);
+    core->applyLoadUpdate(InstanceId("other"), update, now);
+    now += pause;
+    const CallNumber returning = submit("/s/x", 1'000, 7);
+    CHECK(started(returning) == starts);
+    CHECK(refusal(returning) == nullptr);
+    const CallNumber fresh = submit("/s/x");
+    CHECK(started(fresh));
+}
+
+// Load: the same burst. Guards against a Retry-After that brings callers back while new calls still take all the room.
+TEST_CASE_METHOD(WaitingFixture, "calls that are refused in a burst come back after a longer time", "[relay][waiting]")
+{
+    const auto [burst, late] = GENERATE(table<int, bool>({{0, false}, {30, true}}));
+    begin();
+    submit("/g/x");
+    submit("/g/x");
+    LoadUpdate update;
+    update.refused.assign(static_cast<std::size_t>(burst), 9);
+    core->applyLoadUpdate(InstanceId("other"), update, now);
+    const CallNumber call = submit("/s/x");
+    REQUIRE(refusal(call) != nullptr);
+    CHECK((refusal(call)->retryAfter == 3s) == late);
+}
+
 // Load: very long prompts that come back while short ones take the room. Guards against engines whose streams all miss
 // their objectives for one prompt; without the waiting room it goes to engines with work when it comes back.
 TEST_CASE_METHOD(WaitingFixture,
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -263,6 +263,8 @@
     m_metrics->set("ibismast_waits_total", {{"outcome", "started"}}, static_cast<double>(waits.started));
     m_metrics->set("ibismast_waits_total", {{"outcome", "refused_at_once"}}, static_cast<double>(waits.refusedAtOnce));
     m_metrics->set("ibismast_waits_total", {{"outcome", "refused_later"}}, static_cast<double>(waits.refusedLater));
+    m_metrics->set("ibismast_new_calls_per_second", {}, m_core.newCalls().rate(processNow()));
+    m_metrics->set("ibismast_reserved_slots", {}, static_cast<double>(m_core.newCalls().slots(processNow())));
     m_metrics->set("ibismast_held_bytes", {}, static_cast<double>(m_callers.limits().heldBytes()));
     m_metrics->set("ibismast_unfinished_request_bytes", {}, static_cast<double>(m_callers.limits().unfinishedBytes()));
     m_metrics->set("ibismast_open_request_bytes", {}, static_cast<double>(m_callers.limits().openRequestBytes()));
--- a/adapters/relay/relaysettings.cpp
+++ b/adapters/relay/relaysettings.cpp
@@ -84,6 +84,8 @@
         file.integer("waiting", "max_calls", static_cast<std::int64_t>(settings.core.waiting.maxCalls), 1, 1'000'000));
     settings.core.waiting.maxBytes =
         file.integer("waiting", "max_bytes", settings.core.waiting.maxBytes, 1, std::int64_t {1} << 40);
+    settings.core.reserve.horizon =
+        file.milliseconds("waiting", "reserve_ms", settings.core.reserve.horizon, milliseconds(0), minutes(1));
     if (file.has("cold", "overrun")) {
         settings.core.cold.overrun = file.number("cold", "overrun", 1.0, 0.0, 1000.0);
         settings.core.cold.slack = file.number("cold", "slack", settings.core.cold.slack, 0.0, 1e6);
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -44,6 +44,7 @@
     , m_cells(m_settings.cells, m_settings.domain)
     , m_ranker(m_settings.rank)
     , m_room(m_settings.waiting)
+    , m_reserve(m_settings.reserve)
     , m_shares(m_settings.shares)
 {
 }
@@ -369,6 +370,7 @@
 void RelayCore::applyLoadUpdate(const InstanceId &entry, const LoadUpdate &update, TimePoint now)
 {
     m_loadNewsAt = now;
+    m_reserve.noteCalls(update.placed.size() + update.refused.size(), now);
     for (const Placement &placement : update.placed) {
         m_loads.place(placement, now);
     }
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -6,6 +6,7 @@
 #include "ibismast/relay/coldupstreams.h"
 #include "ibismast/relay/domainevacuations.h"
 #include "ibismast/relay/memberview.h"
+#include "ibismast/relay/newcallreserve.h"
 #include "ibismast/relay/promptquarantine.h"
 #include "ibismast/relay/roomforecast.h"
 #include "ibismast/relay/routetable.h"
@@ -76,6 +77,7 @@
     DomainEvacuationsSettings evacuations;
     CallRankSettings rank;
     WaitingRoomSettings waiting;
+    NewCallReserveSettings reserve;
     ColdUpstreamsSettings cold;
     UpstreamPaceSettings pace;
     CustomerSharesSettings shares;
@@ -204,6 +206,10 @@
     {
         return m_room;
     }
+    [[nodiscard]] const NewCallReserve &newCalls() const
+    {
+        return m_reserve;
+    }
     [[nodiscard]] const WaitCounts &waitCounts() const
     {
         return m_waits;
@@ -378,6 +384,8 @@
                    TimePoint now);
     /// True if @p call may wait for room.
     [[nodiscard]] bool mayWait(const RelayCall &call) const;
+    /// Returns the longest predicted time to the first event with which @p call is started.
+    [[nodiscard]] Duration firstEventLimit(const RelayCall &call, TimePoint now) const;
     /// Returns the time at which the caller gives @p call up if it has received no event.
     [[nodiscard]] TimePoint abandonment(const RelayCall &call) const;
     /// Returns the time until which a start of a call that may wait is of use.
@@ -386,6 +394,10 @@
     [[nodiscard]] bool mayOvercommit(const RelayCall &call, TimePoint now) const;
     /// Returns the KV memory of an engine that may be planned for.
     [[nodiscard]] Tokens usableMemory(const EngineProfile &profile) const;
+    /// Returns the free slots of the engines of @p call's service that can begin a short prompt soon.
+    [[nodiscard]] std::size_t freeSlots(const RelayCall &call, TimePoint now) const;
+    /// True if engines have room for @p call, which returns after a refusal, besides that for new calls.
+    [[nodiscard]] bool hasRoomToReturn(const RelayCall &call, TimePoint now) const;
     /// Describes a call that may wait.
     [[nodiscard]] WaitingCall waitingCall(const RelayCall &call, TimePoint now) const;
     /// True if the customer of @p call is above its share while calls of others wait at other entries.
@@ -483,6 +495,7 @@
     CellView m_cells;
     CallRanker m_ranker;
     WaitingRoom m_room;
+    NewCallReserve m_reserve;
     CustomerShares m_shares;
     WaitCounts m_waits;
     /// Calls that had to leave the room and have not been refused yet.
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -38,6 +38,9 @@
     if (estimated && (!m_room.mayStart(waitingCall(call, now), now) || yieldsToOthers(call, now))) {
         return std::nullopt;
     }
+    if (estimated && call.returning && !hasRoomToReturn(call, now)) {
+        return std::nullopt;
+    }
     const Capacity most = estimated ? Capacity::Estimated : Capacity::Overcommitted;
     const UpstreamDirectory::Candidates candidates = m_directory.candidates(call.service, now);
     std::map<Admission::State, std::size_t> kept;
@@ -86,6 +89,18 @@
     return std::nullopt;
 }
 
+Duration RelayCore::firstEventLimit(const RelayCall &call, TimePoint now) const
+{
+    if (!mayWait(call)) {
+        return Duration::max();
+    }
+    if (call.returning) {
+        const double patience = toSeconds(abandonment(call) - call.arrived);
+        return fromSeconds(patience * m_settings.waiting.returningPredictionShare);
+    }
+    return std::max(Duration::zero(), call.arrived + call.route.objective - now);
+}
+
 std::optional<PlanFault> RelayCore::planFault(const RelayCall &call, const AttemptPlan &plan, TimePoint now) const
 {
     if (service(call.service) == nullptr || plan.upstream.service != call.service) {
@@ -154,8 +169,11 @@
                                                      Capacity capacity,
                                                      TimePoint now)
 {
-    const GenerationQuery query {
-        call.size, call.route.objective, call.route.pauseTarget, m_tieBreakOffset % engines.size()};
+    const GenerationQuery query {call.size,
+                                 call.route.objective,
+                                 call.route.pauseTarget,
+                                 m_tieBreakOffset % engines.size(),
+                                 firstEventLimit(call, now)};
     EngineOvercommit overcommit;
     if (capacity == Capacity::Overcommitted) {
         const int queue = call.returning ? m_settings.maxReturningQueue : m_settings.maxEngineQueue;
@@ -268,6 +286,7 @@
     }
     m_placements[call.number] = std::move(announced);
     m_loads.place(placement, now);
+    m_reserve.noteCalls(1, now);
     m_pendingUpdate.placed.push_back(std::move(placement));
 }
 
@@ -340,6 +359,7 @@
 {
     if (call.fingerprint != 0) {
         recordRefusal(call.fingerprint, now);
+        m_reserve.noteCalls(1, now);
         m_pendingUpdate.refused.push_back(call.fingerprint);
     }
 }
--- a/ibismast/relay/relaycorewaiting.cpp
+++ b/ibismast/relay/relaycorewaiting.cpp
@@ -40,14 +40,39 @@
         return call.arrived
             + fromSeconds(toSeconds(abandonment(call) - call.arrived) * m_settings.waiting.returningWaitShare);
     }
+    const EngineProfile &profile = *service(call.service)->engine;
     RankedCall ranked = rankedCall(call);
     ranked.level = 0;
-    return std::min(std::max(m_ranker.dueTime(ranked), call.arrived + m_settings.waiting.minWait), call.deadline);
+    // A call that starts joins a running pass of a full engine half way on average, and its first event ends the next.
+    const int slots = std::max(1, profile.slots);
+    const Duration pass =
+        estimateDecodePass(profile, static_cast<std::size_t>(slots), Tokens(call.size.prompt.value() * slots));
+    const TimePoint latest = m_ranker.dueTime(ranked) - pass - pass / 2;
+    return std::min(std::max(latest, call.arrived + m_settings.waiting.minWait), call.deadline);
+}
+
+std::size_t RelayCore::freeSlots(const RelayCall &call, TimePoint now) const
+{
+    const auto slots = static_cast<std::size_t>(service(call.service)->engine->slots);
+    std::size_t free = 0;
+    for (const UpstreamDirectory::Member *member : m_directory.candidates(call.service, now).trusted) {
+        const EngineWorkload &load = m_loads.load(member->record.id);
+        if (load.streams() < slots && load.backlog(now) <= m_settings.reserve.horizon
+            && m_admission.decide(*member, now).usable()) {
+            free += slots - load.streams();
+        }
+    }
+    return free;
+}
+
+bool RelayCore::hasRoomToReturn(const RelayCall &call, TimePoint now) const
+{
+    return freeSlots(call, now) > m_reserve.slots(now);
 }
 
 bool RelayCore::mayOvercommit(const RelayCall &call, TimePoint now) const
 {
-    return call.returning && now >= latestStart(call);
+    return call.returning && now >= latestStart(call) && hasRoomToReturn(call, now);
 }
 
 Tokens RelayCore::usableMemory(const EngineProfile &profile) const
@@ -130,6 +155,8 @@
                              {"share_use", std::to_string(m_shares.useOfShare(call.service, call.customer, now))},
                              {"before", std::to_string(m_room.callsBefore(waiting))},
                              {"waiting", std::to_string(m_room.size())},
+                             {"free_slots", std::to_string(freeSlots(call, now))},
+                             {"reserved_slots", std::to_string(m_reserve.slots(now))},
                              {"waited_ms", enteredAt ? inMs(now - *enteredAt) : "0"},
                              {"loads_age_ms", m_loadNewsAt == TimePoint::min() ? "none" : inMs(now - m_loadNewsAt)}});
     };
@@ -137,8 +164,11 @@
         report("wait_refused", reason);
         ++(enteredAt ? m_waits.refusedLater : m_waits.refusedAtOnce);
         const WaitingRoomSettings &limits = m_settings.waiting;
-        const Duration delay = start ? std::clamp(*start - now, limits.minRetryAfter, limits.maxRetryAfter)
-                                     : retryDelay(call, now).value_or(limits.maxRetryAfter);
+        // Calls that come back into a shortage would get no room before new ones.
+        const bool shortage = freeSlots(call, now) < m_reserve.slots(now);
+        const Duration delay = shortage ? limits.maxRetryAfter
+            : start                     ? std::clamp(*start - now, limits.minRetryAfter, limits.maxRetryAfter)
+                                        : retryDelay(call, now).value_or(limits.maxRetryAfter);
         return Error {ResultCode::NoUpstream, std::move(reason), delay};
     };
     if (m_stopEnd) {
--- a/ibismast/relay/waitingroom.cpp
+++ b/ibismast/relay/waitingroom.cpp
@@ -17,8 +17,10 @@
     if (minWait < Duration::zero() || minRetryAfter < Duration::zero() || maxRetryAfter < minRetryAfter) {
         return invalid("minWait and minRetryAfter must not be negative, and maxRetryAfter not below minRetryAfter");
     }
-    if (!isShare(returningWaitShare) || !isShare(overtakenShare) || !isShare(smallCallShare)) {
-        return invalid("returningWaitShare, overtakenShare and smallCallShare must be from 0 to 1");
+    if (!isShare(returningWaitShare) || !isShare(returningPredictionShare) || !isShare(overtakenShare)
+        || !isShare(smallCallShare)) {
+        return invalid(
+            "returningWaitShare, returningPredictionShare, overtakenShare and smallCallShare must be from 0 to 1");
     }
     return Success {};
 }
--- a/ibismast/relay/waitingroom.h
+++ b/ibismast/relay/waitingroom.h
@@ -23,6 +23,8 @@
     /// Share of the time until its caller gives up for which a call that comes back after a refusal may wait. Its
     /// objective has passed.
     double returningWaitShare = 0.8;
+    /// Share of the same time that the predicted time to the first event of such a call may take.
+    double returningPredictionShare = 0.5;
     /// Share of its wait after which a call is not overtaken by smaller ones any more.
     double overtakenShare = 0.5;
     /// A call may be overtaken by calls that need at most this share of its KV memory.
