--- a/review/standins-2/stand.cc
+++ b/review/standins-2/stand.cc
@@ -179,12 +179,15 @@
     }
 }
 
-std::unique_ptr<Connection> Connection::open(const std::string &ip, int port, double limit)
+std::unique_ptr<Connection> Connection::open(const std::string &ip, int port, double limit, int receiveBuffer)
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (socket < 0) {
         return nullptr;
     }
+    if (receiveBuffer > 0) {
+        ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+    }
     ::fcntl(socket, F_SETFL, O_NONBLOCK);
     const sockaddr_in address = addressOf(ip, port);
     if (::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
--- a/review/standins-2/stand.hh
+++ b/review/standins-2/stand.hh
@@ -54,8 +54,9 @@
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
-    /// Connects to @p ip:@p port; null if that fails.
-    static std::unique_ptr<Connection> open(const std::string &ip, int port, double limit = 1.0);
+    /// Connects to @p ip:@p port; null if that fails. The kernel holds @p receiveBuffer bytes that are not read, as it
+    /// likes if that is 0.
+    static std::unique_ptr<Connection> open(const std::string &ip, int port, double limit = 1.0, int receiveBuffer = 0);
 
     bool write(const std::string &bytes);
     /// Reads one message. A body of a response without length ends with the connection.
