--- a/UnitTests/platform/platformstoretest.cpp
+++ b/UnitTests/platform/platformstoretest.cpp
@@ -159,6 +159,69 @@
     }
 }
 
+// Guards against a list that is read without end, or never, because of characters in a key: the store takes `after` for
+// another key and returns the same page again, or the request is malformed (review case 6).
+TEST_CASE_METHOD(StoreFixture, "a list is read beyond a record of any key", "[platform]")
+{
+    const auto [key, encoded] = GENERATE(table<std::string, std::string>({
+        {"servers/i-7f3a_91.c2~", "servers/i-7f3a_91.c2~"},
+        {"servers/canary&blue", "servers/canary%26blue"},
+        {"servers/a b", "servers/a%20b"},
+        {"servers/a+b", "servers/a%2Bb"},
+        {"servers/a%26b", "servers/a%2526b"},
+        {"servers/a#b?c=d", "servers/a%23b%3Fc%3Dd"},
+        {R"(servers/a\r\nX: y)", "servers/a%0D%0AX%3A%20y"},
+        {R"(servers/a\u0000b)", "servers/a%00b"},
+        {"servers/\xc3\xa9", "servers/%C3%A9"},
+    }));
+    // A value that is no base64 is unreadable, but the next page begins behind its key all the same.
+    const std::string value = GENERATE("eA==", "?");
+    std::optional<Result<StoredUpstreams>> upstreams;
+    store.readUpstreams(5s, [&upstreams](Result<StoredUpstreams> result) {
+        upstreams = std::move(result);
+    });
+    answer("", R"({"entries":[{"key":")" + key + R"(","value":")" + value + R"("}],"more_pages":true,"as_of":9})");
+    REQUIRE(runUntil(loop, [this] {
+        return peer.received.find("\r\n\r\n") != std::string::npos;
+    }));
+    CHECK(peer.received.substr(0, peer.received.find("\r\n"))
+          == "GET /api/kv-range?path_prefix=servers/&after=" + encoded + " HTTP/1.1");
+    answer("", page("servers/z", false));
+    REQUIRE(runUntil(loop, [&upstreams] {
+        return upstreams.has_value();
+    }));
+    REQUIRE(errorOf(*upstreams) == nullptr);
+    CHECK(std::get<StoredUpstreams>(*upstreams).records.size() == (value == "?" ? 1 : 2));
+}
+
+// Guards against a read that asks for pages without end, and against a list that counts as whole though the store has
+// further pages.
+TEST_CASE_METHOD(StoreFixture, "a page must go beyond the page before it unless it is the last one", "[platform]")
+{
+    const auto [second, whole] = GENERATE(table<std::string, bool>({
+        {page("servers/c", false), true},
+        {page("servers/b", false), true},
+        {page("servers/b", true), false},
+        {page("servers/a", true), false},
+        {R"({"entries":[{"key":"servers/b","value":"?"}],"more_pages":true,"as_of":9})", false},
+        {R"({"entries":[],"more_pages":true,"as_of":9})", false},
+        {R"({"entries":[{"value":"eA=="},7],"more_pages":true,"as_of":9})", false},
+    }));
+    std::optional<Result<StoredUpstreams>> upstreams;
+    store.readUpstreams(5s, [&upstreams](Result<StoredUpstreams> result) {
+        upstreams = std::move(result);
+    });
+    answer("",
+           R"({"entries":[{"key":"servers/a","value":"eA=="},{"key":"servers/b","value":"?"}],)"
+           R"("more_pages":true,"as_of":9})");
+    answer("", second);
+    (void)runUntil(loop, [this, &upstreams] {
+        return upstreams.has_value() || peer.received.find("\r\n\r\n") != std::string::npos;
+    });
+    REQUIRE(upstreams);
+    CHECK((errorOf(*upstreams) == nullptr) == whole);
+}
+
 namespace
 {
 
