Records of other writers: keep neither their values nor their history

Callers would see an entry end for its memory: each record of another writer among the upstreams', of up to 1 MB, was kept, copied to other entries and logged with each of its revisions. Cause: ClusterWatch kept the list as it was read and a set of all unreadable revisions; only the decoded list left these records out.

--- a/UnitTests/platform/platformstoretest.cpp
+++ b/UnitTests/platform/platformstoretest.cpp
@@ -222,6 +222,30 @@
     CHECK((errorOf(*upstreams) == nullptr) == whole);
 }
 
+// Guards against a process that other writers' records among those of the upstreams make exceed its memory.
+TEST_CASE_METHOD(StoreFixture, "a value that no upstream writes is not kept", "[platform]")
+{
+    const auto [size, kept] = GENERATE(table<std::size_t, bool>({{300, true}, {16'383, true}, {999'999, false}}));
+    std::optional<Result<StoredUpstreams>> upstreams;
+    store.readUpstreams(5s, [&upstreams](Result<StoredUpstreams> result) {
+        upstreams = std::move(result);
+    });
+    answer("",
+           R"({"entries":[{"key":"servers/a","value":")" + std::string(size / 3 * 4, 'A')
+               + R"("},)"
+                 R"({"key":"servers/b","value":"eA=="}],"as_of":9})");
+    REQUIRE(runUntil(loop, [&upstreams] {
+        return upstreams.has_value();
+    }));
+    REQUIRE(errorOf(*upstreams) == nullptr);
+    const auto &records = std::get<StoredUpstreams>(*upstreams).records;
+    REQUIRE(records.size() == 2);
+    // The record remains, so that it is logged as unreadable.
+    CHECK(records[0].key == "servers/a");
+    CHECK(records[0].value.size() == (kept ? size : 0));
+    CHECK(records[1].value == "x");
+}
+
 namespace
 {
 
--- a/UnitTests/relay/clusterwatchtest.cpp
+++ b/UnitTests/relay/clusterwatchtest.cpp
@@ -156,6 +156,50 @@
     CHECK(core.directory().find(InstanceId("x")) == nullptr);
 }
 
+namespace
+{
+
+class UnreadableCount final : public EventListener
+{
+public:
+    void onEvent(std::string_view name, const std::vector<LogField> & /*fields*/) override
+    {
+        count += name == "upstream_unreadable" ? 1 : 0;
+    }
+
+    int count = 0;
+};
+
+} // namespace
+
+// Guards against memory, copies and log lines that grow with what other writers store among the upstreams' records.
+TEST_CASE_METHOD(WatchFixture, "an unreadable record is neither kept nor reported again", "[relay]")
+{
+    const auto [lists, reports] = GENERATE(table<std::vector<std::string>, int>({
+        {{"a x"}, 1},
+        {{"a x", "a x", "a x"}, 1},
+        {{"a x", "a", "a x"}, 2},
+        {{"a x", "a x y", "a y"}, 2},
+        {{"a"}, 0},
+    }));
+    UnreadableCount log;
+    ClusterWatch logged(ClusterWatchSettings(), decoder, core, 1, log);
+    std::int64_t revision = 1;
+    for (const std::string &list : lists) {
+        ++revision;
+        StoredUpstreams upstreams {{}, revision};
+        for (const char key : list) {
+            if (key != ' ') {
+                upstreams.records.push_back({std::string(1, key), key == 'a' ? "1:1" : "?", revision});
+            }
+        }
+        logged.upstreamsRead(upstreams, now);
+        CHECK(logged.copy({}, now).upstreams.records.size() == 1);
+        CHECK(logged.copy({}, now).upstreams.revision == RecordRevision {revision});
+    }
+    CHECK(log.count == reports);
+}
+
 // Guards against a burst of reads from all entries when the store recovers.
 TEST_CASE_METHOD(WatchFixture, "failed reads are retried with backoff", "[relay]")
 {
--- a/ibismast/relay/clusterwatch.cpp
+++ b/ibismast/relay/clusterwatch.cpp
@@ -302,21 +302,27 @@
     }
     UpstreamList list;
     list.revision = upstreams.revision;
+    StoredUpstreams readable;
+    readable.revision = upstreams.revision;
+    std::set<std::string> unreadable;
     for (const StoredRecord &record : upstreams.records) {
         Result<UpstreamRecord> upstream = m_decoder->decodeUpstream(record);
         if (const Error *error = errorOf(upstream)) {
-            if (m_reportedRecords.emplace(record.key, record.revision).second) {
+            if (!m_unreadableRecords.contains(record.key)) {
                 m_listener->onEvent("upstream_unreadable",
                                     {{"key", record.key},
                                      {"revision", std::to_string(record.revision.number)},
                                      {"source", std::string(source)},
                                      {"reason", error->message}});
             }
+            unreadable.insert(record.key);
             continue;
         }
+        readable.records.push_back(record);
         list.records.push_back(std::move(std::get<UpstreamRecord>(upstream)));
     }
-    m_upstreams = upstreams;
+    m_upstreams = std::move(readable);
+    m_unreadableRecords = std::move(unreadable);
     m_recordsTime = read;
     // Without jitter, entries that have read a change at the same time would all read at the same time from then on.
     m_recordsDue =
--- a/ibismast/relay/clusterwatch.h
+++ b/ibismast/relay/clusterwatch.h
@@ -170,6 +170,7 @@
     std::optional<StoredRecord> m_config;
     /// Revisions of the latest records that were unreadable or held no newer version.
     std::deque<RecordRevision> m_rejectedConfigs;
+    /// Records of the list that describe upstreams. Other writers' records are not kept or copied to other entries.
     std::optional<StoredUpstreams> m_upstreams;
     /// Latest time, by this process's clock, at which the list is known to have matched the store.
     TimePoint m_listTime = TimePoint::min();
@@ -181,8 +182,8 @@
     /// Time at which the records are read again if reads are shared.
     TimePoint m_recordsDue = TimePoint::min();
     std::uint64_t m_listDigest = 0;
-    /// Keys and revisions of unreadable records that have been logged.
-    std::set<std::pair<std::string, RecordRevision>> m_reportedRecords;
+    /// Keys of the unreadable records in the last list; each is logged once while it stays unreadable.
+    std::set<std::string> m_unreadableRecords;
 
     bool m_listPending = false;
     bool m_configPending = false;
