Records of upstreams: an id that cannot be sent in a header names none

Callers would see requests with a header of another writer's: the id of an upstream is the key of its record and is sent in a header, and any key was taken, also one with a line break. Cause: decodeUpstream checked the types of the fields, but not the key.

--- a/UnitTests/platform/platformtest.cpp
+++ b/UnitTests/platform/platformtest.cpp
@@ -66,6 +66,28 @@
     CHECK(errorOf(decoder.decodeConfig({"op/config", value, 3})) != nullptr);
 }
 
+// Guards against requests whose headers are malformed, or hold a header of another writer's, because the upstream's id
+// is sent in one.
+TEST_CASE("the id of an upstream can be sent in a header", "[platform]")
+{
+    using namespace std::string_literals;
+    const auto [id, usable] = GENERATE(table<std::string, bool>({
+        {"i-7f3a91c2", true},
+        {"canary&blue", true},
+        {"", false},
+        {"a b", false},
+        {"a\r\nIbismast-Tenant: other", false},
+        {"a\nb", false},
+        {"a\0b"s, false},
+        {"a\tb", false},
+        {"a\x7f", false},
+        {"\xc3\xa9", false},
+    }));
+    const std::string value = R"({"backend":"p","address":"10.0.0.1:2","zone":"z","slots":16,"state":"ready","seq":4})";
+    const Result<UpstreamRecord> result = PlatformDecoder().decodeUpstream({"servers/" + id, value, 3});
+    CHECK((errorOf(result) == nullptr) == usable);
+}
+
 // Guards against fields of the configuration that are lost or mixed up.
 TEST_CASE("a configuration is decoded into the product's types", "[platform]")
 {
