Callers' connections: keep unread answers as long as the caller waits

Cause: TCP_USER_TIMEOUT of 4 s was meant for callers that acknowledge nothing. The kernel applies it to a closed window too, also behind the end of the process. Change: once a request is read, the timeout is raised to the time for which its caller waits. A caller that acknowledges nothing is still noticed after 4 s while its answer is due: TCP_INFO tells unacknowledged segments and probes from a closed window.

--- a/UnitTests/adapters/relay/callerconnectiontest.cpp
+++ b/UnitTests/adapters/relay/callerconnectiontest.cpp
@@ -237,6 +237,57 @@
     CHECK(handler.last->isOpen() == open);
 }
 
+// Guards against an answer that the kernel drops because its caller reads nothing for some seconds, though it waits for
+// the answer and acknowledges (review case 10, LOST). The kernel drops it behind the end of the process too.
+TEST_CASE("a caller that reads nothing keeps its answer until its deadline", "[relay]")
+{
+    constexpr std::size_t AnswerBytes = std::size_t {8} << 20;
+    constexpr Duration Silence = std::chrono::milliseconds(200);
+    const bool waits = GENERATE(true, false);
+    const bool closes = GENERATE(false, true);
+    CAPTURE(waits, closes);
+    boost::asio::io_context loop {1};
+    tcp::acceptor acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    LoopbackPeer caller(loop);
+    caller.socket.open(tcp::v4());
+    caller.socket.set_option(boost::asio::socket_base::receive_buffer_size(4'096));
+    caller.socket.connect(acceptor.local_endpoint());
+    KeepingHandler handler;
+    tcp::socket accepted = acceptor.accept();
+    // With a large buffer the whole answer is handed to the kernel, and the connection closes behind it.
+    accepted.set_option(boost::asio::socket_base::send_buffer_size(static_cast<int>(2 * AnswerBytes)));
+    auto connection = std::make_shared<CallerConnection>(std::move(accepted), handler, Silence);
+    connection->start();
+    caller.write(Get);
+    REQUIRE(runUntil(loop, [&handler] {
+        return handler.requests == 1;
+    }));
+    if (waits) {
+        connection->keepUnreadUntil(processNow() + std::chrono::seconds(10));
+    }
+    if (closes) {
+        connection->closeAfterAnswer();
+    }
+    connection->answer(HttpHeadBuilder::response(200), std::string(AnswerBytes, 'x'));
+    // The kernel notices a closed window with its second probe, after 0.6 s.
+    const TimePoint end = processNow() + 7 * Silence;
+    while (processNow() < end) {
+        loop.restart();
+        loop.run_one_for(Silence);
+        connection->enforceTimes(processNow());
+    }
+    caller.read();
+    const bool whole = runUntil(loop,
+                                [&caller] {
+                                    return caller.ended || caller.received.size() > AnswerBytes;
+                                })
+        && caller.received.size() > AnswerBytes;
+    CHECK(whole == waits);
+    caller.socket.close();
+    connection->cut();
+    handler.last.reset();
+}
+
 // Guards against work for a caller that has left.
 TEST_CASE_METHOD(ServerFixture, "a caller that leaves is noticed while its answer is due", "[relay]")
 {
--- a/UnitTests/adapters/relay/relayprocesstest.cpp
+++ b/UnitTests/adapters/relay/relayprocesstest.cpp
@@ -271,3 +271,27 @@
     }));
     CHECK(orders.reserved.empty() != row.served);
 }
+
+// Guards against an answer that is cut because its caller reads nothing for some seconds while it still waits for it
+// (review case 10).
+TEST_CASE_METHOD(ProcessFixture, "an unread answer is kept as long as its caller waits", "[relay]")
+{
+    const auto [timeLeft, kept] = GENERATE(table<std::string, std::chrono::seconds>({
+        {"1500", 4s},
+        {"7300", 8s},
+        {"9000", 9s},
+        // The timeout of the route is 10 s.
+        {"60000", 10s},
+        {"", 10s},
+    }));
+    REQUIRE(await([this] {
+        return store.listRead && process.limits().maxBodyBytes == MaxBodyBytes;
+    }));
+    caller.write("POST /a HTTP/1.1\r\nHost: h\r\nIbismast-Attempt-Id: r1\r\n"
+                 + (timeLeft.empty() ? "" : "Ibismast-Deadline-Ms: " + timeLeft + "\r\n")
+                 + "Content-Length: 2\r\n\r\n{}");
+    REQUIRE(await([this] {
+        return upstream.received.find("{}") != std::string::npos;
+    }));
+    CHECK(connection->unreadTime() == kept);
+}
--- a/adapters/relay/callerconnection.cpp
+++ b/adapters/relay/callerconnection.cpp
@@ -20,15 +20,16 @@
 constexpr std::size_t MaxBacklogBytes = std::size_t {64} * 1024;
 /// Buffers above this size are freed after use, so that one large answer does not hold memory for ever.
 constexpr std::size_t KeptBufferBytes = std::size_t {64} * 1024;
-/// A caller that acknowledges nothing for this long is gone.
-constexpr Duration CallerSilence = std::chrono::seconds(4);
-
 constexpr int HeadTooLargeStatus = 431;
 
 } // namespace
 
-CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket, CallerHandler &handler)
-    : m_socket(std::move(socket)), m_handler(&handler), m_phaseStart(processNow())
+CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket, CallerHandler &handler, Duration silence)
+    : m_socket(std::move(socket))
+    , m_handler(&handler)
+    , m_phaseStart(processNow())
+    , m_silence(silence)
+    , m_unreadTime(silence)
 {
 }
 
@@ -36,7 +37,7 @@
 {
     m_owner = owner;
     m_number = number;
-    prepareSocket(m_socket, CallerSilence);
+    prepareSocket(m_socket, m_silence);
     read();
 }
 
@@ -166,6 +167,16 @@
     m_handler->requestReceived(shared_from_this(), std::move(body));
 }
 
+void CallerConnection::keepUnreadUntil(TimePoint end)
+{
+    // Whole seconds, so that the timeout does not change with each request.
+    const Duration time = std::chrono::ceil<std::chrono::seconds>(end - processNow());
+    if (m_open && time > m_unreadTime) {
+        m_unreadTime = time;
+        setUnsentTimeout(m_socket, time);
+    }
+}
+
 bool CallerConnection::callerHasLeft()
 {
     return closedByPeer(m_socket);
@@ -337,11 +348,19 @@
 
 void CallerConnection::enforceTimes(TimePoint now)
 {
-    if (!m_open || m_answering) {
+    if (!m_open) {
         return;
     }
-    const RelayLimits limits = m_handler->limits();
     const Duration elapsed = now - m_phaseStart;
+    const bool hasAnswer = m_answering || unsentBytes() > 0;
+    if (hasAnswer && elapsed >= m_silence && peerSilence(m_socket) >= m_silence) {
+        closeAnswering();
+        return;
+    }
+    if (m_answering) {
+        return;
+    }
+    const RelayLimits limits = m_handler->limits();
     if (!m_lastAnswer && m_parser && m_parser->started()) {
         // A body may take as long as an idle connection.
         const Duration limit = m_parser->headDone() ? limits.headTimeout + limits.idleTimeout : limits.headTimeout;
--- a/adapters/relay/callerconnection.h
+++ b/adapters/relay/callerconnection.h
@@ -48,7 +48,10 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-    CallerConnection(boost::asio::ip::tcp::socket socket, CallerHandler &handler);
+    /// A caller that acknowledges nothing for this long is gone.
+    static constexpr Duration DefaultSilence = std::chrono::seconds(4);
+
+    CallerConnection(boost::asio::ip::tcp::socket socket, CallerHandler &handler, Duration silence = DefaultSilence);
 
     /// Begins to read. @p owner, if there is one, knows the connection as @p number.
     void start(ConnectionOwner *owner = nullptr, ClientNumber number = ClientNumber());
@@ -66,6 +69,14 @@
         return m_request;
     }
 
+    /// Keeps the connection until @p end, also behind its close, although the caller reads nothing: it may still want
+    /// its answer then. One that does not even acknowledge is noticed sooner.
+    void keepUnreadUntil(TimePoint end);
+    /// Time for which bytes may wait in the kernel for a caller that reads nothing.
+    [[nodiscard]] Duration unreadTime() const
+    {
+        return m_unreadTime;
+    }
     /// Answers with a whole body. @p head lacks the headers of the connection.
     void answer(HttpHeadBuilder head, std::string_view body);
     /// Begins an answer whose body comes in parts.
@@ -145,6 +156,8 @@
     /// The last answer has been handed over and the connection closes behind it.
     bool m_lastAnswer = false;
     TimePoint m_phaseStart;
+    Duration m_silence;
+    Duration m_unreadTime;
 };
 
 } // namespace ibismast
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -99,6 +99,9 @@
         return;
     }
     const CallNumber number = std::get<CallNumber>(admitted);
+    if (const std::optional<TimePoint> deadline = m_core.deadlineOf(number)) {
+        connection->keepUnreadUntil(*deadline);
+    }
     auto exchange = std::make_unique<Exchange>();
     exchange->caller = connection;
     exchange->requestId = incoming.requestId;
--- a/adapters/relay/sockets.cpp
+++ b/adapters/relay/sockets.cpp
@@ -43,6 +43,11 @@
     return parts;
 }
 
+int inMs(Duration duration)
+{
+    return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 } // namespace
 
 std::optional<tcp::endpoint> parseTcpEndpoint(const std::string &text)
@@ -59,7 +64,7 @@
 
 void prepareSocket(tcp::socket &socket, Duration silence)
 {
-    const auto silenceMs = static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
+    const int silenceMs = inMs(silence);
     // A socket that closes meanwhile refuses options; its next read reports that.
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
@@ -70,6 +75,31 @@
     socket.set_option(UserTimeout(silenceMs), ignored);
 }
 
+void setUnsentTimeout(tcp::socket &socket, Duration timeout)
+{
+    boost::system::error_code ignored;
+    socket.set_option(UserTimeout(inMs(timeout)), ignored);
+}
+
+Duration peerSilence(const PeerAcknowledgements &acknowledgements)
+{
+    // The answer to a single probe may be held back by the peer's rate limit, or lost.
+    constexpr std::uint32_t MinProbes = 2;
+    const bool due = acknowledgements.unacknowledged > 0 || acknowledgements.unansweredProbes >= MinProbes;
+    return due ? acknowledgements.sinceLast : Duration::zero();
+}
+
+Duration peerSilence(tcp::socket &socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return Duration::zero();
+    }
+    return peerSilence(
+        PeerAcknowledgements {info.tcpi_unacked, info.tcpi_probes, std::chrono::milliseconds(info.tcpi_last_ack_recv)});
+}
+
 bool closedByPeer(tcp::socket &socket)
 {
     char next = 0;
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -367,6 +367,12 @@
     return found == m_calls.end() ? CustomerId() : found->second->flow.call().customer;
 }
 
+std::optional<TimePoint> RelayCore::deadlineOf(CallNumber call) const
+{
+    const auto found = m_calls.find(call);
+    return found == m_calls.end() ? std::nullopt : std::optional(found->second->flow.call().deadline);
+}
+
 void RelayCore::applyLoadUpdate(const InstanceId &entry, const LoadUpdate &update, TimePoint now)
 {
     m_loadNewsAt = now;
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -231,6 +231,8 @@
     [[nodiscard]] std::optional<TimePoint> nextDue() const;
     /// Returns the customer of an open call; empty if the call has ended or needs no API key.
     [[nodiscard]] CustomerId customerOf(CallNumber call) const;
+    /// Returns the time until which the caller of an open call waits; empty if the call has ended.
+    [[nodiscard]] std::optional<TimePoint> deadlineOf(CallNumber call) const;
     [[nodiscard]] std::size_t openCalls() const
     {
         return m_calls.size();
