Prompt quarantine: find parts wherever in the answer their engines crash

Cause: the first event counted as proof that a prompt is sound, and an attempt that broke off behind it was no evidence. Where sound prompts at the same engine broke off at their own first event, only these counted as possible causes. Change: a prompt is sound 500 ms behind its first event, or with a complete answer. Breaks before that are evidence, also without a head and of resumed streams: 5 crashes of 3 calls at 3 upstreams, or 3 of 2 at 2 if they came at the first event, as before. Two attempts of one request at different upstreams are two crashes. A stream in quarantine that is not known to be sound is not resumed. Two checks are replaced: a break right behind the first event was expected to be no evidence (callflowretriestest), which is the fault; the rows now give the time behind the event, from which on it is none. A begun stream was expected to be resumed whatever its quarantine; now it is cut before 500 ms and resumed from then on.

--- a/UnitTests/relay/callflowfixture.h
+++ b/UnitTests/relay/callflowfixture.h
@@ -56,9 +56,16 @@
     {
         return quarantine;
     }
-    void startBroken(const RelayCall & /*call*/, const UpstreamRecord &upstream, bool begun, TimePoint /*now*/) override
+    void startBroken(const RelayCall & /*call*/,
+                     const UpstreamRecord &upstream,
+                     bool atFirstEvent,
+                     TimePoint /*now*/) override
     {
-        brokenStarts.push_back(upstream.id.value() + (begun ? "" : " not begun"));
+        brokenStarts.push_back(upstream.id.value() + (atFirstEvent ? "" : " unclear"));
+    }
+    void promptAnswered(const RelayCall & /*call*/, TimePoint /*now*/) override
+    {
+        ++promptsAnswered;
     }
     std::optional<EngineRank> engineRank(const RelayCall & /*call*/, bool begun, TimePoint /*now*/) const override
     {
@@ -145,6 +152,8 @@
     std::optional<Error> quarantine;
     /// Upstreams at which the call broke off at the start of its answer.
     std::vector<std::string> brokenStarts;
+    /// How often the call's prompt was reported as sound.
+    int promptsAnswered = 0;
     Tokens reserved;
     Duration delay {};
     int retriesLeft = 100;
--- a/UnitTests/relay/callflowretriestest.cpp
+++ b/UnitTests/relay/callflowretriestest.cpp
@@ -278,8 +278,9 @@
     CHECK(environment.refused == 0);
 }
 
-// Guards against prompts that are blamed for a crash although the upstream had declined them, had sent an event or was
-// given up by the relay, and against crashes that no prompt is blamed for. Calls that had not begun are told apart.
+// Guards against prompts that are blamed for a crash although the upstream had declined them, had gone on writing or
+// was given up by the relay, and against crashes that no prompt is blamed for, as those after the first events were
+// (review case 9). Calls that did not break off at their first event are told apart.
 TEST_CASE_METHOD(FlowFixture, "a prompt is suspected only if its upstream ends at the start of the answer", "[relay]")
 {
     enum class End {
@@ -296,21 +297,27 @@
         int status;
         std::string body;
         End end;
+        /// Time from the body to the end.
+        Duration later;
         /// What is reported of the attempt at the upstream `a`; empty if nothing is.
         std::string suspected;
     };
     const Row row = GENERATE(values<Row>({
-        {200, "", End::Broken, "a"},
-        {200, "id:1\nda", End::Broken, "a"},
-        {200, ": comment\n\n", End::Broken, "a"},
-        {200, "id:1\nda", End::InsideEvent, "a"},
-        {200, "", End::WithoutEvent, "a"},
-        {200, "id:1\ndata:x\n\n", End::Broken, ""},
-        {200, std::string(std::size_t {2} << 20, 'x'), End::GivenUp, ""},
-        {500, "", End::Broken, ""},
-        {0, "", End::Broken, "a not begun"},
-        {0, "", End::NotSent, ""},
-        {503, "", End::Declined, ""},
+        {200, "", End::Broken, 0ms, "a"},
+        {200, "id:1\nda", End::Broken, 0ms, "a"},
+        {200, ": comment\n\n", End::Broken, 0ms, "a"},
+        {200, "id:1\nda", End::InsideEvent, 0ms, "a"},
+        {200, "", End::WithoutEvent, 0ms, "a"},
+        {200, "id:1\ndata:x\n\n", End::Broken, 0ms, "a unclear"},
+        {200, "id:1\ndata:x\n\nid:2\nda", End::Broken, 5ms, "a unclear"},
+        {200, "id:1\ndata:x\n\nid:2\nda", End::InsideEvent, 5ms, "a unclear"},
+        {200, "id:1\ndata:x\n\n", End::Broken, 499ms, "a unclear"},
+        {200, "id:1\ndata:x\n\n", End::Broken, 500ms, ""},
+        {200, std::string(std::size_t {2} << 20, 'x'), End::GivenUp, 0ms, ""},
+        {500, "", End::Broken, 0ms, ""},
+        {0, "", End::Broken, 0ms, "a unclear"},
+        {0, "", End::NotSent, 0ms, ""},
+        {503, "", End::Declined, 0ms, ""},
     }));
     begin(CallKind::ResumableStream, 2);
     if (row.status != 0) {
@@ -319,6 +326,7 @@
     if (!row.body.empty()) {
         flow().bodyReceived(1, row.body, now, actions);
     }
+    now += row.later;
     if (row.end == End::Broken || row.end == End::NotSent) {
         const auto failure = row.end == End::Broken ? AttemptFailure::Broken : AttemptFailure::NotSent;
         flow().attemptFailed(1, failure, "reset", now, actions);
@@ -329,9 +337,44 @@
     CHECK(environment.brokenStarts == (row.suspected.empty() ? none : std::vector<std::string> {row.suspected}));
 }
 
+// Guards against a prompt that counts as sound with its first event, so that one that crashes each upstream behind that
+// event is never found (review case 9), and against one that is never held to be sound.
+TEST_CASE_METHOD(FlowFixture, "a prompt is sound when its stream has gone on for some time or ended", "[relay]")
+{
+    struct Row
+    {
+        /// Times of the events after the head.
+        std::vector<Duration> events;
+        bool completes;
+        int answered;
+    };
+    const Row row = GENERATE(values<Row>({
+        {{}, false, 0},
+        {{0ms}, false, 0},
+        {{2s}, false, 0},
+        {{0ms, 100ms, 499ms}, false, 0},
+        {{0ms, 500ms}, false, 1},
+        {{1s, 1'400ms, 1'500ms, 1'600ms}, false, 1},
+        {{0ms}, true, 1},
+        {{0ms, 700ms}, true, 1},
+    }));
+    begin(CallKind::ResumableStream, 2);
+    const TimePoint start = now;
+    head(1, 200);
+    int id = 0;
+    for (const Duration time : row.events) {
+        now = start + time;
+        event(1, ++id);
+    }
+    if (row.completes) {
+        flow().responseCompleted(1, now, actions);
+    }
+    CHECK(environment.promptsAnswered == row.answered);
+}
+
 // Guards against a prompt in quarantine that still reaches an upstream: as a new call, after a failure, after it has
-// waited for other prefills or for memory, or when its upstream has stalled. A stream that has begun is sound and goes
-// on.
+// waited for other prefills or for memory, when its upstream has stalled, or as a stream that broke off with its first
+// events. A stream that has gone on for some time is sound and is resumed.
 TEST_CASE_METHOD(FlowFixture, "a prompt in quarantine reaches no further upstream", "[relay]")
 {
     const Error quarantine {ResultCode::PromptQuarantined, "has crashed upstreams", 60s};
@@ -389,12 +432,27 @@
     }
     SECTION("a stream that has begun")
     {
+        const auto [written, expected] =
+            GENERATE(table<Duration, std::string>({{0ms, "cut"}, {499ms, "cut"}, {500ms, "start b behind 2"}}));
+        const bool waits = GENERATE(false, true);
         begin(CallKind::ResumableStream, 2);
         head(1, 200);
         event(1, 1);
-        environment.quarantine = quarantine;
+        now += written;
+        event(1, 2);
         (void)done();
-        flow().attemptFailed(1, AttemptFailure::Broken, "reset", now, actions);
-        CHECK(done() == "start b behind 1");
+        if (waits) {
+            // The quarantine begins while the stream waits for an upstream.
+            const std::vector<std::string> upstreams = std::exchange(environment.upstreams, {"a"});
+            flow().attemptFailed(1, AttemptFailure::Broken, "reset", now, actions);
+            CHECK(done().empty());
+            environment.upstreams = upstreams;
+            environment.quarantine = quarantine;
+            wait();
+        } else {
+            environment.quarantine = quarantine;
+            flow().attemptFailed(1, AttemptFailure::Broken, "reset", now, actions);
+        }
+        CHECK(done() == expected);
     }
 }
--- a/UnitTests/relay/promptquarantinetest.cpp
+++ b/UnitTests/relay/promptquarantinetest.cpp
@@ -35,16 +35,32 @@
         engine.memory = Tokens(315'000);
         config.services.emplace(ServiceName("pool"), RelayService {ServiceName("pool"), 64, engine});
         core.applyConfig(config, now);
-        UpstreamList list;
-        list.revision.number = 1;
         for (int index = 10; index < 30; ++index) {
-            UpstreamRecord &record = list.records.emplace_back();
+            UpstreamRecord &record = m_list.records.emplace_back();
             record.id = InstanceId("e" + std::to_string(index));
             record.service = ServiceName("pool");
             record.address = UpstreamAddress("10.0.0." + std::to_string(index) + ":1");
         }
-        core.directory().apply(list, now);
+        applyList();
     }
+    /// Lets the engines that have crashed start again.
+    void restartEngines()
+    {
+        for (UpstreamRecord &record : m_list.records) {
+            if (m_crashed.contains(record.id)) {
+                record.incarnation = Incarnation(record.incarnation.value() + 1);
+            }
+        }
+        m_crashed.clear();
+        applyList();
+    }
+    /// Point at which an engine crashes under `CrashingPart`.
+    enum class CrashPoint {
+        BeforeHead,
+        BeforeFirstEvent,
+        InsideSecondEvent,
+    };
+
     /// Plays one call to its end and returns whether it was answered.
     bool play(const std::vector<PromptPartId> &parts)
     {
@@ -68,9 +84,20 @@
             for (const RelayAction &action : actions) {
                 if (const auto *start = std::get_if<StartAttempt>(&action.action)) {
                     now += 50ms;
-                    core.headReceived(call, start->attempt, {200, false, true, {}}, now, next);
+                    if (!crashes || crashPoint != CrashPoint::BeforeHead) {
+                        core.headReceived(call, start->attempt, {200, false, true, {}}, now, next);
+                    }
                     if (crashes) {
                         ++crashingAttempts;
+                        m_crashed.insert(start->plan.upstream.id);
+                        lateAttempts += m_fifthCrash && now > *m_fifthCrash + 3s ? 1 : 0;
+                        if (crashPoint == CrashPoint::InsideSecondEvent) {
+                            core.bodyReceived(call, start->attempt, "id: 1\ndata: x\n\nid: 2\nda", now, next);
+                            now += 5ms;
+                        }
+                        if (crashingAttempts == 5) {
+                            m_fifthCrash = now;
+                        }
                         core.attemptFailed(
                             call, start->attempt, AttemptFailure::Broken, "the connection ended", now, next);
                     } else {
@@ -91,11 +118,23 @@
     TimePoint now {1'000s};
     EventListener listener;
     RelayCore core {RelayCoreSettings(), 1, listener};
+    CrashPoint crashPoint = CrashPoint::BeforeFirstEvent;
     /// Attempts at an engine with `CrashingPart`.
     int crashingAttempts = 0;
+    /// Those later than three seconds after the fifth crash.
+    int lateAttempts = 0;
 
 private:
+    void applyList()
+    {
+        ++m_list.revision.number;
+        core.directory().apply(m_list, now);
+    }
+
+    UpstreamList m_list;
+    std::set<InstanceId> m_crashed;
     std::uint64_t m_calls = 0;
+    std::optional<TimePoint> m_fifthCrash;
 };
 
 } // namespace
@@ -127,6 +166,38 @@
     CHECK(play(sound));
 }
 
+// Guards against prompts with one part in common that crash one engine after the other behind their first events or
+// before the head (review case 9, BUDGET): later than three seconds after the fifth crash, three of them reach engines
+// at most, while prompts that share the other parts are served.
+TEST_CASE_METHOD(CrashFixture, "a crashing part is found wherever in the answer its engines crash", "[relay]")
+{
+    using Parts = std::vector<PromptPartId>;
+    const auto [crashing, sound] = GENERATE(table<Parts, Parts>({
+        {{SystemPart, CrashingPart}, {SystemPart}},
+        {{CrashingPart, SystemPart}, {SystemPart}},
+        {{CrashingPart}, {SystemPart}},
+        {{SystemPart, OtherSystemPart, CrashingPart}, {SystemPart, OtherSystemPart}},
+    }));
+    crashPoint = GENERATE(CrashPoint::BeforeHead, CrashPoint::BeforeFirstEvent, CrashPoint::InsideSecondEvent);
+    const int soundCalls = GENERATE(0, 1, 5);
+    int answered = 0;
+    for (int round = 0; round < 12; ++round) {
+        now += 400ms;
+        (void)play(crashing);
+        for (int call = 0; call < soundCalls; ++call) {
+            answered += play(sound) ? 1 : 0;
+        }
+        now += 4s;
+        restartEngines();
+        RelayActions actions;
+        core.tick(now, actions);
+    }
+    CHECK(crashingAttempts >= 3);
+    CHECK(lateAttempts <= 3);
+    CHECK(answered == 12 * soundCalls);
+    CHECK(play(sound));
+}
+
 namespace
 {
 
@@ -192,6 +263,67 @@
     CHECK(isQuarantined(first, CrashingPart) == row.quarantined);
 }
 
+// Guards against a sound part that is quarantined because its prompts were at upstreams that crashed under others, and
+// against a crashing part that is not found because sound prompts break off with each crash, too.
+TEST_CASE_METHOD(QuarantineFixture, "attempts away from their first event are weaker evidence", "[relay]")
+{
+    struct Row
+    {
+        std::string cause;
+        int crashes;
+        int calls;
+        int upstreams;
+        /// Crashes at which another prompt broke off at its first event, each time with another part.
+        int others;
+        bool answered;
+        bool quarantined;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"crashing part", 5, 5, 5, 0, false, true},
+        {"calls sent twice", 6, 3, 6, 0, false, true},
+        {"too few crashes", 4, 4, 4, 0, false, false},
+        {"too few calls", 8, 2, 8, 0, false, false},
+        {"too few upstreams", 8, 8, 2, 0, false, false},
+        {"sound prompts at their first event", 5, 5, 5, 5, false, true},
+        {"sound prompts at their first event, too few crashes", 4, 4, 4, 4, false, false},
+        {"answered in between", 12, 12, 12, 0, true, false},
+    }));
+    INFO(row.cause);
+    for (int index = 0; index < row.crashes; ++index) {
+        now += 500ms;
+        const UpstreamRunKey upstream(static_cast<std::uint64_t>(index % row.upstreams) + 1);
+        const auto call = static_cast<std::uint64_t>(index);
+        if (index < row.others) {
+            first.noteBrokenStart(upstream, RequestHash(3 * CallBase + call), {PromptPartId(0x100 + call)}, true, now);
+        }
+        first.noteBrokenStart(
+            upstream, RequestHash(CallBase + call % static_cast<std::uint64_t>(row.calls)), {CrashingPart}, false, now);
+        if (row.answered && index % 4 == 3) {
+            first.noteSound(RequestHash(), {CrashingPart}, now + 100ms);
+        }
+        first.expire(now + 200ms);
+    }
+    CHECK(isQuarantined(first, CrashingPart) == row.quarantined);
+}
+
+// Guards against a sound part that all requests share and that is quarantined after two crashes, since the requests at
+// the first upstream are sent to the second one together and break off there again.
+TEST_CASE_METHOD(QuarantineFixture, "attempts that break off at one upstream count as one crash", "[relay]")
+{
+    const auto [upstreams, quarantined] = GENERATE(table<std::uint64_t, bool>({{2, false}, {3, true}}));
+    for (std::uint64_t upstream = 1; upstream <= upstreams; ++upstream) {
+        // The upstream's connections do not all break at the same moment.
+        for (std::uint64_t call = 0; call < 7; ++call) {
+            now += 7ms;
+            first.noteBrokenStart(UpstreamRunKey(upstream), RequestHash(CallBase + call), {SystemPart}, true, now);
+        }
+        now += 5ms;
+    }
+    now += 500ms;
+    first.expire(now);
+    CHECK(isQuarantined(first, SystemPart) == quarantined);
+}
+
 // Guards against a refusal of sound prompts that share some parts with the crashing ones, also where no upstream has
 // answered any of them yet: parts that cannot be told apart are quarantined together.
 TEST_CASE_METHOD(QuarantineFixture, "only the parts that explain the crashes are quarantined", "[relay]")
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -109,8 +109,9 @@
     const UpstreamRecord record = m_current->plan.upstream;
     const InstanceId &upstream = record.id;
     const std::optional<ResponseHead> head = m_current->head;
-    const bool begun = m_current->succeeded();
-    const bool hasEvents = m_current->hasEvents;
+    const bool hasEvents = m_current->firstEvent.has_value();
+    const bool atFirstEvent = m_current->succeeded() && !hasEvents;
+    const bool inTrial = !m_promptSound && (!head || atFirstEvent || inPromptTrial(now));
     if (failure != AttemptFailure::BuffersFull) {
         const bool connection = failure == AttemptFailure::NotSent || failure == AttemptFailure::Broken;
         m_environment->upstreamFailed(upstream, connection ? UpstreamFault::Connection : UpstreamFault::Response, now);
@@ -139,8 +140,8 @@
                          {"began", hasEvents ? "true" : "false"},
                          {"request_hash", toString(m_call.requestHash)},
                          {"parts", toText(m_call.promptParts)}});
-    if (failure == AttemptFailure::Broken && !m_headSent && (begun || !head)) {
-        m_environment->startBroken(m_call, record, begun, now);
+    if (failure == AttemptFailure::Broken && inTrial) {
+        m_environment->startBroken(m_call, record, atFirstEvent, now);
     }
     ++m_ranAttempts;
     m_mayHaveRun = true;
@@ -283,10 +284,12 @@
     // Comments, blank lines and parts of an event are no progress: a stalled upstream may send them without end.
     m_current->lastProgress = now;
     m_environment->upstreamProgressed(m_current->plan.upstream.id, now);
-    if (!m_current->hasEvents) {
-        m_current->hasEvents = true;
+    if (!m_current->firstEvent) {
+        m_current->firstEvent = now;
         m_current->nextIdleCheck.reset();
         m_environment->firstEventReceived(m_call, now);
+    } else if (!inPromptTrial(now)) {
+        notePromptAnswered(now);
     }
     if (!m_current->scanner.lastId().empty()) {
         m_lastEventId = m_current->scanner.lastId();
@@ -304,6 +307,18 @@
     actions.emplace_back(SendBody {std::exchange(m_current->comments, {}) + events});
 }
 
+bool CallFlow::inPromptTrial(TimePoint now) const
+{
+    return m_current && m_current->firstEvent && now - *m_current->firstEvent < m_settings.promptTrialTime;
+}
+
+void CallFlow::notePromptAnswered(TimePoint now)
+{
+    if (!std::exchange(m_promptSound, true)) {
+        m_environment->promptAnswered(m_call, now);
+    }
+}
+
 bool CallFlow::accountBuffers()
 {
     const auto bytes = static_cast<std::int64_t>(m_current ? m_current->bufferedBytes() : 0);
@@ -338,6 +353,9 @@
     }
     const std::string outcome = std::to_string(status);
     if (isStream() && m_current->succeeded()) {
+        if (m_current->firstEvent) {
+            notePromptAnswered(now);
+        }
         if (!m_headSent) {
             m_headSent = true;
             actions.emplace_back(SendHead {attempt});
@@ -352,6 +370,7 @@
     }
     if (status < FirstServerError) {
         m_environment->firstEventReceived(m_call, now);
+        notePromptAnswered(now);
     }
     std::string body = std::move(m_current->body);
     finish("answered", outcome, now, actions);
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -242,11 +242,12 @@
     /// Applies the configuration in force to @p call, which no upstream has received yet: updates its route and
     /// service. Returns an error if that configuration does not admit the call.
     [[nodiscard]] virtual std::optional<Error> readmit(RelayCall &call) = 0;
-    /// Returns an error if @p call, of which no event has arrived yet, must not be sent to another upstream.
+    /// Returns an error if @p call, whose prompt is not known to be sound, must not be sent to another upstream.
     [[nodiscard]] virtual std::optional<Error> checkPrompt(const RelayCall &call, TimePoint now) const = 0;
-    /// An attempt at @p upstream broke off before any event of the call or the end of its response. @p begun is true if
-    /// the head of a successful response had arrived.
-    virtual void startBroken(const RelayCall &call, const UpstreamRecord &upstream, bool begun, TimePoint now) = 0;
+    /// An attempt at @p upstream broke off before the end of its response and before the prompt of @p call was known to
+    /// be sound. @p atFirstEvent is true if the head of a successful response had arrived, but no event.
+    virtual void
+    startBroken(const RelayCall &call, const UpstreamRecord &upstream, bool atFirstEvent, TimePoint now) = 0;
     /// Returns the rank of @p call at the engine; empty if engines get none. @p begun is true if the call is repeated
     /// or resumed.
     [[nodiscard]] virtual std::optional<EngineRank>
@@ -257,6 +258,8 @@
     virtual void attemptStarted(const RelayCall &call, const AttemptPlan &plan, TimePoint now) = 0;
     /// The first event of the current attempt, or a whole response that is no stream and no server error, has arrived.
     virtual void firstEventReceived(const RelayCall &call, TimePoint now) = 0;
+    /// An upstream has answered @p call, or has written events of the answer for so long that the prompt is sound.
+    virtual void promptAnswered(const RelayCall &call, TimePoint now) = 0;
     /// The attempt has ended, successfully or not.
     virtual void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) = 0;
     /// The call is refused with a status that declares it as not executed, so its caller may send it again.
@@ -323,6 +326,9 @@
     double busyEngineStallRatio = 0.8;
     /// A stream without events does not count as stalled before this multiple of the predicted time to its first event.
     double predictionFactor = 2.0;
+    /// Time after the first event of an attempt from which on its prompt is held to be sound. An upstream that crashes
+    /// on a prompt does so when it begins to write, and may have sent events by then.
+    Duration promptTrialTime = std::chrono::milliseconds(500);
     /// Maximum size of one event of a stream.
     std::size_t maxEventBytes = std::size_t {1} << 20;
     /// Maximum size of a response that is buffered until it is complete.
@@ -415,8 +421,8 @@
         std::optional<TimePoint> nextIdleCheck;
         /// Head of the response; empty until it has arrived.
         std::optional<ResponseHead> head;
-        /// True once an event has been delivered.
-        bool hasEvents = false;
+        /// Time at which the first event was delivered; empty before.
+        std::optional<TimePoint> firstEvent;
         /// Buffered body of a response that is not streamed.
         std::string body;
         EventScanner scanner;
@@ -486,6 +492,10 @@
     /// Ends the call with an error response, or by closing the connection if a stream has already been started.
     void refuse(ResultCode code, std::string reason, TimePoint now, CallActions &actions);
     void refuse(Error error, TimePoint now, CallActions &actions);
+    /// Tells the environment that the prompt is sound, unless it has been told before.
+    void notePromptAnswered(TimePoint now);
+    /// True if the current attempt has had its first event for less than `promptTrialTime`.
+    [[nodiscard]] bool inPromptTrial(TimePoint now) const;
     /// Refuses the call if its prompt must not reach another upstream. Returns true if it did.
     [[nodiscard]] bool refuseForPrompt(TimePoint now, CallActions &actions);
     /// Ends the call and logs it.
@@ -517,6 +527,8 @@
     int m_replans = 0;
     /// True once an upstream may have executed the call.
     bool m_mayHaveRun = false;
+    /// True once an upstream has shown that the prompt does not crash it.
+    bool m_promptSound = false;
     /// Bytes in the buffers of this call as last reported to the environment.
     std::int64_t m_bufferedBytes = 0;
     /// True once the head of a stream has been sent to the caller.
--- a/ibismast/relay/callflowattempts.cpp
+++ b/ibismast/relay/callflowattempts.cpp
@@ -9,8 +9,7 @@
 
 bool CallFlow::refuseForPrompt(TimePoint now, CallActions &actions)
 {
-    // An event proves that the prompt is sound.
-    if (m_headSent) {
+    if (m_promptSound) {
         return false;
     }
     std::optional<Error> error = m_environment->checkPrompt(m_call, now);
@@ -120,6 +119,9 @@
 
 void CallFlow::retryAfterWait(TimePoint now, CallActions &actions)
 {
+    if (refuseForPrompt(now, actions)) {
+        return;
+    }
     std::optional<AttemptPlan> plan = planAttempt(now);
     if (!plan || !m_environment->takeRetry(m_call.service, now)) {
         waitForRoom(
@@ -201,7 +203,7 @@
     m_call.begun = true;
     std::optional<AttemptPlan> plan = m_environment->planAttempt(m_call, m_tried, now);
     const Duration silentTime = now - m_current->lastProgress;
-    const bool better = plan && (m_headSent || !m_environment->checkPrompt(m_call, now))
+    const bool better = plan && (m_promptSound || !m_environment->checkPrompt(m_call, now))
         && toSeconds(plan->timeToFirstEvent) <= toSeconds(silentTime) * m_settings.failoverTimeRatio;
     if (!better || !m_environment->takeRetry(m_call.service, now)) {
         m_current->nextStallCheck = now + m_settings.stallRecheckInterval;
@@ -327,7 +329,7 @@
             + fromSeconds(toSeconds(m_call.route.objective) * m_settings.responseTimeoutFactor);
     }
     const double silenceLimit = toSeconds(callerSilence(m_call.route, m_settings));
-    if (!m_current->hasEvents) {
+    if (!m_current->firstEvent) {
         // On busy engines prefill takes longer than predicted, and a second attempt would repeat the whole prefill.
         const double predicted = toSeconds(m_current->plan.timeToFirstEvent) * m_settings.predictionFactor;
         return m_current->lastProgress
--- a/ibismast/relay/promptquarantine.cpp
+++ b/ibismast/relay/promptquarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace ibismast
@@ -36,13 +37,39 @@
     return text.empty() ? "none" : text;
 }
 
-/// What speaks against a part.
-struct PromptQuarantine::Suspicion
+/// Crashes, told apart from connections that break off together.
+struct PromptQuarantine::CrashCount
 {
-    PromptPartId part;
     std::size_t crashes = 0;
     std::set<RequestHash> requests;
     std::set<UpstreamRunKey> upstreams;
+
+    /// Adds an attempt. Crashes are at least @p spacing apart, those of one request's attempts, which follow each
+    /// other,
+    /// @p repeatSpacing.
+    void add(const Evidence &broken, Duration spacing, Duration repeatSpacing)
+    {
+        const auto [lastOfRequest, isNew] = m_lastOf.try_emplace(broken.request, broken.at);
+        const bool repeated =
+            !isNew && !upstreams.contains(broken.upstream) && broken.at - lastOfRequest->second >= repeatSpacing;
+        if (crashes == 0 || broken.at - m_last >= spacing || repeated) {
+            m_last = broken.at;
+            ++crashes;
+        }
+        lastOfRequest->second = broken.at;
+        requests.insert(broken.request);
+        upstreams.insert(broken.upstream);
+    }
+
+private:
+    TimePoint m_last;
+    std::map<RequestHash, TimePoint> m_lastOf;
+};
+
+/// What speaks against a part.
+struct PromptQuarantine::Suspicion : CrashCount
+{
+    PromptPartId part;
     /// Largest position of the part in a prompt.
     std::size_t depth = 0;
     TimePoint lastBroken;
@@ -52,6 +79,8 @@
     bool lastIsLocal = false;
     /// Parts that all these prompts hold.
     PartSet common;
+    /// The crashes at which an attempt broke off at its first event.
+    CrashCount clear;
 
     /// True if the part stands for a single request.
     [[nodiscard]] bool isRequest() const
@@ -85,20 +114,22 @@
 {
 }
 
-void PromptQuarantine::noteBrokenStart(
-    UpstreamRunKey upstream, RequestHash request, const std::vector<PromptPartId> &parts, bool begun, TimePoint now)
+void PromptQuarantine::noteBrokenStart(UpstreamRunKey upstream,
+                                       RequestHash request,
+                                       const std::vector<PromptPartId> &parts,
+                                       bool atFirstEvent,
+                                       TimePoint now)
 {
-    // A call that had not begun cannot have crashed its upstream by a part of its prompt.
-    PartSet held = withOwnPart(begun ? parts : PartSet(), request);
+    PartSet held = withOwnPart(parts, request);
     if (held.empty()) {
         return;
     }
     if (held.size() > m_settings.maxParts) {
         held.erase(held.begin(), held.end() - static_cast<std::ptrdiff_t>(m_settings.maxParts));
     }
-    if (addEvidence({upstream, request, held, now, begun, true})) {
-        m_pending.brokenStarts.push_back({upstream, request, std::move(held), {}, begun});
-        evaluate(now);
+    if (addEvidence({upstream, request, held, now, atFirstEvent, true})) {
+        m_pending.brokenStarts.push_back({upstream, request, std::move(held), {}, atFirstEvent});
+        evaluateSoon(atFirstEvent, now);
     }
 }
 
@@ -245,11 +276,11 @@
     return result;
 }
 
-std::set<UpstreamRunKey> PromptQuarantine::crashedWhileAnswering() const
+std::set<UpstreamRunKey> PromptQuarantine::crashedAtFirstEvent() const
 {
     std::set<UpstreamRunKey> upstreams;
     for (const Evidence &evidence : m_evidence) {
-        if (evidence.begun) {
+        if (evidence.atFirstEvent) {
             upstreams.insert(evidence.upstream);
         }
     }
@@ -261,8 +292,7 @@
 {
     Suspicion result;
     result.part = part;
-    const std::set<UpstreamRunKey> answering = crashedWhileAnswering();
-    TimePoint lastCrash = TimePoint::min();
+    const std::set<UpstreamRunKey> clear = crashedAtFirstEvent();
     const bool isRequest = std::ranges::any_of(m_evidence, [part](const Evidence &broken) {
         return ownPart(broken.request) == part;
     });
@@ -270,8 +300,10 @@
     for (std::size_t index = 0; index < m_evidence.size(); ++index) {
         const Evidence &broken = m_evidence[index];
         const PartSet *explanation = explainedBy[index];
-        if (!isSuspect(part, broken) || (explanation != nullptr && !holdsAll(*explanation, {part}))
-            || (!broken.begun && answering.contains(broken.upstream))) {
+        // Sound requests, too, break off at their first event, and a part is recognised by the crashes that its prompts
+        // have in common. A request that is sent again may be alone with one other.
+        const bool eclipsed = isRequest && !broken.atFirstEvent && clear.contains(broken.upstream);
+        if (!isSuspect(part, broken) || (explanation != nullptr && !holdsAll(*explanation, {part})) || eclipsed) {
             continue;
         }
         if (result.requests.empty()) {
@@ -280,12 +312,10 @@
         std::erase_if(result.common, [&](PromptPartId other) {
             return !isSuspect(other, broken);
         });
-        if (result.requests.empty() || broken.at - lastCrash >= spacing) {
-            lastCrash = broken.at;
-            ++result.crashes;
+        result.add(broken, spacing, m_settings.requestCrashSpacing);
+        if (broken.atFirstEvent) {
+            result.clear.add(broken, spacing, m_settings.requestCrashSpacing);
         }
-        result.requests.insert(broken.request);
-        result.upstreams.insert(broken.upstream);
         result.crashTimes.emplace(broken.upstream, broken.at);
         const auto place = std::ranges::find(broken.parts, part) - broken.parts.begin();
         result.depth = std::max(result.depth, static_cast<std::size_t>(place));
@@ -305,7 +335,15 @@
     if (suspicion.isRequest()) {
         return suspicion.upstreams.size() >= m_settings.minCrashes;
     }
-    return suspicion.requests.size() >= m_settings.minCalls && suspicion.upstreams.size() >= m_settings.minUpstreams;
+    return isClear(suspicion)
+        || (suspicion.crashes >= m_settings.minUnclearCrashes && suspicion.requests.size() >= m_settings.minUnclearCalls
+            && suspicion.upstreams.size() >= m_settings.minUnclearUpstreams);
+}
+
+bool PromptQuarantine::isClear(const Suspicion &suspicion) const
+{
+    return suspicion.clear.crashes >= m_settings.minCrashes && suspicion.clear.requests.size() >= m_settings.minCalls
+        && suspicion.clear.upstreams.size() >= m_settings.minUpstreams;
 }
 
 std::vector<PromptQuarantine::Suspicion>
@@ -319,6 +357,9 @@
     std::map<PromptPartId, Count> counts;
     for (std::size_t index = 0; index < m_evidence.size(); ++index) {
         for (const PromptPartId part : m_evidence[index].parts) {
+            if (answeredSince(part, m_evidence[index].at)) {
+                continue;
+            }
             Count &count = counts[part];
             ++count.all;
             count.unexplained += explainedBy[index] == nullptr ? 1 : 0;
@@ -344,8 +385,8 @@
                        && std::ranges::includes(other.upstreams, suspicion.upstreams);
                });
     };
-    const auto rank = [](const Suspicion &suspicion) {
-        return std::pair(suspicion.crashes, suspicion.depth);
+    const auto rank = [this](const Suspicion &suspicion) {
+        return std::tuple(isClear(suspicion), suspicion.crashes, suspicion.depth);
     };
     std::vector<Suspicion> worst;
     for (const Suspicion &suspicion : candidates) {
@@ -365,6 +406,16 @@
     return worst;
 }
 
+void PromptQuarantine::evaluateSoon(bool atFirstEvent, TimePoint now)
+{
+    if (atFirstEvent) {
+        evaluate(now);
+        return;
+    }
+    const TimePoint due = now + m_settings.evaluationDelay;
+    m_nextEvaluation = m_nextEvaluation ? std::min(*m_nextEvaluation, due) : due;
+}
+
 void PromptQuarantine::evaluate(TimePoint now)
 {
     const auto unsettled = std::ranges::upper_bound(m_evidence, now - m_settings.settleTime, {}, &Evidence::at);
@@ -451,12 +502,16 @@
         }
     }
     bool added = false;
+    bool addedAtFirstEvent = false;
     for (const BrokenStart &broken : update.brokenStarts) {
-        added = addEvidence({broken.upstream, broken.request, broken.parts, now - broken.age, broken.begun, false})
-            || added;
+        if (addEvidence(
+                {broken.upstream, broken.request, broken.parts, now - broken.age, broken.atFirstEvent, false})) {
+            added = true;
+            addedAtFirstEvent = addedAtFirstEvent || broken.atFirstEvent;
+        }
     }
     if (added) {
-        evaluate(now);
+        evaluateSoon(addedAtFirstEvent, now);
     }
 }
 
@@ -474,7 +529,7 @@
             break;
         }
         result.brokenStarts.push_back(
-            {broken->upstream, broken->request, broken->parts, now - broken->at, broken->begun});
+            {broken->upstream, broken->request, broken->parts, now - broken->at, broken->atFirstEvent});
         for (const PromptPartId part : broken->parts) {
             if (answeredSince(part, broken->at) && parts.size() < m_settings.maxReported) {
                 parts.insert(part);
--- a/ibismast/relay/promptquarantine.h
+++ b/ibismast/relay/promptquarantine.h
@@ -25,18 +25,18 @@
     return PromptPartId(request.value());
 }
 
-/// Attempt that broke off before the first event or the end of its response.
+/// Attempt that broke off before the end of its response and before its prompt was known to be sound.
 struct BrokenStart
 {
     UpstreamRunKey upstream;
     RequestHash request;
-    /// Shared parts of the prompt in their order, unless the upstream had not begun to answer, and the request's own
-    /// part.
+    /// Shared parts of the prompt in their order, and the request's own part.
     std::vector<PromptPartId> parts;
     /// Time since the attempt broke off.
     Duration age {};
-    /// True if the head of a successful response had arrived.
-    bool begun = true;
+    /// True if the head of a successful response had arrived, but no event: the upstream was about to write the first
+    /// one. Other attempts break off with a crash that another call has caused, too.
+    bool atFirstEvent = true;
 
     bool operator==(const BrokenStart &) const = default;
 };
@@ -78,10 +78,18 @@
 /// Settings of a `PromptQuarantine`.
 struct PromptQuarantineSettings
 {
-    /// Number of crashes, of calls and of upstreams that the evidence against a part must at least come from.
+    /// Number of crashes, of calls and of upstreams that the evidence against a part must at least come from, if all
+    /// these attempts broke off at their first event.
     std::size_t minCrashes = 3;
     std::size_t minCalls = 2;
     std::size_t minUpstreams = 2;
+    /// The same if they broke off at any point before their prompt was known to be sound.
+    std::size_t minUnclearCrashes = 5;
+    std::size_t minUnclearCalls = 3;
+    std::size_t minUnclearUpstreams = 3;
+    /// Evidence of attempts that did not break off at their first event is evaluated after this time, all of it at
+    /// once: many attempts break off with each crash.
+    Duration evaluationDelay = std::chrono::milliseconds(50);
     /// Number of crashes from which on a request is quarantined although another one was at the same upstreams.
     std::size_t decisiveCrashes = 5;
     /// Time that the evidence against a single request must be old, so that the reports of all entries on the same
@@ -118,22 +126,25 @@
 /// answer to a prompt with one of them then shows that the others are the cause.
 ///
 /// A request counts as a part of its own, see `ownPart`. It is quarantined if it was at several upstreams when they
-/// crashed, no upstream has answered it since, and no other request was at all of these upstreams too. If some of the
-/// calls that broke off with an upstream had begun, only these can be the cause.
+/// crashed, no upstream has answered it since, and no other request was at all of these upstreams too.
+///
+/// An upstream may crash before it has sent anything, at the first event or behind it, and sound requests break off
+/// with it at any of these points. Attempts that broke off at their first event are the stronger evidence: a part needs
+/// fewer of them, and a request is not the cause of a crash at which only others did.
 class PromptQuarantine
 {
 public:
     PromptQuarantine(const PromptQuarantineSettings &settings, EventListener &listener);
 
-    /// Records that an attempt to send @p request, whose prompt holds @p parts, broke off. @p begun is true if the head
-    /// of a successful response had arrived.
+    /// Records that an attempt to send @p request, whose prompt holds @p parts, broke off. For @p atFirstEvent see
+    /// `BrokenStart`.
     void noteBrokenStart(UpstreamRunKey upstream,
                          RequestHash request,
                          const std::vector<PromptPartId> &parts,
-                         bool begun,
+                         bool atFirstEvent,
                          TimePoint now);
-    /// Records that an upstream has answered @p request, whose prompt holds @p parts, or has sent an event of the
-    /// answer.
+    /// Records that an upstream has answered @p request, whose prompt holds @p parts, or has gone on writing the answer
+    /// for so long that the prompt does not crash it.
     void noteSound(RequestHash request, const std::vector<PromptPartId> &parts, TimePoint now);
 
     /// Quarantine that applies to a prompt, and its remaining time.
@@ -169,10 +180,11 @@
         RequestHash request;
         std::vector<PromptPartId> parts;
         TimePoint at;
-        bool begun = true;
+        bool atFirstEvent = true;
         /// True if this entry has sent the attempt.
         bool local = false;
     };
+    struct CrashCount;
     struct Suspicion;
     /// Parts of a quarantine, in ascending order.
     using PartSet = std::vector<PromptPartId>;
@@ -181,10 +193,12 @@
     bool addEvidence(Evidence evidence);
     /// Quarantines the parts that the evidence is sufficient for.
     void evaluate(TimePoint now);
+    /// Evaluates the evidence now if @p atFirstEvent is true, otherwise after `evaluationDelay`.
+    void evaluateSoon(bool atFirstEvent, TimePoint now);
     /// Returns for each item of the evidence the quarantine that explains it, or null.
     [[nodiscard]] std::vector<const PartSet *> explanations() const;
-    /// Upstreams of which a call had begun when they crashed.
-    [[nodiscard]] std::set<UpstreamRunKey> crashedWhileAnswering() const;
+    /// Upstreams at which an attempt broke off at its first event.
+    [[nodiscard]] std::set<UpstreamRunKey> crashedAtFirstEvent() const;
     /// Returns the parts with sufficient evidence that explain the most crashes; several only if they are requests that
     /// were at the same upstreams.
     [[nodiscard]] std::vector<Suspicion> worstSuspicions(const std::vector<const PartSet *> &explainedBy,
@@ -192,6 +206,8 @@
     /// Returns what speaks against @p part: the evidence that no quarantine of other parts explains.
     [[nodiscard]] Suspicion suspicionOf(PromptPartId part, const std::vector<const PartSet *> &explainedBy) const;
     [[nodiscard]] bool isSufficient(const Suspicion &suspicion, TimePoint now) const;
+    /// True if the attempts that broke off at their first event are sufficient evidence by themselves.
+    [[nodiscard]] bool isClear(const Suspicion &suspicion) const;
     /// True if @p evidence speaks against @p part: the prompt holds it, and no answer has shown since that it is sound.
     [[nodiscard]] bool isSuspect(PromptPartId part, const Evidence &evidence) const;
     /// True if an upstream has answered a prompt with @p part after @p at.
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -311,11 +311,12 @@
     planFault(const RelayCall &call, const AttemptPlan &plan, TimePoint now) const override;
     [[nodiscard]] std::optional<Error> readmit(RelayCall &call) override;
     [[nodiscard]] std::optional<Error> checkPrompt(const RelayCall &call, TimePoint now) const override;
-    void startBroken(const RelayCall &call, const UpstreamRecord &upstream, bool begun, TimePoint now) override;
+    void startBroken(const RelayCall &call, const UpstreamRecord &upstream, bool atFirstEvent, TimePoint now) override;
     [[nodiscard]] std::optional<EngineRank> engineRank(const RelayCall &call, bool begun, TimePoint now) const override;
     [[nodiscard]] bool takeRetry(const ServiceName &service, TimePoint now) override;
     void attemptStarted(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
     void firstEventReceived(const RelayCall &call, TimePoint now) override;
+    void promptAnswered(const RelayCall &call, TimePoint now) override;
     void attemptEnded(const RelayCall &call, const AttemptPlan &plan, TimePoint now) override;
     void callRefused(const RelayCall &call, TimePoint now) override;
     [[nodiscard]] bool changeBuffered(const RelayCall &call, std::int64_t change) override;
--- a/ibismast/relay/relaycoreplans.cpp
+++ b/ibismast/relay/relaycoreplans.cpp
@@ -312,7 +312,6 @@
 
 void RelayCore::firstEventReceived(const RelayCall &call, TimePoint now)
 {
-    m_quarantine.noteSound(call.requestHash, call.promptParts, now);
     if (const auto found = m_unanswered.find(call.number); found != m_unanswered.end()) {
         const UnansweredAttempt attempt = found->second;
         m_unanswered.erase(found);
--- a/ibismast/relay/relaycorereports.cpp
+++ b/ibismast/relay/relaycorereports.cpp
@@ -79,9 +79,14 @@
     return quarantineError(call, *hit);
 }
 
-void RelayCore::startBroken(const RelayCall &call, const UpstreamRecord &upstream, bool begun, TimePoint now)
+void RelayCore::startBroken(const RelayCall &call, const UpstreamRecord &upstream, bool atFirstEvent, TimePoint now)
 {
-    m_quarantine.noteBrokenStart(runKey(upstream), call.requestHash, call.promptParts, begun, now);
+    m_quarantine.noteBrokenStart(runKey(upstream), call.requestHash, call.promptParts, atFirstEvent, now);
+}
+
+void RelayCore::promptAnswered(const RelayCall &call, TimePoint now)
+{
+    m_quarantine.noteSound(call.requestHash, call.promptParts, now);
 }
 
 void RelayCore::applyQuarantineUpdate(const QuarantineUpdate &update, TimePoint now)
--- a/wire/relay.thrift
+++ b/wire/relay.thrift
@@ -21,14 +21,14 @@
     6: required list<RelayReadShare> reads,
 }
 
-/// Attempt that broke off before the first event or the end of its answer.
+/// Attempt that broke off before the end of its answer and before its prompt was known to be sound.
 struct RelayBrokenStart {
     /// Hash of the upstream's id and incarnation, and hash of the request.
     1: required i64 upstream,
     2: required i64 call,
     3: required list<i64> parts,
     4: required i64 ageMs,
-    /// False if the upstream had not begun to answer; absent means true.
+    /// True if the head of the answer had arrived, but no event; absent means true.
     5: optional bool begun,
 }
 
--- a/wire/relaycodec.cpp
+++ b/wire/relaycodec.cpp
@@ -142,7 +142,7 @@
             wire::relay::RelayBrokenStart &start = message.brokenStarts.emplace_back();
             start.upstream = static_cast<std::int64_t>(broken.upstream.value());
             start.call = static_cast<std::int64_t>(broken.request.value());
-            if (!broken.begun) {
+            if (!broken.atFirstEvent) {
                 start.__set_begun(false);
             }
             start.parts = toThrift(broken.parts);
