HTTP parser: refuse responses whose status is out of range

Cause: the library accepts any three digits, and statuses below 200 were skipped as interim ones. Change: a response whose status is not between 100 and 599, or is 101, fails in the parser. Result: with the fix taken out, 12 of 18 rows of httpmessagetest "only statuses from 100 to 599 begin a response" and 2 of 15 of upstreamconnectiontest "an answer is complete only if nothing of it is missing" fail; with it they pass.

--- a/UnitTests/adapters/plumbing/httpmessagetest.cpp
+++ b/UnitTests/adapters/plumbing/httpmessagetest.cpp
@@ -104,3 +104,23 @@
     CHECK(received.capacity() < 64 * 1024);
     CHECK_FALSE(parser.done());
 }
+
+// Guards against an answer without a valid status that is passed on, or skipped as an interim one until the call's time
+// is over (report of other operators: status 000, issue 58).
+TEST_CASE("only statuses from 100 to 599 begin a response", "[adapters]")
+{
+    const auto [status, valid] = GENERATE(table<std::string, bool>({
+        {"000", false},
+        {"001", false},
+        {"099", false},
+        {"100", true},
+        {"101", false},
+        {"200", true},
+        {"599", true},
+        {"600", false},
+        {"999", false},
+    }));
+    const std::size_t piece = GENERATE(as<std::size_t>(), 1, 1'000);
+    const std::string response = "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n";
+    CHECK(feed(HttpMessageKind::Response, UpstreamHeadLimit, response, piece).failed == !valid);
+}
--- a/UnitTests/adapters/relay/upstreamconnectiontest.cpp
+++ b/UnitTests/adapters/relay/upstreamconnectiontest.cpp
@@ -103,6 +103,10 @@
         {Foreign, "closes", "broken", false},
         {Mine + Foreign, "stays", "complete", false},
         {"no answer at all\r\n\r\n", "stays", "broken", false},
+        {"HTTP/1.1 000 X\r\nId: mine\r\nContent-Length: 2\r\n\r\nok", "stays", "broken", false},
+        {"HTTP/1.1 000 X\r\nId: mine\r\n\r\nok", "closes", "broken", false},
+        {"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" + Mine, "stays", "broken", false},
+        {"HTTP/1.1 100 Continue\r\n\r\n" + Mine, "stays", "complete", true},
         {"", "closes", "broken", false},
     }));
     send();
@@ -255,6 +259,7 @@
         {"trailers without end", ChunkedHead + "0\r\n", "X-Trailer: value\r\n"},
         {"trailer without end", ChunkedHead + "0\r\nX: ", std::string(4096, 'x')},
         {"long trailers without end", ChunkedHead + "0\r\n", "X-Fill: " + std::string(65'600, 'y') + "\r\n\r\n"},
+        {"interim responses without end", "", "HTTP/1.1 100 Continue\r\n\r\n"},
         {"responses to other calls without end", "", Foreign},
         {"a response to another call without end",
          "HTTP/1.1 200 OK\r\nId: other\r\nConnection: close\r\n\r\n",
--- a/UnitTests/adapters/upstreamclientstest.cpp
+++ b/UnitTests/adapters/upstreamclientstest.cpp
@@ -422,6 +422,7 @@
         {4, "HTTP/1.1 200 OK\r\n\r\nok", true},
         {std::size_t {32} << 20, "HTTP/1.1 200 OK\r\n\r\nok", false},
         {std::size_t {32} << 20, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false},
+        {4, "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok", false},
     }));
     NeedsEventLoop eventLoop;
     QTcpServer server;
--- a/adapters/plumbing/httpmessage.cpp
+++ b/adapters/plumbing/httpmessage.cpp
@@ -16,6 +16,10 @@
 
 /// Lowest version of HTTP whose messages may be chunked, as the library writes it.
 constexpr unsigned ChunkedVersion = 11;
+/// Statuses outside this range are invalid (RFC 9110, section 15); the library accepts any three digits.
+constexpr unsigned FirstStatus = 100;
+constexpr unsigned LastStatus = 599;
+constexpr unsigned SwitchingProtocolsStatus = 101;
 
 /// Body that grows with the bytes that arrive. The library's own text body reserves the length that a message claims,
 /// which may be larger than the memory of the process.
@@ -125,8 +129,8 @@
     [[nodiscard]] virtual bool done() const = 0;
     [[nodiscard]] virtual HttpHead head() const = 0;
     virtual std::string &body() = 0;
-    /// False if the head of a request does not say where its body ends.
-    [[nodiscard]] virtual bool framed() const = 0;
+    /// Returns why the head, which the library has accepted, begins no message that can be used; empty if it does.
+    [[nodiscard]] virtual std::string_view headFault() const = 0;
 
     HttpMessageLimits limits;
     /// Bytes of an element that is not complete yet: a line of the head or of a chunk.
@@ -180,17 +184,23 @@
         result.keepAlive = message.keep_alive();
         return result;
     }
-    [[nodiscard]] bool framed() const override
+    [[nodiscard]] std::string_view headFault() const override
     {
+        const auto &message = m_parser.get();
         if constexpr (IsRequest) {
-            const auto &message = m_parser.get();
             const auto count = message.count(http::field::transfer_encoding);
             // The library takes a request with any other coding for one without a body.
-            return count == 0
+            const bool framed = count == 0
                 || (count == 1 && message.version() >= ChunkedVersion
                     && boost::beast::iequals(message[http::field::transfer_encoding], "chunked"));
+            return framed ? std::string_view() : "a request body needs a length or chunks";
+        } else {
+            const unsigned status = message.result_int();
+            if (status == SwitchingProtocolsStatus) {
+                return "the protocol changes without a request to change it";
+            }
+            return status >= FirstStatus && status <= LastStatus ? std::string_view() : "the status is out of range";
         }
-        return true;
     }
     std::string &body() override
     {
@@ -240,8 +250,10 @@
         if (error) {
             return *error;
         }
-        if (inHead && m_private->headDone() && !m_private->framed()) {
-            return Error {ResultCode::MalformedRequest, "a request body needs a length or chunks", std::nullopt};
+        if (inHead && m_private->headDone()) {
+            if (const std::string_view fault = m_private->headFault(); !fault.empty()) {
+                return Error {ResultCode::MalformedRequest, std::string(fault), std::nullopt};
+            }
         }
         m_private->headBytes += inHead ? parsed : 0;
         used += parsed;
