Upstream connections: let upstreams read long requests slowly

Callers would see long requests fail, or be sent twice where they may be, when the upstream reads nothing for 1.5 s though it acknowledges. Cause: TCP_USER_TIMEOUT applies to a closed window too. Change: a request above 64 KiB raises the timeout while it is open; TCP_INFO shows whether the upstream still acknowledges.

--- a/UnitTests/adapters/relay/upstreamconnectiontest.cpp
+++ b/UnitTests/adapters/relay/upstreamconnectiontest.cpp
@@ -204,6 +204,63 @@
     }));
 }
 
+// Guards against a long request that is broken off, and may have run, because its upstream reads slowly: it
+// acknowledges with a closed window for longer than an upstream that is gone is waited for.
+TEST_CASE("an upstream may read a long request slowly", "[relay]")
+{
+    constexpr Duration Silence = std::chrono::milliseconds(200);
+    // Small ones fit into the buffers of the kernel.
+    const std::size_t bodyBytes = GENERATE(as<std::size_t>(), 1'000, std::size_t {12} << 20);
+    boost::asio::io_context loop(1);
+    tcp::acceptor acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    acceptor.set_option(boost::asio::socket_base::receive_buffer_size(8'192));
+    UpstreamConnectionSettings settings;
+    settings.silence = Silence;
+    const auto connection = std::make_shared<UpstreamConnection>(loop, acceptor.local_endpoint(), settings);
+    std::string outcome;
+    const auto send = [&] {
+        outcome.clear();
+        connection->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"
+                             + std::string(bodyBytes, 'x'),
+                         {[](const HttpHead & /*head*/) {
+                              return true;
+                          },
+                          [](std::string_view /*bytes*/) {},
+                          [&outcome] {
+                              outcome = "complete";
+                          },
+                          [&outcome](AttemptFailure /*failure*/, const std::string &reason) {
+                              outcome = reason;
+                          }});
+    };
+    LoopbackPeer upstream(loop);
+    acceptor.async_accept(upstream.socket, [](const boost::system::error_code & /*error*/) {});
+    std::size_t expected = 0;
+    for (int request = 0; request < 2; ++request) {
+        upstream.pause();
+        send();
+        loop.restart();
+        loop.run_for(7 * Silence);
+        CHECK(outcome.empty());
+        upstream.resume();
+        expected += bodyBytes;
+        REQUIRE(runUntil(loop, [&] {
+            return upstream.received.size() > expected || !outcome.empty();
+        }));
+        if (outcome.empty()) {
+            upstream.write(Mine);
+        }
+        REQUIRE(runUntil(loop, [&outcome] {
+            return !outcome.empty();
+        }));
+        REQUIRE(outcome == "complete");
+    }
+    connection->close();
+    upstream.socket.close();
+    loop.restart();
+    loop.poll();
+}
+
 // Guards against an unsent call that is taken for one that may have run.
 TEST_CASE("a refused connection counts as unsent", "[relay]")
 {
--- a/adapters/relay/upstreamconnection.cpp
+++ b/adapters/relay/upstreamconnection.cpp
@@ -95,8 +95,34 @@
     });
 }
 
+void UpstreamConnection::allowSlowReading()
+{
+    m_slowReading = true;
+    setUnsentTimeout(m_socket, m_settings.unreadTime);
+    checkSilence();
+}
+
+void UpstreamConnection::checkSilence()
+{
+    const std::shared_ptr<UpstreamConnection> self = shared_from_this();
+    m_timer.expires_after(m_settings.silence / 2);
+    m_timer.async_wait([self](const ErrorCode &error) {
+        if (error || self->m_state != State::Open || !self->m_slowReading) {
+            return;
+        }
+        if (peerSilence(self->m_socket) >= self->m_settings.silence) {
+            self->fail(AttemptFailure::Broken, "the upstream acknowledges nothing");
+        } else {
+            self->checkSilence();
+        }
+    });
+}
+
 void UpstreamConnection::write()
 {
+    if (m_request.size() > m_settings.maxSmallRequestBytes) {
+        allowSlowReading();
+    }
     m_writing = true;
     const std::shared_ptr<UpstreamConnection> self = shared_from_this();
     boost::asio::async_write(
@@ -227,6 +253,10 @@
     m_reusable = m_reusable && !m_writing;
     m_hasAnswered = true;
     m_paused = false;
+    if (std::exchange(m_slowReading, false)) {
+        m_timer.cancel();
+        setUnsentTimeout(m_socket, m_settings.silence);
+    }
     if (!m_writing) {
         // An idle connection must not keep the body of its last request.
         std::string().swap(m_request);
--- a/adapters/relay/upstreamconnection.h
+++ b/adapters/relay/upstreamconnection.h
@@ -30,6 +30,10 @@
     Duration connectTimeout = std::chrono::milliseconds(300);
     /// A peer that acknowledges nothing for this long is gone.
     Duration silence = std::chrono::milliseconds(1500);
+    /// The kernel of an upstream takes requests up to this size whether or not the upstream reads them.
+    std::size_t maxSmallRequestBytes = std::size_t {64} * 1024;
+    /// Time for which an upstream that acknowledges may leave a larger request unread. Callers wait less.
+    Duration unreadTime = std::chrono::seconds(60);
     /// Time for which an idle connection is kept if the upstream names none.
     Duration defaultIdle = std::chrono::seconds(3);
     /// An idle connection is given up this long before the upstream would close it.
@@ -83,6 +87,10 @@
 
     void connect();
     void write();
+    /// Lets the upstream read a large request slowly, as long as it acknowledges.
+    void allowSlowReading();
+    /// Fails the call if the upstream acknowledges nothing, and looks again later otherwise.
+    void checkSilence();
     void read();
     void received(std::string_view bytes);
     void parse(std::string_view bytes);
@@ -105,6 +113,8 @@
     /// True once a request could not be written, since the connection was reset.
     bool m_writeFailed = false;
     bool m_reading = false;
+    /// True while the upstream may read slowly.
+    bool m_slowReading = false;
     bool m_paused = false;
     /// Shared, since a handler may close the connection while it runs.
     std::shared_ptr<const AnswerHandler> m_handler;
