--- a/adapters/relay/callerconnection.cpp
+++ b/adapters/relay/callerconnection.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t MaxBacklogBytes = std::size_t {64} * 1024;
 /// Buffers above this size are freed after use, so that one large answer does not hold memory for ever.
 constexpr std::size_t KeptBufferBytes = std::size_t {64} * 1024;
+
 constexpr int HeadTooLargeStatus = 431;
 
 } // namespace
@@ -352,6 +353,7 @@
         return;
     }
     const Duration elapsed = now - m_phaseStart;
+    // A caller that is owed an answer keeps its connection long, so one that is gone is looked for here.
     const bool hasAnswer = m_answering || unsentBytes() > 0;
     if (hasAnswer && elapsed >= m_silence && peerSilence(m_socket) >= m_silence) {
         closeAnswering();
--- a/ibismast/relay/promptquarantine.h
+++ b/ibismast/relay/promptquarantine.h
@@ -186,6 +186,7 @@
     };
     struct CrashCount;
     struct Suspicion;
+
     /// Parts of a quarantine, in ascending order.
     using PartSet = std::vector<PromptPartId>;
 
