--- a/ibismast/relay/promptquarantine.cpp
+++ b/ibismast/relay/promptquarantine.cpp
@@ -44,9 +44,8 @@
     std::set<RequestHash> requests;
     std::set<UpstreamRunKey> upstreams;
 
-    /// Adds an attempt. Crashes are at least @p spacing apart, those of one request's attempts, which follow each
-    /// other,
-    /// @p repeatSpacing.
+    /// Adds an attempt. Crashes are at least @p spacing apart. Attempts of one request follow each other, so that
+    /// @p repeatSpacing is enough if they break off at different upstreams.
     void add(const Evidence &broken, Duration spacing, Duration repeatSpacing)
     {
         const auto [lastOfRequest, isNew] = m_lastOf.try_emplace(broken.request, broken.at);
