--- a/UnitTests/adapters/relay/relayprocessfixture.h
+++ b/UnitTests/adapters/relay/relayprocessfixture.h
@@ -61,7 +61,7 @@
     {
         RelayConfig config;
         config.version = RelayConfigVersion(1);
-        config.limits.maxBodyBytes = MaxBodyBytes;
+        config.limits.maxBodyBytes = maxBodyBytes;
         RelayRoute route;
         route.host = "h";
         route.pathPrefix = "/";
@@ -85,6 +85,7 @@
     }
 
     CallKind kind = CallKind::Stream;
+    std::uint64_t maxBodyBytes = MaxBodyBytes;
 };
 
 /// Engines that reserve memory at once and count reservations and releases.
--- a/UnitTests/adapters/relay/relayprocesstest.cpp
+++ b/UnitTests/adapters/relay/relayprocesstest.cpp
@@ -295,3 +295,57 @@
     }));
     CHECK(connection->unreadTime() == kept);
 }
+
+// Guards against a caller that gets the part of an answer, or an answer whose status does not exist, as its answer
+// (reports of other operators, issue 58): the upstream answers a long request at once and resets the connection while
+// the request is still being written.
+TEST_CASE_METHOD(ProcessFixture, "what is no whole answer does not reach a caller as one", "[relay]")
+{
+    constexpr std::size_t BodyBytes = std::size_t {12} << 20;
+    struct Row
+    {
+        CallKind kind;
+        std::string status;
+        bool resets;
+        /// What the caller gets at the beginning and at the end.
+        std::string begin;
+        std::string end;
+    };
+    const Row row = GENERATE(values<Row>({
+        {CallKind::AtMostOnce, "200 OK", true, "HTTP/1.1 502 ", "}"},
+        {CallKind::AtMostOnce, "200 OK", false, "HTTP/1.1 200 ", "id:1\ndata:x\n\n"},
+        {CallKind::Stream, "200 OK", true, "HTTP/1.1 200 ", "id:1\ndata:x\n\n\r\n"},
+        {CallKind::Stream, "200 OK", false, "HTTP/1.1 200 ", "id:1\ndata:x\n\n\r\n0\r\n\r\n"},
+        {CallKind::AtMostOnce, "000 X", false, "HTTP/1.1 502 ", "}"},
+        {CallKind::Stream, "000 X", false, "HTTP/1.1 502 ", "}"},
+    }));
+    CAPTURE(static_cast<int>(row.kind), row.status, row.resets);
+    decoder.kind = row.kind;
+    decoder.maxBodyBytes = BodyBytes;
+    REQUIRE(await([this] {
+        return store.listRead && process.limits().maxBodyBytes == BodyBytes;
+    }));
+    const std::string request = "POST /a HTTP/1.1\r\nHost: h\r\nIbismast-Attempt-Id: r1\r\nContent-Length: "
+        + std::to_string(BodyBytes) + "\r\n\r\n" + std::string(BodyBytes, 'x');
+    boost::asio::async_write(
+        caller.socket, boost::asio::buffer(request), [](const boost::system::error_code &, std::size_t) {});
+    REQUIRE(await([this] {
+        return upstream.received.size() > 1'000;
+    }));
+    upstream.pause();
+    upstream.write("HTTP/1.1 " + row.status
+                   + "\r\nIbismast-Attempt-Id: r1\r\nIbismast-Response-Seal: s\r\nContent-Type: text/event-stream\r\n"
+                     "Connection: close\r\n\r\nid:1\ndata:x\n\n");
+    // The answer is read before the connection ends.
+    loop.restart();
+    loop.run_for(100ms);
+    if (row.resets) {
+        upstream.reset();
+    } else {
+        upstream.socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    }
+    REQUIRE(await([this, &row] {
+        return caller.received.ends_with(row.end) && (!row.resets || row.kind != CallKind::Stream || caller.ended);
+    }));
+    CHECK(caller.received.starts_with(row.begin));
+}
