Callers' connections: free the head of a request behind its answer

Cause: the head stayed with the connection until the next request, 64 bytes for each header, however short. Change: it is freed when the answer has been handed over. Result: with the fix taken out, 4 of 4 rows of callerconnectiontest "an idle connection does not keep the head of its last request" fail; with it they pass.

--- a/UnitTests/adapters/relay/callerconnectiontest.cpp
+++ b/UnitTests/adapters/relay/callerconnectiontest.cpp
@@ -288,6 +288,33 @@
     handler.last.reset();
 }
 
+// Guards against a process that idle clients make exceed its memory, since each of their connections keeps the parsed
+// head of its last request (review case 7).
+TEST_CASE_METHOD(ServerFixture, "an idle connection does not keep the head of its last request", "[relay]")
+{
+    const bool stream = GENERATE(false, true);
+    const bool closing = GENERATE(false, true);
+    std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n";
+    for (int header = 0; header < 200; ++header) {
+        request += "x:\r\n";
+    }
+    caller.write(request + "\r\n");
+    awaitRequests(1);
+    CHECK(handler.last->request().headers.size() == 201);
+    if (closing) {
+        server.closeAfterAnswers();
+    }
+    if (stream) {
+        handler.last->beginBody(HttpHeadBuilder::response(200));
+        handler.last->sendBody("x");
+        CHECK(handler.last->request().headers.size() == 201);
+        handler.last->endBody();
+    } else {
+        handler.last->answer(HttpHeadBuilder::response(200), "x");
+    }
+    CHECK(handler.last->request().headers.capacity() == 0);
+}
+
 // Guards against work for a caller that has left.
 TEST_CASE_METHOD(ServerFixture, "a caller that leaves is noticed while its answer is due", "[relay]")
 {
--- a/adapters/relay/callerconnection.cpp
+++ b/adapters/relay/callerconnection.cpp
@@ -243,6 +243,8 @@
 void CallerConnection::answerEnded()
 {
     m_answering = false;
+    // A head of many short headers takes much more memory than its bytes, for as long as the connection stays idle.
+    m_request = HttpHead();
     m_phaseStart = processNow();
     // A stream that began before the stop could not announce the close. Kept open, its connection would bring requests
     // that the process has no time left to answer.
