OutgoingCall: do not finish the parser of an answer that has not begun

Cause: the check of a reset during an upload asked the parser for the end of an answer before it asked whether one had begun, which the library asserts. Change: the order of the checks.

--- a/adapters/outgoingcall.cpp
+++ b/adapters/outgoingcall.cpp
@@ -168,8 +168,8 @@
     }
     // QTcpSocket reports a reset as an orderly end. An upstream that ends its connection while the request is still
     // being written has reset it, so an answer without a length may be cut.
-    const bool whole = m_unwritten == 0 && errorOf(m_parser->finish()) == nullptr;
-    if (m_parser->started() && whole) {
+    const bool whole = m_unwritten == 0 && m_parser->started() && errorOf(m_parser->finish()) == nullptr;
+    if (whole) {
         end(std::nullopt);
     } else {
         end(Error {ResultCode::UpstreamFailed, "the upstream closed the connection", std::nullopt});
