--- a/review/standins-3/case11.cpp
+++ b/review/standins-3/case11.cpp
@@ -6,6 +6,7 @@
 namespace
 {
 
+constexpr int EngineCount = 6;
 constexpr std::int64_t ContactMs = 3000;
 constexpr std::int64_t CalmMs = 12000;
 constexpr std::int64_t TroubleMs = 24000;
@@ -36,19 +37,26 @@
     const std::string folder = prepare(argv[1]);
     const bool trouble = troubled();
     Store store;
-    Engine engines[3];
-    Entry entry;
-    entry.ip = "127.0.0.2";
-    entry.name = "front-a-1";
-    entry.front = freePort(entry.ip);
-    entry.ready = freePort(entry.ip);
-    entry.control = freePort(entry.ip);
-    entry.peers = freePort(entry.ip);
+    Engine engines[EngineCount];
+    // Two entries on addresses of their own, with the same ports.
+    Entry entries[2];
+    for (int index = 0; index < 2; ++index) {
+        Entry &entry = entries[index];
+        entry = entries[0];
+        entry.ip = "127.0.0." + std::to_string(2 + index);
+        entry.name = "front-a-" + std::to_string(index + 1);
+        if (index == 0) {
+            entry.front = freePort(entry.ip);
+            entry.ready = freePort(entry.ip);
+            entry.control = freePort(entry.ip);
+            entry.peers = freePort(entry.ip);
+        }
+    }
     if (!store.start()) {
         finish(ExitCouldNotRun, folder);
     }
     store.put("op/config", smallConfig(7, engineRoute(), engineService(), Tenants));
-    for (int index = 0; index < 3; ++index) {
+    for (int index = 0; index < EngineCount; ++index) {
         engines[index].id = "reader-" + std::to_string(index + 1);
         engines[index].poison = trouble ? Poison : "";
         if (!engines[index].start()) {
@@ -64,12 +72,23 @@
             }
         }
     }).detach();
-    if (!entry.start(store, folder, entry.ip + ":" + std::to_string(entry.control)) || !entry.waitUntilReady(10000)) {
-        RECORD("the entry did not get ready");
-        finish(ExitCouldNotRun, folder);
+    std::string seeds;
+    for (const Entry &entry : entries) {
+        seeds += (seeds.empty() ? "" : ",") + entry.ip + ":" + std::to_string(entry.control);
+    }
+    for (Entry &entry : entries) {
+        if (!entry.start(store, folder, seeds)) {
+            finish(ExitCouldNotRun, folder);
+        }
+    }
+    for (const Entry &entry : entries) {
+        if (!entry.waitUntilReady(10000)) {
+            RECORD("an entry did not get ready");
+            finish(ExitCouldNotRun, folder);
+        }
     }
     sleepMs(ContactMs + 500);
-    RECORD("the entry is ready and in touch");
+    RECORD("the entries are ready and in touch");
 
     std::mutex mutex;
     std::vector<std::thread> threads;
@@ -86,6 +105,7 @@
             + ":250\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         const std::lock_guard lock(mutex);
         threads.emplace_back([&, number, kind, request, results] {
+            const Entry &entry = entries[number % 2];
             const int fd = connectTo(entry.ip, entry.front);
             const Outcome outcome = ask(fd, request, 10500);
             ::close(fd);
