--- a/review/standins-3/engine.h
+++ b/review/standins-3/engine.hh
@@ -1,9 +1,7 @@
 // Stand-in of a model server: event streams, crashes on a part of a prompt, comes back some seconds later.
 #pragma once
 
-#include "rig.h"
-
-#include <set>
+#include "rig.hh"
 
 namespace rig
 {
@@ -183,7 +181,8 @@
 }
 inline std::string engineService()
 {
-    return ",{\"name\":\"ibis-readers\",\"health_path\":\"/health\",\"max_conns\":424,\"protocol\":\"h1\",\"tls\":false,"
+    return ",{\"name\":\"ibis-readers\",\"health_path\":\"/"
+           "health\",\"max_conns\":424,\"protocol\":\"h1\",\"tls\":false,"
            "\"engine\":{\"slots\":16,\"kv_capacity_tokens\":315000,\"stride\":51,\"models\":[{\"name\":\"m\"}],"
            "\"step_ms\":0.85,\"per_seq_ms\":0.00425,\"context_per_k\":0.00285,\"read_per_s\":177000.0,"
            "\"pairs_per_m\":0.184,\"chunk\":2048,\"report_lag_ms\":200.0,\"usual\":{\"prompt\":11104,\"answer\":1622},"
