--- a/review/standins-3/rig.hh
+++ b/review/standins-3/rig.hh
@@ -24,6 +24,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -777,7 +778,7 @@
 {
     ::signal(SIGPIPE, SIG_IGN);
     Record::get().open(recordPath);
-    std::string folder = "/tmp/ibismast-review-XXXXXX";
+    std::string folder = (std::filesystem::temp_directory_path() / "ibismast-review-XXXXXX").string();
     if (::mkdtemp(folder.data()) == nullptr) {
         std::exit(ExitCouldNotRun);
     }
