RouteTable: an empty list of customers admits no call

The routing table took an empty list of customers for a configuration in which calls need no key. Change: RelayConfig::customers is an optional list.

--- a/UnitTests/platform/platformtest.cpp
+++ b/UnitTests/platform/platformtest.cpp
@@ -122,12 +122,13 @@
     CHECK_FALSE(config.services.at(ServiceName("s2")).engine);
     CHECK(config.services.at(ServiceName("s2")).coldTime == 0ms);
     CHECK(config.limits.maxHeadBytes == 1'000);
-    CHECK(config.customers.at(0).keys.size() == 2);
+    REQUIRE(config.customers);
+    CHECK(config.customers->at(0).keys.size() == 2);
     CHECK(config.routes[0].priority == DefaultCallPriority);
     CHECK(config.routes[1].priority == CallPriority(2));
-    CHECK(config.customers.at(0).priority == CallPriority(1));
-    CHECK_FALSE(config.customers.at(1).priority);
-    CHECK_FALSE(config.customers.at(2).priority);
+    CHECK(config.customers->at(0).priority == CallPriority(1));
+    CHECK_FALSE(config.customers->at(1).priority);
+    CHECK_FALSE(config.customers->at(2).priority);
     CHECK(config.services.at(ServiceName("s1")).engine->typicalPromptTokens == 11'104.0);
 }
 
--- a/UnitTests/relay/relaycoretest.cpp
+++ b/UnitTests/relay/relaycoretest.cpp
@@ -228,6 +228,7 @@
         {"route moved", false, 0},
         {"route removed", false, 404},
         {"key removed", false, 401},
+        {"last customer removed", false, 401},
         {"key of another customer", true, 0},
     }));
     configure();
@@ -266,7 +267,10 @@
         config.routes.erase(config.routes.begin());
         core.applyConfig(config, now);
     } else if (row.change == "key removed") {
-        config.customers[0].keys = {"new"};
+        config.customers->front().keys = {"new"};
+        core.applyConfig(config, now);
+    } else if (row.change == "last customer removed") {
+        config.customers->clear();
         core.applyConfig(config, now);
     } else if (row.change == "key of another customer") {
         config.customers = {{CustomerId("south"), {"key"}}};
--- a/UnitTests/relay/waitingcallstest.cpp
+++ b/UnitTests/relay/waitingcallstest.cpp
@@ -200,6 +200,7 @@
         {"stop", 503, 0},
         {"route removed", 404, 0},
         {"key removed", 401, 0},
+        {"last customer removed", 401, 0},
         {"engine leaves", 503, 0},
         {"entry lost", 0, 1},
     }));
@@ -219,7 +220,10 @@
         config.routes.erase(config.routes.begin());
         core->applyConfig(config, now);
     } else if (row.change == "key removed") {
-        config.customers[0].keys = {"new"};
+        config.customers->front().keys = {"new"};
+        core->applyConfig(config, now);
+    } else if (row.change == "last customer removed") {
+        config.customers->clear();
         core->applyConfig(config, now);
     } else if (row.change == "engine leaves") {
         list.records[0].leaving = true;
@@ -400,7 +404,7 @@
         {true, "north", false},
         {true, "south", true},
     }));
-    config.customers.push_back({CustomerId("south"), {"south"}});
+    config.customers->push_back({CustomerId("south"), {"south"}});
     begin(true, row.shares);
     const InstanceId other("other");
     const ServiceName pool("pool");
@@ -430,7 +434,7 @@
 TEST_CASE_METHOD(WaitingFixture, "calls of a customer above its share are due later", "[relay][waiting][shares]")
 {
     const bool shares = GENERATE(false, true);
-    config.customers.push_back({CustomerId("south"), {"south"}});
+    config.customers->push_back({CustomerId("south"), {"south"}});
     begin(true, shares);
     LoadUpdate update;
     for (const Duration sent : {0s, 20s}) {
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -61,7 +61,7 @@
         {{"version", std::to_string(config.version.value())},
          {"previous", m_routes ? std::to_string(m_routes->config().version.value()) : std::string("none")},
          {"routes", std::to_string(config.routes.size())},
-         {"customers", std::to_string(config.customers.size())}});
+         {"customers", config.customers ? std::to_string(config.customers->size()) : std::string("none")}});
     m_cold.setServices(config.services, now);
     m_routes = std::make_shared<const RouteTable>(std::move(config));
 }
--- a/ibismast/relay/routetable.cpp
+++ b/ibismast/relay/routetable.cpp
@@ -33,9 +33,14 @@
     for (const RelayRoute &route : m_config.routes) {
         m_routes[lowerCase(route.host)][route.pathPrefix] = &route;
     }
-    for (const RelayCustomer &customer : m_config.customers) {
+    const std::vector<RelayCustomer> noCustomers;
+    const std::vector<RelayCustomer> &customers = m_config.customers ? *m_config.customers : noCustomers;
+    for (const RelayCustomer &customer : customers) {
         for (const std::string &key : customer.keys) {
-            m_customers.emplace(key, customer.name);
+            // A call without a key has an empty one, which must not identify a customer.
+            if (!key.empty()) {
+                m_customers.emplace(key, customer.name);
+            }
         }
         if (customer.priority) {
             m_customerPriorities.emplace(customer.name, *customer.priority);
@@ -52,7 +57,7 @@
             if (needsKey) {
                 priorities.insert(ofCustomers.begin(), ofCustomers.end());
             }
-            if (!needsKey || m_customerPriorities.size() < m_config.customers.size()) {
+            if (!needsKey || m_customerPriorities.size() < customers.size()) {
                 priorities.insert(route.priority);
             }
         }
--- a/ibismast/relay/routetable.h
+++ b/ibismast/relay/routetable.h
@@ -29,10 +29,11 @@
     [[nodiscard]] CallPriority priorityOf(const RelayRoute &route, const CustomerId &customer) const;
     /// Returns the priorities that calls to @p service may have, the most urgent one first.
     [[nodiscard]] const std::set<CallPriority> &prioritiesOf(const ServiceName &service) const;
-    /// True if calls on routes that are not public need an API key, which is the case once any customer is configured.
+    /// True if calls on routes that are not public need an API key, which is the case once customers are configured,
+    /// also if the list of them is empty.
     [[nodiscard]] bool needsKeys() const
     {
-        return !m_config.customers.empty();
+        return m_config.customers.has_value();
     }
     /// Picks a service of @p route by weight. @p choice is a uniformly distributed random number in [0, 1).
     [[nodiscard]] static const ServiceName &serviceOf(const RelayRoute &route, double choice);
