PromptQuarantine: quarantine the narrowest parts that explain the crashes

Of parts at the same crashes the one furthest behind was taken, and the set was what all broken attempts with it share, those of sound prompts too. Change: mostSpecificCause extends the set while each crash has a prompt that holds all of it. Parts that no upstream has answered go first, then those in the fewest attempts. Answered parts don't count at crashes that are explained.

--- a/ibismast/relay/promptquarantine.cpp
+++ b/ibismast/relay/promptquarantine.cpp
@@ -1,5 +1,7 @@
 #include "ibismast/relay/promptquarantine.h"
 
+#include "ibismast/relay/commoncause.h"
+
 #include <algorithm>
 #include <set>
 #include <tuple>
@@ -69,14 +71,13 @@
 struct PromptQuarantine::Suspicion : CrashCount
 {
     PromptPartId part;
-    /// Largest position of the part in a prompt.
-    std::size_t depth = 0;
+    std::size_t attempts = 0;
     TimePoint lastBroken;
     /// Time of the first broken start at each of the upstreams.
     std::map<UpstreamRunKey, TimePoint> crashTimes;
     /// True if this entry has sent the attempt that broke off last.
     bool lastIsLocal = false;
-    /// Parts that all these prompts hold.
+    /// Parts that all these prompts hold, then those to quarantine.
     PartSet common;
     /// The crashes at which an attempt broke off at its first event.
     CrashCount clear;
@@ -202,6 +203,11 @@
     return sound != m_sound.end() && sound->second >= at;
 }
 
+bool PromptQuarantine::wasAnswered(PromptPartId part) const
+{
+    return m_sound.contains(part);
+}
+
 bool PromptQuarantine::isInForce(TimePoint lastBroken, TimePoint now) const
 {
     return now < lastBroken + m_settings.quarantineTime;
@@ -302,7 +308,10 @@
         // Sound requests, too, break off at their first event, and a part is recognised by the crashes that its prompts
         // have in common. A request that is sent again may be alone with one other.
         const bool eclipsed = isRequest && !broken.atFirstEvent && clear.contains(broken.upstream);
-        if (!isSuspect(part, broken) || (explanation != nullptr && !holdsAll(*explanation, {part})) || eclipsed) {
+        // Crashes with an explanation count against a part that shares it, unless its prompts have been answered: those
+        // were near to the crashes.
+        const bool explained = explanation != nullptr && (!holdsAll(*explanation, {part}) || wasAnswered(part));
+        if (!isSuspect(part, broken) || explained || eclipsed) {
             continue;
         }
         if (result.requests.empty()) {
@@ -316,8 +325,7 @@
             result.clear.add(broken, spacing, m_settings.requestCrashSpacing);
         }
         result.crashTimes.emplace(broken.upstream, broken.at);
-        const auto place = std::ranges::find(broken.parts, part) - broken.parts.begin();
-        result.depth = std::max(result.depth, static_cast<std::size_t>(place));
+        ++result.attempts;
         result.lastBroken = broken.at;
         result.lastIsLocal = broken.local;
     }
@@ -334,9 +342,7 @@
     if (suspicion.isRequest()) {
         return suspicion.upstreams.size() >= m_settings.minCrashes;
     }
-    return isClear(suspicion)
-        || (suspicion.crashes >= m_settings.minUnclearCrashes && suspicion.requests.size() >= m_settings.minUnclearCalls
-            && suspicion.upstreams.size() >= m_settings.minUnclearUpstreams);
+    return isClear(suspicion) || isUnclear(suspicion);
 }
 
 bool PromptQuarantine::isClear(const Suspicion &suspicion) const
@@ -345,6 +351,79 @@
         && suspicion.clear.upstreams.size() >= m_settings.minUpstreams;
 }
 
+bool PromptQuarantine::isUnclear(const Suspicion &suspicion) const
+{
+    return suspicion.crashes >= m_settings.minUnclearCrashes && suspicion.requests.size() >= m_settings.minUnclearCalls
+        && suspicion.upstreams.size() >= m_settings.minUnclearUpstreams;
+}
+
+bool PromptQuarantine::explainsMore(const PartSet &parts, const std::vector<const PartSet *> &explainedBy) const
+{
+    for (std::size_t index = 0; index < m_evidence.size(); ++index) {
+        const bool suspect = std::ranges::all_of(parts, [&](PromptPartId part) {
+            return isSuspect(part, m_evidence[index]);
+        });
+        if (explainedBy[index] == nullptr && suspect) {
+            return true;
+        }
+    }
+    return false;
+}
+
+PromptQuarantine::PartSet
+PromptQuarantine::narrowed(const PartSet &parts, const std::vector<const PartSet *> &explainedBy, bool clearOnly) const
+{
+    std::map<UpstreamRunKey, CrashedPrompts> crashes;
+    std::set<UpstreamRunKey> clear;
+    for (std::size_t index = 0; index < m_evidence.size(); ++index) {
+        const Evidence &broken = m_evidence[index];
+        const bool suspect = std::ranges::all_of(parts, [&](PromptPartId part) {
+            return isSuspect(part, broken);
+        });
+        if (!suspect || (explainedBy[index] != nullptr && !holdsAll(*explainedBy[index], parts))) {
+            continue;
+        }
+        PartSet prompt;
+        std::ranges::copy_if(broken.parts, std::back_inserter(prompt), [&](PromptPartId part) {
+            return part != ownPart(broken.request) && isSuspect(part, broken);
+        });
+        crashes[broken.upstream].push_back(std::move(prompt));
+        if (broken.atFirstEvent) {
+            clear.insert(broken.upstream);
+        }
+    }
+    std::vector<CrashedPrompts> counted;
+    for (auto &[upstream, prompts] : crashes) {
+        if (!clearOnly || clear.contains(upstream)) {
+            counted.push_back(std::move(prompts));
+        }
+    }
+    return mostSpecificCause(parts, std::move(counted), [this](PromptPartId part) {
+        return wasAnswered(part);
+    });
+}
+
+PromptQuarantine::PartSet PromptQuarantine::causeOf(const Suspicion &suspicion,
+                                                    const std::vector<const PartSet *> &explainedBy) const
+{
+    if (suspicion.isRequest()) {
+        return suspicion.common;
+    }
+    if (isClear(suspicion)) {
+        PartSet cause = narrowed(suspicion.common, explainedBy, true);
+        if (explainsMore(cause, explainedBy)) {
+            return cause;
+        }
+    }
+    if (isUnclear(suspicion)) {
+        PartSet cause = narrowed(suspicion.common, explainedBy, false);
+        if (explainsMore(cause, explainedBy)) {
+            return cause;
+        }
+    }
+    return {};
+}
+
 std::vector<PromptQuarantine::Suspicion>
 PromptQuarantine::worstSuspicions(const std::vector<const PartSet *> &explainedBy, TimePoint now) const
 {
@@ -384,14 +463,22 @@
                        && std::ranges::includes(other.upstreams, suspicion.upstreams);
                });
     };
+    // Of the parts that were at the same crashes, the prompts with the cause are the fewest.
     const auto rank = [this](const Suspicion &suspicion) {
-        return std::tuple(isClear(suspicion), suspicion.crashes, suspicion.depth);
+        return std::tuple(isClear(suspicion),
+                          !wasAnswered(suspicion.part),
+                          suspicion.crashes,
+                          -static_cast<std::int64_t>(suspicion.attempts));
     };
     std::vector<Suspicion> worst;
-    for (const Suspicion &suspicion : candidates) {
+    for (Suspicion &suspicion : candidates) {
         if (!isSufficient(suspicion, now) || isEclipsed(suspicion)) {
             continue;
         }
+        suspicion.common = causeOf(suspicion, explainedBy);
+        if (suspicion.common.empty()) {
+            continue;
+        }
         const bool together = !worst.empty() && suspicion.isRequest() && worst.front().isRequest()
             && suspicion.upstreams == worst.front().upstreams;
         if (!together && !worst.empty() && rank(suspicion) <= rank(worst.front())) {
--- a/ibismast/relay/promptquarantine.h
+++ b/ibismast/relay/promptquarantine.h
@@ -122,8 +122,9 @@
 /// such a part, and such requests when they are sent again, from the upstreams.
 ///
 /// A part is quarantined if several crashes have it in common and no upstream has answered a prompt that holds it
-/// since. Parts that cannot be told apart, since all these prompts hold all of them, are quarantined together. An
-/// answer to a prompt with one of them then shows that the others are the cause.
+/// since. Sound prompts break off with the crashes of others, so parts that cannot be told apart, since each of these
+/// crashes broke a prompt that holds all of them, are quarantined together. An answer to a prompt with one of them then
+/// shows that the others are the cause.
 ///
 /// A request counts as a part of its own, see `ownPart`. It is quarantined if it was at several upstreams when they
 /// crashed, no upstream has answered it since, and no other request was at all of these upstreams too.
@@ -200,21 +201,33 @@
     [[nodiscard]] std::vector<const PartSet *> explanations() const;
     /// Upstreams at which an attempt broke off at its first event.
     [[nodiscard]] std::set<UpstreamRunKey> crashedAtFirstEvent() const;
-    /// Returns the parts with sufficient evidence that explain the most crashes; several only if they are requests that
-    /// were at the same upstreams.
+    /// Returns the parts with sufficient evidence that most likely explain crashes without an explanation; several only
+    /// if they are requests that were at the same upstreams.
     [[nodiscard]] std::vector<Suspicion> worstSuspicions(const std::vector<const PartSet *> &explainedBy,
                                                          TimePoint now) const;
     /// Returns what speaks against @p part: the evidence that no quarantine of other parts explains.
     [[nodiscard]] Suspicion suspicionOf(PromptPartId part, const std::vector<const PartSet *> &explainedBy) const;
     [[nodiscard]] bool isSufficient(const Suspicion &suspicion, TimePoint now) const;
+    /// Returns the parts to quarantine for @p suspicion; empty if they would explain no further crash.
+    [[nodiscard]] PartSet causeOf(const Suspicion &suspicion, const std::vector<const PartSet *> &explainedBy) const;
+    /// Returns the narrowest set with @p parts that the crashes of these parts have in common. If @p clearOnly is true,
+    /// only crashes at which a prompt with @p parts broke off at its first event count.
+    [[nodiscard]] PartSet
+    narrowed(const PartSet &parts, const std::vector<const PartSet *> &explainedBy, bool clearOnly) const;
     /// True if the attempts that broke off at their first event are sufficient evidence by themselves.
     [[nodiscard]] bool isClear(const Suspicion &suspicion) const;
+    /// The same for attempts that broke off at any point.
+    [[nodiscard]] bool isUnclear(const Suspicion &suspicion) const;
+    /// True if prompts with all of @p parts broke off without an explanation.
+    [[nodiscard]] bool explainsMore(const PartSet &parts, const std::vector<const PartSet *> &explainedBy) const;
     /// True if @p evidence speaks against @p part: the prompt holds it, and no answer has shown since that it is sound.
     [[nodiscard]] bool isSuspect(PromptPartId part, const Evidence &evidence) const;
     /// True if an upstream has answered a prompt with @p part after @p at.
     [[nodiscard]] bool answeredSince(PromptPartId part, TimePoint at) const;
     [[nodiscard]] bool isInForce(TimePoint lastBroken, TimePoint now) const;
     void markSound(PromptPartId part, TimePoint at, TimePoint now);
+    /// True if an upstream has answered a prompt with @p part at any time that is remembered.
+    [[nodiscard]] bool wasAnswered(PromptPartId part) const;
     /// True if evidence or a quarantine speaks against @p part.
     [[nodiscard]] bool isSuspect(PromptPartId part) const;
     /// Records that attempts with @p parts last broke off at @p lastBroken, and logs a quarantine that begins by that.
