PromptQuarantine: derive recent quarantines again from all evidence

Cause: an entry that does not know yet of the crashing part, since another entry's report arrives later, quarantines the parts of sound prompts and tells the others. Change: quarantines of shared parts that are younger than the time for which reports are repeated are derived again from all evidence; those that other parts explain are released. A released quarantine starts a new evaluation.

--- a/UnitTests/relay/crashingfleet.h
+++ b/UnitTests/relay/crashingfleet.h
@@ -52,6 +52,8 @@
         Duration streamTime {};
         /// Time that news of another entry takes.
         Duration newsTime = 5ms;
+        /// True if what entries tell each other at once is lost, so that they learn it from heartbeats.
+        bool heartbeatsOnly = false;
         /// Time before the first of the crashing requests.
         Duration calmTime {};
         /// Time between crashes that no request causes; 0 for none.
@@ -105,7 +107,7 @@
                 RelayActions actions;
                 m_entries[entry]->tick(m_now, actions);
                 perform(entry, actions);
-                deliver(entry, m_entries[entry]->takeQuarantineUpdate());
+                sendNews(entry);
             }
             if (m_now >= nextHeartbeat) {
                 nextHeartbeat = m_now + 500ms;
@@ -220,6 +222,13 @@
     {
         m_events.emplace(m_now + delay, std::move(event));
     }
+    void sendNews(std::size_t from)
+    {
+        const QuarantineUpdate news = m_entries[from]->takeQuarantineUpdate();
+        if (!m_settings.heartbeatsOnly) {
+            deliver(from, news);
+        }
+    }
     void deliver(std::size_t from, const QuarantineUpdate &update)
     {
         if (update.empty()) {
@@ -403,7 +412,7 @@
         RelayActions actions;
         call(*m_entries[key.first], actions);
         perform(key.first, actions);
-        deliver(key.first, m_entries[key.first]->takeQuarantineUpdate());
+        sendNews(key.first);
     }
 
     Settings m_settings;
--- a/ibismast/relay/promptquarantine.cpp
+++ b/ibismast/relay/promptquarantine.cpp
@@ -148,7 +148,7 @@
 {
     for (const PromptPartId part : parts) {
         const bool suspected = std::ranges::any_of(m_quarantines, [&](const auto &entry) {
-            return isInForce(entry.second, now) && holdsAll(entry.first, {part});
+            return isInForce(entry.second.lastBroken, now) && holdsAll(entry.first, {part});
         });
         markSound(part, now, now);
         if (suspected) {
@@ -170,13 +170,13 @@
     } else if (m_sound.size() < m_settings.maxSound) {
         m_sound.emplace(part, at);
     }
-    std::vector<std::pair<PartSet, TimePoint>> narrowed;
-    std::erase_if(m_quarantines, [&](const auto &entry) {
-        const auto &[parts, lastBroken] = entry;
-        if (lastBroken >= at || !holdsAll(parts, {part})) {
+    std::vector<std::pair<PartSet, Quarantine>> narrowed;
+    const std::size_t released = std::erase_if(m_quarantines, [&](const auto &entry) {
+        const auto &[parts, quarantine] = entry;
+        if (quarantine.lastBroken >= at || !holdsAll(parts, {part})) {
             return false;
         }
-        if (isInForce(lastBroken, now)) {
+        if (isInForce(quarantine.lastBroken, now)) {
             m_listener->onEvent("prompt_part_released", {{"part", toString(part)}, {"parts", toText(parts)}});
         }
         // The other parts remain as the cause.
@@ -187,13 +187,17 @@
             if (testable) {
                 m_testable.insert(rest);
             }
-            narrowed.emplace_back(std::move(rest), lastBroken);
+            narrowed.emplace_back(std::move(rest), quarantine);
         }
         return true;
     });
-    for (auto &[parts, lastBroken] : narrowed) {
-        TimePoint &stored = m_quarantines.try_emplace(std::move(parts), lastBroken).first->second;
-        stored = std::max(stored, lastBroken);
+    // The crashes that a released quarantine explained may have another cause.
+    if (released > 0) {
+        m_nextEvaluation = now;
+    }
+    for (auto &[parts, quarantine] : narrowed) {
+        Quarantine &stored = m_quarantines.try_emplace(std::move(parts), quarantine).first->second;
+        stored.lastBroken = std::max(stored.lastBroken, quarantine.lastBroken);
     }
 }
 
@@ -217,9 +221,9 @@
 PromptQuarantine::find(RequestHash request, const std::vector<PromptPartId> &parts, TimePoint now) const
 {
     const PartSet held = withOwnPart(parts, request);
-    for (const auto &[quarantined, lastBroken] : m_quarantines) {
-        if (isInForce(lastBroken, now) && holdsAll(held, quarantined)) {
-            return Hit {quarantined, lastBroken + m_settings.quarantineTime - now, lastBroken};
+    for (const auto &[quarantined, quarantine] : m_quarantines) {
+        if (isInForce(quarantine.lastBroken, now) && holdsAll(held, quarantined)) {
+            return Hit {quarantined, quarantine.lastBroken + m_settings.quarantineTime - now, quarantine.lastBroken};
         }
     }
     return std::nullopt;
@@ -254,14 +258,19 @@
     return std::ranges::find(evidence.parts, part) != evidence.parts.end() && !answeredSince(part, evidence.at);
 }
 
+bool PromptQuarantine::areSuspect(const PartSet &parts, const Evidence &evidence) const
+{
+    return std::ranges::all_of(parts, [&](PromptPartId part) {
+        return isSuspect(part, evidence);
+    });
+}
+
 std::vector<const PromptQuarantine::PartSet *> PromptQuarantine::explanations() const
 {
     std::vector<const PartSet *> result;
     for (const Evidence &evidence : m_evidence) {
         const auto found = std::ranges::find_if(m_quarantines, [&](const auto &entry) {
-            return std::ranges::all_of(entry.first, [&](PromptPartId part) {
-                return isSuspect(part, evidence);
-            });
+            return areSuspect(entry.first, evidence);
         });
         result.push_back(found == m_quarantines.end() ? nullptr : &found->first);
     }
@@ -360,10 +369,7 @@
 bool PromptQuarantine::explainsMore(const PartSet &parts, const std::vector<const PartSet *> &explainedBy) const
 {
     for (std::size_t index = 0; index < m_evidence.size(); ++index) {
-        const bool suspect = std::ranges::all_of(parts, [&](PromptPartId part) {
-            return isSuspect(part, m_evidence[index]);
-        });
-        if (explainedBy[index] == nullptr && suspect) {
+        if (explainedBy[index] == nullptr && areSuspect(parts, m_evidence[index])) {
             return true;
         }
     }
@@ -377,10 +383,7 @@
     std::set<UpstreamRunKey> clear;
     for (std::size_t index = 0; index < m_evidence.size(); ++index) {
         const Evidence &broken = m_evidence[index];
-        const bool suspect = std::ranges::all_of(parts, [&](PromptPartId part) {
-            return isSuspect(part, broken);
-        });
-        if (!suspect || (explainedBy[index] != nullptr && !holdsAll(*explainedBy[index], parts))) {
+        if (!areSuspect(parts, broken) || (explainedBy[index] != nullptr && !holdsAll(*explainedBy[index], parts))) {
             continue;
         }
         PartSet prompt;
@@ -507,6 +510,52 @@
     const auto unsettled = std::ranges::upper_bound(m_evidence, now - m_settings.settleTime, {}, &Evidence::at);
     m_nextEvaluation =
         unsettled == m_evidence.end() ? std::nullopt : std::optional(unsettled->at + m_settings.settleTime);
+    const std::map<PartSet, Quarantine> provisional = takeProvisional(now);
+    explainCrashes(provisional, now);
+    keepUnexplained(provisional);
+}
+
+std::map<PromptQuarantine::PartSet, PromptQuarantine::Quarantine> PromptQuarantine::takeProvisional(TimePoint now)
+{
+    std::map<PartSet, Quarantine> result;
+    for (auto entry = m_quarantines.begin(); entry != m_quarantines.end();) {
+        const auto &[parts, quarantine] = *entry;
+        const bool ofRequest = std::ranges::any_of(m_evidence, [&parts](const Evidence &broken) {
+            return holdsAll(parts, {ownPart(broken.request)});
+        });
+        if (!ofRequest && isInForce(quarantine.lastBroken, now) && now - quarantine.since <= m_settings.reportTime) {
+            result.insert(m_quarantines.extract(entry++));
+        } else {
+            ++entry;
+        }
+    }
+    return result;
+}
+
+void PromptQuarantine::keepUnexplained(const std::map<PartSet, Quarantine> &previous)
+{
+    const std::vector<const PartSet *> explainedBy = explanations();
+    for (const auto &[parts, quarantine] : previous) {
+        if (m_quarantines.contains(parts)) {
+            continue;
+        }
+        bool known = false;
+        for (std::size_t index = 0; index < m_evidence.size(); ++index) {
+            known = known || (explainedBy[index] != nullptr && areSuspect(parts, m_evidence[index]));
+        }
+        // Another entry may have quarantined them for crashes that this one does not know yet.
+        if (!known || explainsMore(parts, explainedBy)) {
+            m_quarantines.emplace(parts, quarantine);
+        } else {
+            m_listener->onEvent(
+                "prompt_part_released",
+                {{"part", "none"}, {"parts", toText(parts)}, {"reason", "other parts explain the crashes"}});
+        }
+    }
+}
+
+void PromptQuarantine::explainCrashes(const std::map<PartSet, Quarantine> &previous, TimePoint now)
+{
     std::vector<const PartSet *> explainedBy = explanations();
     // One more crash prolongs a quarantine, and begins it again if it has ended.
     for (std::size_t index = 0; index < explainedBy.size(); ++index) {
@@ -523,6 +572,10 @@
             if (suspicion.isRequest() && suspicion.lastIsLocal) {
                 m_testable.insert(suspicion.common);
             }
+            // What is derived again is not new.
+            if (const auto known = previous.find(suspicion.common); known != previous.end()) {
+                m_quarantines.insert(*known);
+            }
             quarantine(suspicion.common,
                        suspicion.lastBroken,
                        {{"source", "own"},
@@ -540,10 +593,10 @@
                                   std::vector<LogField> details,
                                   TimePoint now)
 {
-    const auto [place, added] = m_quarantines.try_emplace(parts, lastBroken);
-    const bool wasInForce = !added && isInForce(place->second, now);
-    const TimePoint last = std::max(place->second, lastBroken);
-    place->second = last;
+    const auto [place, added] = m_quarantines.try_emplace(parts, Quarantine {lastBroken, now});
+    const bool wasInForce = !added && isInForce(place->second.lastBroken, now);
+    const TimePoint last = std::max(place->second.lastBroken, lastBroken);
+    place->second.lastBroken = last;
     if (added) {
         dropOldest();
     }
@@ -559,7 +612,7 @@
 {
     if (m_quarantines.size() > m_settings.maxQuarantined) {
         m_quarantines.erase(std::ranges::min_element(m_quarantines, {}, [](const auto &entry) {
-            return entry.second;
+            return entry.second.lastBroken;
         }));
     }
 }
@@ -569,6 +622,8 @@
     for (const SoundPart &report : update.sound) {
         markSound(report.part, now - report.age, now);
     }
+    bool added = false;
+    bool addedAtFirstEvent = false;
     for (const QuarantinedParts &report : update.quarantined) {
         const TimePoint lastBroken = now - report.age;
         PartSet parts = report.parts;
@@ -578,17 +633,17 @@
         if (parts.empty() || !isInForce(lastBroken, now)) {
             continue;
         }
-        const auto [place, added] = m_quarantines.try_emplace(parts, lastBroken);
-        if (added || !isInForce(place->second, now)) {
+        const auto [place, isNew] = m_quarantines.try_emplace(parts, Quarantine {lastBroken, now});
+        // The evidence of this entry may explain the crashes by other parts.
+        added = added || isNew;
+        if (isNew || !isInForce(place->second.lastBroken, now)) {
             m_listener->onEvent("prompt_part_quarantined", {{"parts", toText(parts)}, {"source", "entry"}});
         }
-        place->second = std::max(place->second, lastBroken);
-        if (added) {
+        place->second.lastBroken = std::max(place->second.lastBroken, lastBroken);
+        if (isNew) {
             dropOldest();
         }
     }
-    bool added = false;
-    bool addedAtFirstEvent = false;
     for (const BrokenStart &broken : update.brokenStarts) {
         if (addEvidence(
                 {broken.upstream, broken.request, broken.parts, now - broken.age, broken.atFirstEvent, false})) {
@@ -631,8 +686,8 @@
         if (next == m_quarantines.end()) {
             next = m_quarantines.begin();
         }
-        if (isInForce(next->second, now)) {
-            result.quarantined.push_back({next->first, now - next->second});
+        if (isInForce(next->second.lastBroken, now)) {
+            result.quarantined.push_back({next->first, now - next->second.lastBroken});
         }
         m_lastReported = next->first;
         ++next;
@@ -652,7 +707,7 @@
         return now - entry.second > m_settings.quarantineTime;
     });
     std::erase_if(m_quarantines, [this, now](const auto &entry) {
-        return now - entry.second > m_settings.quarantineTime + m_settings.relapseTime;
+        return now - entry.second.lastBroken > m_settings.quarantineTime + m_settings.relapseTime;
     });
     std::erase_if(m_testable, [this](const PartSet &parts) {
         return !m_quarantines.contains(parts);
@@ -662,7 +717,7 @@
 std::size_t PromptQuarantine::size(TimePoint now) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_quarantines, [this, now](const auto &entry) {
-        return isInForce(entry.second, now);
+        return isInForce(entry.second.lastBroken, now);
     }));
 }
 
--- a/ibismast/relay/promptquarantine.h
+++ b/ibismast/relay/promptquarantine.h
@@ -190,11 +190,21 @@
 
     /// Parts of a quarantine, in ascending order.
     using PartSet = std::vector<PromptPartId>;
+    struct Quarantine
+    {
+        /// Time at which an attempt with the parts last broke off.
+        TimePoint lastBroken;
+        /// Time at which the entry learned of it.
+        TimePoint since;
+    };
 
     /// Adds @p evidence unless it is known. Returns true if it is new.
     bool addEvidence(Evidence evidence);
-    /// Quarantines the parts that the evidence is sufficient for.
+    /// Quarantines the parts that the evidence is sufficient for. Quarantines that began within `reportTime` are
+    /// derived again, since the reports of other entries arrive meanwhile.
     void evaluate(TimePoint now);
+    /// Quarantines parts for all crashes without an explanation. Those of @p previous are restored, others are new.
+    void explainCrashes(const std::map<PartSet, Quarantine> &previous, TimePoint now);
     /// Evaluates the evidence now if @p atFirstEvent is true, otherwise after `evaluationDelay`.
     void evaluateSoon(bool atFirstEvent, TimePoint now);
     /// Returns for each item of the evidence the quarantine that explains it, or null.
@@ -222,6 +232,8 @@
     [[nodiscard]] bool explainsMore(const PartSet &parts, const std::vector<const PartSet *> &explainedBy) const;
     /// True if @p evidence speaks against @p part: the prompt holds it, and no answer has shown since that it is sound.
     [[nodiscard]] bool isSuspect(PromptPartId part, const Evidence &evidence) const;
+    /// The same for all of @p parts.
+    [[nodiscard]] bool areSuspect(const PartSet &parts, const Evidence &evidence) const;
     /// True if an upstream has answered a prompt with @p part after @p at.
     [[nodiscard]] bool answeredSince(PromptPartId part, TimePoint at) const;
     [[nodiscard]] bool isInForce(TimePoint lastBroken, TimePoint now) const;
@@ -232,6 +244,10 @@
     [[nodiscard]] bool isSuspect(PromptPartId part) const;
     /// Records that attempts with @p parts last broke off at @p lastBroken, and logs a quarantine that begins by that.
     void quarantine(const PartSet &parts, TimePoint lastBroken, std::vector<LogField> details, TimePoint now);
+    /// Removes and returns the quarantines of shared parts that may be derived from the evidence again.
+    [[nodiscard]] std::map<PartSet, Quarantine> takeProvisional(TimePoint now);
+    /// Restores what is missing of @p previous, unless other quarantines explain the same crashes.
+    void keepUnexplained(const std::map<PartSet, Quarantine> &previous);
     /// Makes room for a new quarantine: drops the one that broke off the longest time ago if there are too many.
     void dropOldest();
 
@@ -241,8 +257,8 @@
     std::deque<Evidence> m_evidence;
     /// Time of the last answer to a prompt with the part.
     std::map<PromptPartId, TimePoint> m_sound;
-    /// Parts that are or were in quarantine, and the time of their last broken start.
-    std::map<PartSet, TimePoint> m_quarantines;
+    /// Parts that are or were in quarantine.
+    std::map<PartSet, Quarantine> m_quarantines;
     /// Quarantines of single requests that this entry may test.
     std::set<PartSet> m_testable;
     /// Time at which the newest evidence is evaluated again; empty if that is not needed.
