PromptQuarantine: test quarantined parts with one prompt

Single requests were let through once; a test that crashed its upstream before the head was sent to a second one. Change: entries that have seen the crashes let one prompt through, in turns, 5 s after the last crash, if its other parts have been answered. The evidence of a prompt in quarantine is evaluated at once. Heartbeats repeat an answer that ended a quarantine. The tests have no crash of an upstream beyond the one that each test costs.

--- a/UnitTests/relay/crashingparttest.cpp
+++ b/UnitTests/relay/crashingparttest.cpp
@@ -69,7 +69,7 @@
         incoming.size = {Tokens(2'000), Tokens(100)};
         incoming.contentHash = m_calls;
         incoming.promptParts = parts;
-        const bool crashes = std::ranges::find(parts, CrashingPart) != parts.end();
+        const bool crashes = !repaired && std::ranges::find(parts, CrashingPart) != parts.end();
         RelayActions actions;
         const Result<CallNumber> submitted = core.submit(incoming, now, actions);
         if (errorOf(submitted) != nullptr) {
@@ -112,11 +112,24 @@
         }
         return !crashes;
     }
+    /// Plays prompts for @p time, two a second, and returns how many were answered.
+    int playFor(Duration time, const std::vector<PromptPartId> &parts)
+    {
+        int answered = 0;
+        for (const TimePoint end = now + time; now < end; now += 500ms) {
+            answered += play(parts) ? 1 : 0;
+            RelayActions actions;
+            core.tick(now, actions);
+        }
+        return answered;
+    }
 
     TimePoint now {1'000s};
     EventListener listener;
     RelayCore core {RelayCoreSettings(), 1, listener};
     CrashPoint crashPoint = CrashPoint::BeforeFirstEvent;
+    /// True if engines do not crash any more.
+    bool repaired = false;
     /// Attempts at an engine with `CrashingPart`.
     int crashingAttempts = 0;
     /// Those later than three seconds after the fifth crash.
@@ -195,3 +208,40 @@
     CHECK(answered == 12 * soundCalls);
     CHECK(play(sound));
 }
+
+// Guards against parts that stay in quarantine for ten minutes although they are sound, since no answer to them can
+// come (related to review case 11, LOST), against a test that crashes two engines, and against tests with prompts that
+// would tell nothing of these parts.
+TEST_CASE_METHOD(CrashFixture, "quarantined parts are tested once", "[relay]")
+{
+    using Parts = std::vector<PromptPartId>;
+    struct Row
+    {
+        std::string name;
+        Parts crashing;
+        Parts tested;
+        /// Whether a prompt with the parts `tested` may be the test.
+        bool mayTest;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"same prompt", {SystemPart, CrashingPart}, {SystemPart, CrashingPart}, true},
+        {"alone", {CrashingPart}, {CrashingPart}, true},
+        {"a sound part more", {CrashingPart}, {SystemPart, CrashingPart}, true},
+        {"an unknown part more", {CrashingPart}, {OtherSystemPart, CrashingPart}, false},
+    }));
+    crashPoint = GENERATE(CrashPoint::BeforeHead, CrashPoint::BeforeFirstEvent, CrashPoint::InsideSecondEvent);
+    const bool sound = GENERATE(false, true);
+    CAPTURE(row.name, crashPoint, sound);
+    CHECK(play({SystemPart}));
+    playFor(2s, row.crashing);
+    REQUIRE(core.quarantinedParts(now) > 0);
+    const int crashes = crashingAttempts;
+    repaired = sound;
+    CHECK(playFor(2s, row.tested) == 0);
+    CHECK(crashingAttempts == crashes);
+    // The prompts of a minute: one is the test.
+    const int answered = playFor(60s, row.tested);
+    CHECK((answered > 0) == (sound && row.mayTest));
+    CHECK(crashingAttempts == crashes + (!sound && row.mayTest ? 1 : 0));
+    CHECK((core.quarantinedParts(now) == 0) == (sound && row.mayTest));
+}
--- a/UnitTests/relay/promptquarantinetest.cpp
+++ b/UnitTests/relay/promptquarantinetest.cpp
@@ -346,6 +346,8 @@
     const RequestHash request(0x1'000a);
     const bool sound = GENERATE(false, true);
     const bool byHeartbeat = GENERATE(false, true);
+    // A test that crashes its upstream before the head must not be repeated at another one either.
+    const bool atFirstEvent = GENERATE(false, true);
     for (int index = 0; index < 3; ++index) {
         now += 500ms;
         breakAt(first, index, 0xa, {});
@@ -357,7 +359,7 @@
     const auto mayTest = [this, request](PromptQuarantine &entry) {
         const auto hit = entry.find(request, {}, now);
         REQUIRE(hit);
-        return entry.takeTest(request, *hit, now);
+        return entry.takeTest(request, {}, *hit, now);
     };
     CHECK_FALSE(mayTest(first));
     now += 5s;
@@ -368,7 +370,8 @@
     if (sound) {
         first.noteSound(request, {}, now);
     } else {
-        breakAt(first, 3, 0xa, {});
+        first.noteBrokenStart(UpstreamRunKey(4), request, {}, atFirstEvent, now);
+        CHECK(first.find(request, {}, now)->lastBroken == now);
     }
     now += 1ms;
     second.apply(byHeartbeat ? first.summary(now) : first.takeUpdate(), now);
@@ -418,7 +421,7 @@
     const auto hit = first.find(request, {SystemPart}, now);
     REQUIRE(hit);
     CHECK(hit->parts.size() == (answered ? 1 : 2));
-    CHECK(first.takeTest(request, *hit, now));
+    CHECK(first.takeTest(request, {}, *hit, now));
 }
 
 // Guards against a full table of quarantines that lets the next crashing request through.
@@ -481,3 +484,54 @@
     }
     CHECK(isQuarantined(first, RequestHash(CallBase + 0xa)));
 }
+
+// Guards against tests of the same parts by several entries, against none if one entry gets no such prompts, and
+// against entries that keep sound parts in quarantine since the news of the answer was lost.
+TEST_CASE_METHOD(QuarantineFixture, "entries test quarantined parts in turns", "[relay]")
+{
+    const bool sound = GENERATE(false, true);
+    const bool byHeartbeat = GENERATE(false, true);
+    const bool firstIsIdle = GENERATE(false, true);
+    CAPTURE(sound, byHeartbeat, firstIsIdle);
+    for (int index = 0; index < 4; ++index) {
+        now += 500ms;
+        breakAt(index % 2 == 0 ? first : second, index, static_cast<std::uint64_t>(index), {CrashingPart});
+        second.apply(first.takeUpdate(), now);
+        first.apply(second.takeUpdate(), now);
+    }
+    const auto mayTest = [this](PromptQuarantine &entry) {
+        const auto hit = entry.find(RequestHash(), {CrashingPart}, now);
+        REQUIRE(hit);
+        return entry.takeTest(RequestHash(), {CrashingPart}, *hit, now);
+    };
+    now += 4'900ms;
+    CHECK_FALSE(mayTest(first));
+    CHECK_FALSE(mayTest(second));
+    now += 200ms;
+    CHECK_FALSE(mayTest(second));
+    if (firstIsIdle) {
+        now += 5s;
+        CHECK(mayTest(second));
+        CHECK_FALSE(mayTest(second));
+    } else {
+        CHECK(mayTest(first));
+        CHECK_FALSE(mayTest(first));
+    }
+    PromptQuarantine &tester = firstIsIdle ? second : first;
+    PromptQuarantine &other = firstIsIdle ? first : second;
+    now += 100ms;
+    if (sound) {
+        tester.noteSound(RequestHash(), {CrashingPart}, now);
+    } else {
+        breakAt(tester, 9, 9, {CrashingPart});
+    }
+    now += 400ms;
+    other.apply(byHeartbeat ? tester.summary(now) : tester.takeUpdate(), now);
+    CHECK(isQuarantined(first, CrashingPart) != sound);
+    CHECK(isQuarantined(second, CrashingPart) != sound);
+    if (!sound) {
+        now += 1min;
+        CHECK((firstIsIdle || !mayTest(first)));
+        CHECK_FALSE(mayTest(second));
+    }
+}
--- a/ibismast/relay/promptquarantine.cpp
+++ b/ibismast/relay/promptquarantine.cpp
@@ -129,7 +129,8 @@
     }
     if (addEvidence({upstream, request, held, now, atFirstEvent, true})) {
         m_pending.brokenStarts.push_back({upstream, request, std::move(held), {}, atFirstEvent});
-        evaluateSoon(atFirstEvent, now);
+        // A request that was the test of a quarantine must not be sent again.
+        evaluateSoon(atFirstEvent || find(request, parts, now), now);
     }
 }
 
@@ -153,6 +154,7 @@
         markSound(part, now, now);
         if (suspected) {
             m_pending.sound.push_back({part, {}});
+            m_released[part] = now;
         }
     }
     // Most requests are sound and are not sent again, so only those are remembered that something speaks against.
@@ -229,10 +231,64 @@
     return std::nullopt;
 }
 
-bool PromptQuarantine::takeTest(RequestHash request, const Hit &hit, TimePoint now)
+bool PromptQuarantine::takeTest(RequestHash request,
+                                const std::vector<PromptPartId> &parts,
+                                const Hit &hit,
+                                TimePoint now)
 {
-    return now - hit.lastBroken >= m_settings.testDelay && holdsAll(hit.parts, {ownPart(request)})
-        && m_testable.erase(hit.parts) > 0;
+    if (now - hit.lastBroken < m_settings.testDelay) {
+        return false;
+    }
+    if (holdsAll(hit.parts, {ownPart(request)})) {
+        return m_testable.erase(hit.parts) > 0;
+    }
+    return takePartTest(parts, hit, now);
+}
+
+bool PromptQuarantine::takePartTest(const std::vector<PromptPartId> &parts, const Hit &hit, TimePoint now)
+{
+    const auto found = m_quarantines.find(hit.parts);
+    const std::optional<std::size_t> before = testersBefore(hit.parts);
+    if (found == m_quarantines.end() || found->second.tested || !before || *before >= m_settings.maxTesters) {
+        return false;
+    }
+    const auto turn = static_cast<Duration::rep>(*before + 1);
+    if (now - hit.lastBroken < m_settings.testDelay * turn || (*before > 0 && isConfirmed(found->second))) {
+        return false;
+    }
+    // A crash must tell something of the parts in quarantine.
+    const bool othersSound = std::ranges::all_of(parts, [&](PromptPartId part) {
+        return holdsAll(hit.parts, {part}) || wasAnswered(part);
+    });
+    const bool othersRecent = std::ranges::any_of(m_quarantines, [&](const auto &entry) {
+        return holdsAll(parts, entry.first) && now - entry.second.lastBroken < m_settings.testDelay;
+    });
+    if (!othersSound || othersRecent) {
+        return false;
+    }
+    for (auto &[quarantined, quarantine] : m_quarantines) {
+        quarantine.tested = quarantine.tested || holdsAll(parts, quarantined);
+    }
+    return true;
+}
+
+std::optional<std::size_t> PromptQuarantine::testersBefore(const PartSet &parts) const
+{
+    std::map<std::pair<UpstreamRunKey, RequestHash>, bool> attempts;
+    for (const Evidence &broken : m_evidence) {
+        if (areSuspect(parts, broken)) {
+            attempts.emplace(std::pair(broken.upstream, broken.request), broken.local);
+        }
+    }
+    const auto own = std::ranges::find_if(attempts, [](const auto &attempt) {
+        return attempt.second;
+    });
+    return own == attempts.end() ? std::nullopt : std::optional(std::distance(attempts.begin(), own));
+}
+
+bool PromptQuarantine::isConfirmed(const Quarantine &quarantine) const
+{
+    return quarantine.lastBroken - quarantine.since >= m_settings.testDelay;
 }
 
 bool PromptQuarantine::addEvidence(Evidence evidence)
@@ -519,7 +575,8 @@
 {
     std::map<PartSet, Quarantine> result;
     for (auto entry = m_quarantines.begin(); entry != m_quarantines.end();) {
-        const auto &[parts, quarantine] = *entry;
+        const PartSet &parts = entry->first;
+        const Quarantine &quarantine = entry->second;
         const bool ofRequest = std::ranges::any_of(m_evidence, [&parts](const Evidence &broken) {
             return holdsAll(parts, {ownPart(broken.request)});
         });
@@ -593,7 +650,12 @@
                                   std::vector<LogField> details,
                                   TimePoint now)
 {
-    const auto [place, added] = m_quarantines.try_emplace(parts, Quarantine {lastBroken, now});
+    // A prompt with these parts has been the test of other parts, or of some of these.
+    const bool tested = std::ranges::any_of(m_quarantines, [&](const auto &entry) {
+        const bool related = holdsAll(entry.first, parts) || holdsAll(parts, entry.first);
+        return related && (entry.second.tested || isConfirmed(entry.second));
+    });
+    const auto [place, added] = m_quarantines.try_emplace(parts, Quarantine {lastBroken, now, tested});
     const bool wasInForce = !added && isInForce(place->second.lastBroken, now);
     const TimePoint last = std::max(place->second.lastBroken, lastBroken);
     place->second.lastBroken = last;
@@ -677,6 +739,11 @@
             }
         }
     }
+    for (const auto &[part, answered] : m_released) {
+        if (m_sound.contains(part) && parts.size() < m_settings.maxReported) {
+            parts.insert(part);
+        }
+    }
     for (const PromptPartId part : parts) {
         result.sound.push_back({part, now - m_sound.at(part)});
     }
@@ -703,6 +770,9 @@
     while (!m_evidence.empty() && now - m_evidence.front().at > m_settings.quarantineTime) {
         m_evidence.pop_front();
     }
+    std::erase_if(m_released, [this, now](const auto &entry) {
+        return now - entry.second > m_settings.reportTime;
+    });
     std::erase_if(m_sound, [this, now](const auto &entry) {
         return now - entry.second > m_settings.quarantineTime;
     });
--- a/ibismast/relay/promptquarantine.h
+++ b/ibismast/relay/promptquarantine.h
@@ -95,9 +95,11 @@
     /// Time that the evidence against a single request must be old, so that the reports of all entries on the same
     /// crash have arrived.
     Duration settleTime = std::chrono::milliseconds(200);
-    /// Time after the last crash of a single request after which one entry lets it through once. This shows whether the
-    /// request was only near to the crashes.
+    /// Time after the last crash after which one entry lets a single request, or a prompt with quarantined parts,
+    /// through once. This shows whether they were only near to the crashes.
     Duration testDelay = std::chrono::seconds(5);
+    /// Number of entries that may test quarantined parts, each `testDelay` after the one before it if that has not.
+    std::size_t maxTesters = 2;
     /// Broken starts within this time count as one crash: a lost network path breaks many connections at once.
     Duration crashSpacing = std::chrono::milliseconds(100);
     /// The same for the broken starts of a single request, whose attempts follow each other.
@@ -159,9 +161,12 @@
     /// Returns the quarantine that applies to @p request, whose prompt holds @p parts; empty if there is none.
     [[nodiscard]] std::optional<Hit>
     find(RequestHash request, const std::vector<PromptPartId> &parts, TimePoint now) const;
-    /// Returns true if the quarantine @p hit of a single request may be tested by letting @p request through, and
-    /// counts the test. Each quarantine is tested once, by the entry that has seen the crash that began it.
-    [[nodiscard]] bool takeTest(RequestHash request, const Hit &hit, TimePoint now);
+    /// Returns true if the quarantine @p hit may be tested by letting @p request, whose prompt holds @p parts, through,
+    /// and counts the test. A quarantine of a single request is tested once, by the entry that has seen the crash that
+    /// began it. One of parts is tested by the entries that have seen its crashes, in turns until one has done so, with
+    /// a prompt whose other parts have been answered.
+    [[nodiscard]] bool
+    takeTest(RequestHash request, const std::vector<PromptPartId> &parts, const Hit &hit, TimePoint now);
 
     /// Applies what another entry has reported.
     void apply(const QuarantineUpdate &update, TimePoint now);
@@ -185,9 +190,6 @@
         /// True if this entry has sent the attempt.
         bool local = false;
     };
-    struct CrashCount;
-    struct Suspicion;
-
     /// Parts of a quarantine, in ascending order.
     using PartSet = std::vector<PromptPartId>;
     struct Quarantine
@@ -196,10 +198,21 @@
         TimePoint lastBroken;
         /// Time at which the entry learned of it.
         TimePoint since;
+        /// True if this entry may not test it, or has done so.
+        bool tested = false;
     };
+    struct CrashCount;
+    struct Suspicion;
 
     /// Adds @p evidence unless it is known. Returns true if it is new.
     bool addEvidence(Evidence evidence);
+    /// Counts a test of the quarantine of @p hit with a prompt that holds @p parts; false if there may be none.
+    bool takePartTest(const std::vector<PromptPartId> &parts, const Hit &hit, TimePoint now);
+    /// Returns how many entries may test the quarantine of @p parts before this one; empty if this one may not. All
+    /// entries that know the same crashes agree on the order.
+    [[nodiscard]] std::optional<std::size_t> testersBefore(const PartSet &parts) const;
+    /// True if a crash later than the first possible test speaks against the parts of @p quarantine.
+    [[nodiscard]] bool isConfirmed(const Quarantine &quarantine) const;
     /// Quarantines the parts that the evidence is sufficient for. Quarantines that began within `reportTime` are
     /// derived again, since the reports of other entries arrive meanwhile.
     void evaluate(TimePoint now);
@@ -257,6 +270,8 @@
     std::deque<Evidence> m_evidence;
     /// Time of the last answer to a prompt with the part.
     std::map<PromptPartId, TimePoint> m_sound;
+    /// Parts whose quarantine an answer to this entry has ended, and the time of the answer.
+    std::map<PromptPartId, TimePoint> m_released;
     /// Parts that are or were in quarantine.
     std::map<PartSet, Quarantine> m_quarantines;
     /// Quarantines of single requests that this entry may test.
--- a/ibismast/relay/relayconfig.h
+++ b/ibismast/relay/relayconfig.h
@@ -140,8 +140,8 @@
     RelayConfigVersion version;
     std::vector<RelayRoute> routes;
     std::map<ServiceName, RelayService> services;
-    /// Customers whose keys admit calls to the routes that are not public; no call is admitted there if the list is empty.
-    /// Without a list, calls need no key.
+    /// Customers whose keys admit calls to the routes that are not public; no call is admitted there if the list is
+    /// empty. Without a list, calls need no key.
     std::optional<std::vector<RelayCustomer>> customers;
     RelayLimits limits;
 };
--- a/ibismast/relay/relaycorereports.cpp
+++ b/ibismast/relay/relaycorereports.cpp
@@ -61,11 +61,12 @@
     if (!hit) {
         return std::nullopt;
     }
-    if (!m_quarantine.takeTest(call.requestHash, *hit, now)) {
+    if (!m_quarantine.takeTest(call.requestHash, call.promptParts, *hit, now)) {
         return quarantineError(call, *hit);
     }
-    m_listener->onEvent("quarantine_tested",
-                        {{"request", call.requestId}, {"request_hash", toString(call.requestHash)}});
+    m_listener->onEvent(
+        "quarantine_tested",
+        {{"request", call.requestId}, {"request_hash", toString(call.requestHash)}, {"parts", toText(hit->parts)}});
     call.testsQuarantine = true;
     return std::nullopt;
 }
