--- a/ibismast/relay/promptquarantine.h
+++ b/ibismast/relay/promptquarantine.h
@@ -25,6 +25,9 @@
     return PromptPartId(request.value());
 }
 
+/// True if @p prompt holds all of @p parts.
+[[nodiscard]] bool holdsAll(const std::vector<PromptPartId> &prompt, const std::vector<PromptPartId> &parts);
+
 /// Attempt that broke off before the end of its response and before its prompt was known to be sound.
 struct BrokenStart
 {
@@ -239,8 +242,8 @@
     narrowed(const PartSet &parts, const std::vector<const PartSet *> &explainedBy, bool clearOnly) const;
     /// True if the attempts that broke off at their first event are sufficient evidence by themselves.
     [[nodiscard]] bool isClear(const Suspicion &suspicion) const;
-    /// The same for attempts that broke off at any point.
-    [[nodiscard]] bool isUnclear(const Suspicion &suspicion) const;
+    /// True if the attempts that broke off at any point are sufficient evidence, of which more is needed.
+    [[nodiscard]] bool hasManyCrashes(const Suspicion &suspicion) const;
     /// True if prompts with all of @p parts broke off without an explanation.
     [[nodiscard]] bool explainsMore(const PartSet &parts, const std::vector<const PartSet *> &explainedBy) const;
     /// True if @p evidence speaks against @p part: the prompt holds it, and no answer has shown since that it is sound.
