EntryProgram: hold the ports of the program that a test starts

The test took four free ports one after the other and released each before the next and before the entry bound it. The kernel gave one number twice, or the number to another program. What the entry logged was lost: its standard output was opened with O_CLOEXEC, and where the file opens as descriptor 1 itself it was closed at the exec. Change: a bound socket that does not listen holds each port while the test runs; the log stays open, and a test that finds its entry not ready prints it. No check of the test has changed.

--- a/UnitTests/adapters/relay/entryprogram.cpp
+++ b/UnitTests/adapters/relay/entryprogram.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <csignal>
 #include <fstream>
+#include <sstream>
 
 namespace ibismast
 {
@@ -38,11 +39,6 @@
     return text;
 }
 
-std::uint16_t freePort(boost::asio::io_context &loop)
-{
-    return tcp::acceptor(loop, AnyPort).local_endpoint().port();
-}
-
 /// Runs @p program and returns its process id; its output goes to @p log.
 int spawn(const std::string &program, std::vector<std::string> arguments, const std::string &log)
 {
@@ -57,8 +53,8 @@
     std::array<char *, 2> environment {sanitizer.data(), nullptr};
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(
-        &actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    // Without O_CLOEXEC: where the file opens as the standard output itself, it must stay open in the program.
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     int child = -1;
     if (posix_spawn(&child, program.c_str(), &actions, nullptr, pointers.data(), environment.data()) != 0) {
@@ -133,8 +129,27 @@
     }
 };
 
+LoopbackPort::LoopbackPort(boost::asio::io_context &loop) : m_holder(loop)
+{
+    m_holder.open(AnyPort.protocol());
+    // The program must not inherit it: its descriptors are counted.
+    fcntl(m_holder.native_handle(), F_SETFD, FD_CLOEXEC);
+    m_holder.set_option(boost::asio::socket_base::reuse_address(true));
+    m_holder.bind(AnyPort);
+}
+
+tcp::endpoint LoopbackPort::endpoint() const
+{
+    return m_holder.local_endpoint();
+}
+
+std::uint16_t LoopbackPort::number() const
+{
+    return endpoint().port();
+}
+
 EntryProgram::EntryProgram(boost::asio::io_context &loop, const std::string &program, const std::string &limits)
-    : m_loop(&loop), m_standIns(std::make_unique<StandIns>(loop)), m_callers(freePort(loop)), m_ready(freePort(loop))
+    : m_loop(&loop), m_standIns(std::make_unique<StandIns>(loop)), m_callers(loop), m_ready(loop), m_copies(loop)
 {
     std::string folder = (std::filesystem::temp_directory_path() / "ibismast-entry-XXXXXX").string();
     if (mkdtemp(folder.data()) == nullptr) {
@@ -142,10 +157,11 @@
     }
     m_folder = folder;
     const std::string settings = (m_folder / "entry.ini").string();
-    const std::string peers = std::to_string(freePort(loop));
-    std::ofstream(settings) << "[instance]\nid = e-1\ndomain = z\n[http]\nlisten = 127.0.0.1:" << m_callers
-                            << "\nready = 127.0.0.1:" << m_ready
-                            << "\n[peers]\ncopy_listen = 127.0.0.1:" << freePort(loop) << "\nports = " << peers
+    // The datagrams' port has the number of a held one, so that no other entry program of a test takes it.
+    std::ofstream(settings) << "[instance]\nid = e-1\ndomain = z\n[http]\nlisten = 127.0.0.1:" << m_callers.number()
+                            << "\nready = 127.0.0.1:" << m_ready.number()
+                            << "\n[peers]\ncopy_listen = 127.0.0.1:" << m_copies.number()
+                            << "\nports = " << m_copies.number()
                             << "\n[store]\naddress = 127.0.0.1:" << m_standIns->server.port() << "\n"
                             << limits;
     m_child = spawn(program, {"--settings", settings}, (m_folder / "log").string());
@@ -197,12 +213,12 @@
 
 tcp::endpoint EntryProgram::callers() const
 {
-    return {AnyPort.address(), m_callers};
+    return m_callers.endpoint();
 }
 
 tcp::endpoint EntryProgram::page() const
 {
-    return {AnyPort.address(), m_ready};
+    return m_ready.endpoint();
 }
 
 bool EntryProgram::lives()
@@ -231,6 +247,14 @@
     return error ? 0 : static_cast<std::size_t>(std::distance(begin(files), end(files)));
 }
 
+std::string EntryProgram::log() const
+{
+    std::ifstream file(m_folder / "log");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 int EntryProgram::requestsRun() const
 {
     return m_standIns->requestsRun;
--- a/UnitTests/adapters/relay/entryprogram.h
+++ b/UnitTests/adapters/relay/entryprogram.h
@@ -10,6 +10,20 @@
 namespace ibismast
 {
 
+/// Free TCP port on loopback for a program that is started later. It is held by a bound socket that does not listen:
+/// the kernel gives it to nobody who asks for any port, but a program that sets SO_REUSEADDR can listen on it.
+class LoopbackPort
+{
+public:
+    explicit LoopbackPort(boost::asio::io_context &loop);
+
+    [[nodiscard]] boost::asio::ip::tcp::endpoint endpoint() const;
+    [[nodiscard]] std::uint16_t number() const;
+
+private:
+    boost::asio::ip::tcp::socket m_holder;
+};
+
 /// The entry program as a child process, with stand-ins for the platform's store and for one upstream on loopback
 /// ports.
 class EntryProgram
@@ -34,6 +48,8 @@
     /// Largest resident memory so far, in bytes.
     [[nodiscard]] std::int64_t peakMemory() const;
     [[nodiscard]] std::size_t descriptors() const;
+    /// What the program has logged.
+    [[nodiscard]] std::string log() const;
     /// Requests that the upstream has run.
     [[nodiscard]] int requestsRun() const;
 
@@ -43,8 +59,9 @@
     boost::asio::io_context *m_loop;
     std::filesystem::path m_folder;
     std::unique_ptr<StandIns> m_standIns;
-    std::uint16_t m_callers = 0;
-    std::uint16_t m_ready = 0;
+    LoopbackPort m_callers;
+    LoopbackPort m_ready;
+    LoopbackPort m_copies;
     int m_child = -1;
 };
 
--- a/UnitTests/adapters/relay/hostileclientstest.cpp
+++ b/UnitTests/adapters/relay/hostileclientstest.cpp
@@ -153,7 +153,9 @@
     constexpr Duration Quiet = 1s;
     boost::asio::io_context loop(1);
     EntryProgram entry(loop, IBISMAST_RELAY_PROGRAM, Limits);
-    REQUIRE(entry.awaitReady());
+    const bool ready = entry.awaitReady();
+    INFO(entry.log());
+    REQUIRE(ready);
 
     std::size_t moved = 0;
     std::vector<std::unique_ptr<CrowdClient>> clients;
@@ -193,7 +195,9 @@
                                          post(Chunked) + repeated(LargeChunk, 256) + "0\r\n\r\n");
     boost::asio::io_context loop(1);
     EntryProgram entry(loop, IBISMAST_RELAY_PROGRAM, Limits);
-    REQUIRE(entry.awaitReady());
+    const bool ready = entry.awaitReady();
+    INFO(entry.log());
+    REQUIRE(ready);
     for (int repetition = 0; repetition < 3; ++repetition) {
         CHECK(entry.ask(entry.callers(), request, " bytes").find("read 4194304 bytes") != std::string::npos);
     }
