AttemptReservations: unused memory ends by itself within the idle limit

Cause: an extension reserved memory for 3.5 s from its arrival, however long the memory had been idle, and only a later release or the end of the attempt bounded that. An entry that is killed 5.5 to 8.75 s after it reserved left unused memory past the limit of 9 s. Beside it, in the same decision: only the first holder was asked whether it used its memory, and its answer or the first event ended the checks of all holders, whose memory was then extended to the end of the call; the last check came 150 ms late. Change: a class of its own for the reservations of an attempt. Until a holder shows use, every order ends its reservation at the limit less a margin for the way, so nothing has to follow that order. Each holder is asked by itself. Once the answer has begun, memory whose engine says nothing else counts as used, and one that says "unused" is not extended past the limit.

--- a/UnitTests/relay/callflowfixture.h
+++ b/UnitTests/relay/callflowfixture.h
@@ -23,7 +23,7 @@
                 plan.timeToFirstEvent = 100ms;
                 plan.delay = delay;
                 if (reserved.value() > 0) {
-                    plan.helpers.push_back({UpstreamRecord(), reserved, {}});
+                    plan.helpers.resize(holders, {UpstreamRecord(), reserved, {}});
                 }
                 return plan;
             }
@@ -154,7 +154,9 @@
     std::vector<std::string> brokenStarts;
     /// How often the call's prompt was reported as sound.
     int promptsAnswered = 0;
+    /// Memory to reserve on each of `holders` engines; zero for none.
     Tokens reserved;
+    std::size_t holders = 1;
     Duration delay {};
     int retriesLeft = 100;
     int open = 0;
--- a/UnitTests/relay/callflowtest.cpp
+++ b/UnitTests/relay/callflowtest.cpp
@@ -242,7 +242,7 @@
             const std::string text = describe(action);
             if (text == "inspect") {
                 const std::size_t index = std::min(inspections++, row.answers.size() - 1);
-                flow().reservationInspected(1, row.answers[index], now, actions);
+                flow().reservationInspected(1, "r1.1.1", row.answers[index], now, actions);
                 ending = done();
             } else if (text != "extend") {
                 ending += (ending.empty() ? "" : ", ") + text;
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -356,13 +356,15 @@
     if (m_core.pauseEnd(inspect.holder.upstream, processNow())) {
         return;
     }
-    m_platform.orders->inspect(inspect.holder, [this, number, attempt = inspect.attempt](ReservationState state) {
-        RelayActions actions;
-        m_core.reservationInspected(number, attempt, state, processNow(), actions);
-        perform(actions);
-        sendNews();
-        armTimer();
-    });
+    m_platform.orders->inspect(
+        inspect.holder,
+        [this, number, attempt = inspect.attempt, reservation = inspect.holder.reservationId](ReservationState state) {
+            RelayActions actions;
+            m_core.reservationInspected(number, attempt, reservation, state, processNow(), actions);
+            perform(actions);
+            sendNews();
+            armTimer();
+        });
 }
 
 AnswerHandler RelayProcess::answerHandler(CallNumber number, int attempt)
--- a/adapters/relay/relaysettings.cpp
+++ b/adapters/relay/relaysettings.cpp
@@ -70,8 +70,8 @@
         "upstream", "connect_timeout_ms", settings.upstream.connectTimeout, milliseconds(10), minutes(1));
     settings.core.retryRatio = file.number("retry", "ratio", settings.core.retryRatio, 0.0, 1.0);
     settings.core.retryAllowance = file.number("retry", "slack", settings.core.retryAllowance, 0.0, 1e6);
-    settings.core.call.maxIdleReservation = file.milliseconds(
-        "engines", "max_idle_reservation_ms", settings.core.call.maxIdleReservation, milliseconds(1000), minutes(10));
+    settings.core.call.reservations.maxIdle = file.milliseconds(
+        "engines", "max_idle_reservation_ms", settings.core.call.reservations.maxIdle, milliseconds(1000), minutes(10));
     if (file.has("evacuation", "apply_ms")) {
         const Duration applyTime = file.milliseconds("evacuation", "apply_ms", {}, milliseconds(400), minutes(10));
         settings.core.evacuations.applyTime = applyTime;
--- a/ibismast/relay/callflow.cpp
+++ b/ibismast/relay/callflow.cpp
@@ -286,7 +286,9 @@
     m_environment->upstreamProgressed(m_current->plan.upstream.id, now);
     if (!m_current->firstEvent) {
         m_current->firstEvent = now;
-        m_current->nextIdleCheck.reset();
+        if (m_current->reservations) {
+            m_current->reservations->answerBegun(now);
+        }
         m_environment->firstEventReceived(m_call, now);
     } else if (!inPromptTrial(now)) {
         notePromptAnswered(now);
@@ -400,11 +402,8 @@
     if (m_current->sendDue) {
         return std::min(due, *m_current->sendDue);
     }
-    if (m_current->nextIdleCheck) {
-        due = std::min(due, *m_current->nextIdleCheck);
-    }
-    if (m_current->nextRenewal) {
-        due = std::min(due, *m_current->nextRenewal);
+    if (m_current->reservations) {
+        due = std::min(due, m_current->reservations->nextDue());
     }
     if (!m_current->reserving && !m_current->pausedAt && m_ranAttempts + 1 < m_call.route.maxAttempts && mayRepeat()) {
         due = std::min(due, std::max(stallDeadline(), m_current->nextStallCheck));
@@ -433,13 +432,8 @@
         }
         return;
     }
-    if (m_current && m_current->nextIdleCheck && now >= *m_current->nextIdleCheck && now < m_call.deadline) {
-        checkIdleReservation(now, actions);
-        return;
-    }
-    if (m_current && m_current->nextRenewal && now >= *m_current->nextRenewal && now < m_call.deadline) {
-        m_current->nextRenewal = now + m_settings.reservationRenewInterval;
-        actions.emplace_back(ReserveEngineMemory {m_attempt, m_current->holders(), m_settings.reservationTtl, true});
+    if (m_current && m_current->reservations && now >= m_current->reservations->nextDue() && now < m_call.deadline) {
+        keepReservations(now, actions);
         return;
     }
     if (now < m_call.deadline) {
--- a/ibismast/relay/callflow.h
+++ b/ibismast/relay/callflow.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "ibismast/core/result.h"
+#include "ibismast/relay/attemptreservations.h"
 #include "ibismast/relay/callrank.h"
-#include "ibismast/relay/engineplanner.h"
 #include "ibismast/relay/eventscanner.h"
 #include "ibismast/relay/upstreamnotice.h"
 
@@ -52,29 +52,6 @@
     std::string key;
 };
 
-/// Additional engine that prefills a part of the prompt of one attempt, and may hold its KV cache.
-struct AttemptHelper
-{
-    UpstreamRecord upstream;
-    /// KV memory to reserve on the engine before the call is sent; 0 for none.
-    Tokens reserved;
-    /// Id of the memory reservation; empty if there is none.
-    std::string reservationId;
-};
-
-/// Upstream and helper engines chosen for one attempt, with the predicted times.
-struct AttemptPlan
-{
-    UpstreamRecord upstream;
-    std::vector<AttemptHelper> helpers;
-    /// Predicted time to the first event; zero if there is no prediction.
-    Duration timeToFirstEvent {};
-    /// Predicted prefill time on each of the engines, which get equal parts of the prompt.
-    Duration prefillTime {};
-    /// Time by which sending is delayed, so that the engines first finish prefills that are ahead of this one.
-    Duration delay {};
-};
-
 /// Action: sends the call to an upstream.
 struct StartAttempt
 {
@@ -95,6 +72,8 @@
     std::vector<AttemptHelper> holders;
     /// Time after which the engines release the memory unless the reservation is renewed.
     Duration ttl {};
+    /// Time by which the reservations must have ended whatever the engines ask for; empty for none.
+    std::optional<TimePoint> latestEnd;
     /// True to renew existing reservations.
     bool extends = false;
 };
@@ -203,15 +182,6 @@
     BuffersFull,
 };
 
-/// State of a memory reservation as reported by its engine.
-enum class ReservationState : std::uint8_t {
-    /// The engine did not answer, or its answer does not list the reservation.
-    Unknown,
-    /// The memory is reserved, and no request has used it yet.
-    Unused,
-    Used,
-};
-
 /// Reason why a plan that has not been sent yet must be replaced.
 struct PlanFault
 {
@@ -337,16 +307,7 @@
     /// read again.
     std::size_t maxCallerBacklog = std::size_t {64} << 10;
     std::size_t resumeCallerBacklog = std::size_t {16} << 10;
-    /// Lifetime of a memory reservation without renewal, which limits how long memory stays reserved after a crash of
-    /// this process.
-    Duration reservationTtl = std::chrono::milliseconds(3500);
-    Duration reservationRenewInterval = std::chrono::milliseconds(1000);
-    /// Maximum time for which memory may stay reserved without being used. Once `idleCheckShare` of it has passed
-    /// without an event, an engine is asked whether the reservation is in use, and again every `idleCheckInterval`
-    /// until it answers.
-    Duration maxIdleReservation = std::chrono::seconds(9);
-    double idleCheckShare = 0.75;
-    Duration idleCheckInterval = std::chrono::milliseconds(400);
+    AttemptReservationsSettings reservations;
     /// Retry-After of refused calls that were not executed, unless `CallEnvironment::retryDelay` is known. It needs no
     /// jitter, since callers add their own.
     Duration retryAfter = std::chrono::milliseconds(1200);
@@ -370,7 +331,8 @@
     /// The KV memory for an attempt has been reserved, or was refused if @p granted is false.
     void memoryReserved(int attempt, bool granted, TimePoint now, CallActions &actions);
     /// Outcome of `InspectEngineMemory`.
-    void reservationInspected(int attempt, ReservationState state, TimePoint now, CallActions &actions);
+    void reservationInspected(
+        int attempt, const std::string &reservationId, ReservationState state, TimePoint now, CallActions &actions);
     void headReceived(int attempt, const ResponseHead &head, TimePoint now, CallActions &actions);
     void bodyReceived(int attempt, std::string_view bytes, TimePoint now, CallActions &actions);
     /// The response of an attempt is complete.
@@ -411,14 +373,10 @@
         AttemptPlan plan;
         /// True while the memory for the attempt is being reserved.
         bool reserving = false;
-        /// Time at which the memory reservations are renewed; empty if there are none.
-        std::optional<TimePoint> nextRenewal;
+        /// Memory that has been requested for the attempt; empty if there is none.
+        std::optional<AttemptReservations> reservations;
         /// Time until which sending is delayed; empty if it is not delayed.
         std::optional<TimePoint> sendDue;
-        /// Time at which the memory was requested.
-        TimePoint reservedAt;
-        /// Time of the next check whether the reserved memory is used; empty if none is needed.
-        std::optional<TimePoint> nextIdleCheck;
         /// Head of the response; empty until it has arrived.
         std::optional<ResponseHead> head;
         /// Time at which the first event was delivered; empty before.
@@ -470,9 +428,11 @@
     /// Checks the plan of the current attempt, which has not been sent, and replaces it if it is out of date. Returns
     /// true if it did, or if the call has ended because it is not admitted any more.
     [[nodiscard]] bool replanIfOutdated(TimePoint now, CallActions &actions);
-    /// Asks an engine about the reservations of the current attempt, or ends the attempt if they were idle for too
-    /// long.
-    void checkIdleReservation(TimePoint now, CallActions &actions);
+    /// Extends the reservations of the current attempt and asks the engines about them, or ends the attempt if the
+    /// engines do not use them.
+    void keepReservations(TimePoint now, CallActions &actions);
+    /// Reserves memory for the current attempt, or extends reservations if @p extends is true.
+    void reserve(ReservationExtension order, bool extends, CallActions &actions) const;
     /// Ends the current attempt because its engines do not use the memory that is reserved for it.
     void endIdleAttempt(TimePoint now, CallActions &actions);
     /// Fails a stalled call over to another upstream if that one is predicted to be faster and the retry budget allows
--- a/ibismast/relay/callflowattempts.cpp
+++ b/ibismast/relay/callflowattempts.cpp
@@ -160,30 +160,36 @@
     return true;
 }
 
-void CallFlow::checkIdleReservation(TimePoint now, CallActions &actions)
+void CallFlow::keepReservations(TimePoint now, CallActions &actions)
 {
-    if (now - m_current->reservedAt >= m_settings.maxIdleReservation - m_settings.idleCheckInterval) {
+    AttemptReservations &reservations = *m_current->reservations;
+    if (reservations.isIdle(now)) {
         endIdleAttempt(now, actions);
         return;
     }
-    m_current->nextIdleCheck = now + m_settings.idleCheckInterval;
-    actions.emplace_back(InspectEngineMemory {m_attempt, m_current->holders().front()});
+    for (AttemptHelper &holder : reservations.takeInspections(now)) {
+        actions.emplace_back(InspectEngineMemory {m_attempt, std::move(holder)});
+    }
+    for (ReservationExtension &extension : reservations.takeExtensions(now)) {
+        reserve(std::move(extension), true, actions);
+    }
+}
+
+void CallFlow::reserve(ReservationExtension order, bool extends, CallActions &actions) const
+{
+    actions.emplace_back(
+        ReserveEngineMemory {m_attempt, std::move(order.holders), order.ttl, order.latestEnd, extends});
 }
 
-void CallFlow::reservationInspected(int attempt, ReservationState state, TimePoint now, CallActions &actions)
+void CallFlow::reservationInspected(
+    int attempt, const std::string &reservationId, ReservationState state, TimePoint now, CallActions &actions)
 {
-    if (!isCurrent(attempt) || !m_current->nextIdleCheck) {
+    if (!isCurrent(attempt) || !m_current->reservations) {
         return;
     }
-    switch (state) {
-    case ReservationState::Unknown:
-        return;
-    case ReservationState::Used:
-        m_current->nextIdleCheck.reset();
-        return;
-    case ReservationState::Unused:
+    m_current->reservations->inspected(reservationId, state, now);
+    if (m_current->reservations->isIdle(now)) {
         endIdleAttempt(now, actions);
-        return;
     }
 }
 
@@ -260,11 +266,8 @@
     m_current->sendDue.reset();
     if (!m_current->holders().empty()) {
         m_current->reserving = true;
-        m_current->reservedAt = now;
-        m_current->nextRenewal = now + m_settings.reservationRenewInterval;
-        m_current->nextIdleCheck =
-            now + fromSeconds(toSeconds(m_settings.maxIdleReservation) * m_settings.idleCheckShare);
-        actions.emplace_back(ReserveEngineMemory {m_attempt, m_current->holders(), m_settings.reservationTtl, false});
+        m_current->reservations.emplace(m_current->holders(), m_settings.reservations, now);
+        reserve(m_current->reservations->firstOrder(now), false, actions);
         return;
     }
     sendAttempt(now, actions);
--- a/ibismast/relay/relaycore.cpp
+++ b/ibismast/relay/relaycore.cpp
@@ -242,13 +242,17 @@
         actions);
 }
 
-void RelayCore::reservationInspected(
-    CallNumber call, int attempt, ReservationState state, TimePoint now, RelayActions &actions)
+void RelayCore::reservationInspected(CallNumber call,
+                                     int attempt,
+                                     const std::string &reservationId,
+                                     ReservationState state,
+                                     TimePoint now,
+                                     RelayActions &actions)
 {
     run(
         call,
         [=](CallFlow &flow, CallActions &flowActions) {
-            flow.reservationInspected(attempt, state, now, flowActions);
+            flow.reservationInspected(attempt, reservationId, state, now, flowActions);
         },
         actions);
 }
--- a/ibismast/relay/relaycore.h
+++ b/ibismast/relay/relaycore.h
@@ -192,8 +192,12 @@
                        TimePoint now,
                        RelayActions &actions);
     void memoryReserved(CallNumber call, int attempt, bool granted, TimePoint now, RelayActions &actions);
-    void
-    reservationInspected(CallNumber call, int attempt, ReservationState state, TimePoint now, RelayActions &actions);
+    void reservationInspected(CallNumber call,
+                              int attempt,
+                              const std::string &reservationId,
+                              ReservationState state,
+                              TimePoint now,
+                              RelayActions &actions);
     void headReceived(CallNumber call, int attempt, const ResponseHead &head, TimePoint now, RelayActions &actions);
     void bodyReceived(CallNumber call, int attempt, std::string_view bytes, TimePoint now, RelayActions &actions);
     void responseCompleted(CallNumber call, int attempt, TimePoint now, RelayActions &actions);
