ReservationOrders: a release counts behind the answers to all extensions

Cause: a release was done with its first answer. An extension that was carried out behind it, overtaken on another connection or up to 12 s late after it got no answer, reserved the memory again for 3.5 s, for nobody. A release was also given up 3.9 s after the end of its call, though an order to a paused engine reserves for up to 10 s. Change: ReservationReleases became ReservationOrders, which knows the orders that reserve too. A release is conclusive if it was sent when no such order was open; it goes out again as soon as the last one is answered. After an order without an answer the release is repeated every 2 s while that order may still be carried out. Releases end with the reservation, however long it was. The outcome "refused" of an order whose answer never ends is "unanswered" in platformorderstest now, which says more.

--- a/UnitTests/adapters/relay/entryevacuationtest.cpp
+++ b/UnitTests/adapters/relay/entryevacuationtest.cpp
@@ -67,9 +67,9 @@
 class NoOrders final : public EngineOrders
 {
 public:
-    void reserve(const AttemptHelper & /*holder*/, Duration /*hold*/, GrantHandler handler) override
+    void reserve(const AttemptHelper & /*holder*/, Duration /*hold*/, ReserveHandler handler) override
     {
-        handler(false);
+        handler(ReserveOutcome::Refused);
     }
     void inspect(const AttemptHelper & /*holder*/, StateHandler handler) override
     {
--- a/UnitTests/adapters/relay/relayprocessfixture.h
+++ b/UnitTests/adapters/relay/relayprocessfixture.h
@@ -94,12 +94,12 @@
 public:
     explicit CountingOrders(boost::asio::io_context &loop) : m_loop(&loop) { }
 
-    void reserve(const AttemptHelper &holder, Duration /*hold*/, GrantHandler handler) override
+    void reserve(const AttemptHelper &holder, Duration /*hold*/, ReserveHandler handler) override
     {
         reserved.insert(holder.reservationId);
         holders.insert(holder.upstream.id);
         boost::asio::post(*m_loop, [handler = std::move(handler)] {
-            handler(true);
+            handler(ReserveOutcome::Granted);
         });
     }
     void inspect(const AttemptHelper & /*holder*/, StateHandler handler) override
--- a/UnitTests/platform/platformorderstest.cpp
+++ b/UnitTests/platform/platformorderstest.cpp
@@ -34,8 +34,10 @@
     void send(const std::string &kind)
     {
         if (kind == "reserve") {
-            orders.reserve(holder, std::chrono::seconds(3), [this](bool granted) {
-                outcome = granted ? "granted" : "refused";
+            orders.reserve(holder, std::chrono::seconds(3), [this](ReserveOutcome result) {
+                outcome = result == ReserveOutcome::Granted ? "granted"
+                    : result == ReserveOutcome::Refused     ? "refused"
+                                                            : "unanswered";
             });
         } else if (kind == "release") {
             orders.release(holder, [this](bool answered) {
@@ -93,8 +95,8 @@
 // the memory of an entry before their time was over (reports of other operators, issue 40).
 TEST_CASE_METHOD(OrdersFixture, "an answer to an order that never ends is given up at a limit", "[platform]")
 {
-    const auto [kind, expected] = GENERATE(
-        table<std::string, std::string>({{"reserve", "refused"}, {"release", "unanswered"}, {"inspect", "unknown"}}));
+    const auto [kind, expected] = GENERATE(table<std::string, std::string>(
+        {{"reserve", "unanswered"}, {"release", "unanswered"}, {"inspect", "unknown"}}));
     const auto [start, piece] = GENERATE(table<std::string, std::string>({
         {"HTTP/1.1 200 OK\r\n\r\n", std::string(4096, 'x')},
         {"HTTP/1.1 200 OK\r\nContent-Length: 4000000000000\r\n\r\n", std::string(4096, 'x')},
@@ -117,3 +119,21 @@
     CHECK(taken <= MostTaken);
     CHECK(notices.empty());
 }
+
+// Guards against an order that may still be carried out and is taken for a refused one.
+TEST_CASE_METHOD(OrdersFixture, "an order to reserve tells a refusal from a missing answer", "[platform]")
+{
+    const auto [status, expected] = GENERATE(table<std::string, std::string>({
+        {"200 OK", "granted"},
+        {"409 Conflict", "refused"},
+        {"503 Busy", "refused"},
+        {"421 Misdirected", "refused"},
+        {"", "unanswered"},
+    }));
+    send("reserve");
+    if (!status.empty()) {
+        engine.write("HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\n{}");
+    }
+    REQUIRE(awaitOutcome());
+    CHECK(outcome == expected);
+}
--- a/adapters/relay/engineorders.h
+++ b/adapters/relay/engineorders.h
@@ -7,11 +7,19 @@
 namespace ibismast
 {
 
+/// What became of an order to reserve memory.
+enum class ReserveOutcome : std::uint8_t {
+    Granted,
+    Refused,
+    /// No answer in time; the engine may still carry out the order.
+    Unanswered,
+};
+
 /// Orders to engines about their memory.
 class EngineOrders
 {
 public:
-    using GrantHandler = std::function<void(bool granted)>;
+    using ReserveHandler = std::function<void(ReserveOutcome outcome)>;
     using ReleaseHandler = std::function<void(bool answered)>;
     using StateHandler = std::function<void(ReservationState state)>;
 
@@ -26,8 +34,8 @@
     }
 
     /// Reserves memory on @p holder for @p hold, or extends the reservation of the same name. @p handler is called
-    /// exactly once; no answer in time counts as a refusal.
-    virtual void reserve(const AttemptHelper &holder, Duration hold, GrantHandler handler) = 0;
+    /// exactly once.
+    virtual void reserve(const AttemptHelper &holder, Duration hold, ReserveHandler handler) = 0;
     /// Asks for the state of the reservation on @p holder. @p handler is called exactly once; no answer in time counts
     /// as `ReservationState::Unknown`.
     virtual void inspect(const AttemptHelper &holder, StateHandler handler) = 0;
--- a/adapters/relay/relayprocess.cpp
+++ b/adapters/relay/relayprocess.cpp
@@ -28,6 +28,12 @@
 constexpr int OkStatus = 200;
 constexpr int UnavailableStatus = 503;
 
+/// Formats @p duration in whole milliseconds for a field of a log event.
+std::string inMs(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 } // namespace
 
 Result<Success> RelayProcess::start()
@@ -179,18 +185,33 @@
 void RelayProcess::sendReleases()
 {
     const TimePoint now = processNow();
-    for (const AttemptHelper &holder : m_releases.takeDue(now)) {
-        if (!m_core.takeOrder(holder.upstream, PausedOrder::Release, now)) {
+    for (const DueRelease &due : m_reservations.takeDueReleases(now)) {
+        if (!m_core.takeOrder(due.holder.upstream, PausedOrder::Release, now)) {
             continue;
         }
-        m_platform.orders->release(holder, [this, reservation = holder.reservationId](bool answered) {
+        m_platform.orders->release(due.holder, [this, due](bool answered) {
             if (answered) {
-                m_releases.answered(reservation);
+                releaseAnswered(due);
             }
         });
     }
 }
 
+void RelayProcess::releaseAnswered(const DueRelease &release)
+{
+    const std::optional<ReservationSummary> summary =
+        m_reservations.releaseAnswered(release.holder.reservationId, release.number, processNow());
+    if (summary) {
+        m_listener->onEvent("reservation_released",
+                            {{"upstream", release.holder.upstream.id.value()},
+                             {"ticket", release.holder.reservationId},
+                             {"age_ms", inMs(summary->age)},
+                             {"last_reserve_ms", inMs(summary->sinceLastReserve)},
+                             {"releases", std::to_string(summary->releases)},
+                             {"unanswered_reserves", std::to_string(summary->unansweredReserves)}});
+    }
+}
+
 void RelayProcess::armTimer()
 {
     const TimePoint now = processNow();
@@ -198,7 +219,7 @@
     if (const std::optional<TimePoint> next = m_core.nextDue()) {
         due = std::min(due, std::max(*next, now));
     }
-    if (const std::optional<TimePoint> next = m_releases.nextDue()) {
+    if (const std::optional<TimePoint> next = m_reservations.nextDue()) {
         due = std::min(due, std::max(*next, now));
     }
     if (due >= m_armed) {
@@ -300,7 +321,8 @@
     }
     // Connections are accepted to the end: where several instances stop at once, the balancer has no other.
     // Answers are kept until the kernel holds them whole, which delivers them behind the end of the process.
-    const bool done = m_idleClosed && m_core.openCalls() == 0 && m_core.unsentBytes() == 0 && !m_releases.nextDue();
+    const bool done =
+        m_idleClosed && m_core.openCalls() == 0 && m_core.unsentBytes() == 0 && !m_reservations.hasOpenReleases();
     if (!done && elapsed < m_settings.stop.total) {
         return;
     }
--- a/adapters/relay/relayprocess.h
+++ b/adapters/relay/relayprocess.h
@@ -10,7 +10,7 @@
 #include "adapters/relay/relaysettings.h"
 #include "adapters/relay/upstreampool.h"
 
-#include "ibismast/relay/reservationreleases.h"
+#include "ibismast/relay/reservationorders.h"
 
 #include <functional>
 
@@ -62,6 +62,7 @@
     void reserveMemory(CallNumber number, const ReserveEngineMemory &reserve);
     /// Sends the releases of engine memory that are due.
     void sendReleases();
+    void releaseAnswered(const DueRelease &release);
     void inspectMemory(CallNumber number, const InspectEngineMemory &inspect);
     /// Tells the core how much the caller of an open call has not read yet, if that matters.
     void reportBacklog(CallNumber number, const CallerConnection &caller);
@@ -106,7 +107,7 @@
     PageServer m_copyPage;
     PageServer m_metricsPage;
     EntryPeers m_peers;
-    ReservationReleases m_releases {ReservationReleasesSettings()};
+    ReservationOrders m_reservations {ReservationOrdersSettings()};
     std::unique_ptr<HttpRequester> m_copyRequester;
     boost::asio::steady_timer m_timer;
     TimePoint m_armed = TimePoint::max();
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -170,7 +170,7 @@
     void operator()(const ReleaseEngineMemory &release)
     {
         for (const AttemptHelper &holder : release.holders) {
-            m_process->m_releases.add(holder, processNow());
+            m_process->m_reservations.release(holder, processNow());
         }
         m_process->sendReleases();
     }
@@ -336,18 +336,28 @@
             }
             hold = std::max(hold, std::min(hold + (*pauseEnd - now), LongestPausedHold));
         }
-        m_platform.orders->reserve(
-            holder, hold, [this, number, grants, attempt = reserve.attempt, extends = reserve.extends](bool granted) {
-                grants->all = grants->all && granted;
-                if (--grants->open > 0 || extends) {
-                    return;
-                }
-                RelayActions actions;
-                m_core.memoryReserved(number, attempt, grants->all, processNow(), actions);
-                perform(actions);
-                sendNews();
-                armTimer();
-            });
+        m_reservations.reserveSent(holder.reservationId, now + hold, now);
+        m_platform.orders->reserve(holder,
+                                   hold,
+                                   [this,
+                                    number,
+                                    grants,
+                                    reservation = holder.reservationId,
+                                    attempt = reserve.attempt,
+                                    extends = reserve.extends](ReserveOutcome outcome) {
+                                       m_reservations.reserveEnded(
+                                           reservation, outcome != ReserveOutcome::Unanswered, processNow());
+                                       grants->all = grants->all && outcome == ReserveOutcome::Granted;
+                                       if (--grants->open > 0 || extends) {
+                                           armTimer();
+                                           return;
+                                       }
+                                       RelayActions actions;
+                                       m_core.memoryReserved(number, attempt, grants->all, processNow(), actions);
+                                       perform(actions);
+                                       sendNews();
+                                       armTimer();
+                                   });
     }
 }
 
