ReservationOrders: extensions through a pause keep to the idle limit

Cause: an engine that wants no orders for a time gets one extension, for the length of its pause and up to 10 s, whether it used the memory or not; unused memory stayed past the idle limit. The extension went out at the first occasion in the pause, when use is least likely to have shown. Change: holdThroughPause ends the extension at the reservation's latest end. The extension is sent when the reservation is about to end, so that a call whose engine begins to use its memory in the pause keeps it.

--- a/UnitTests/relay/reservationorderstest.cpp
+++ b/UnitTests/relay/reservationorderstest.cpp
@@ -237,3 +237,31 @@
     CHECK_FALSE(engine.orders.nextDue());
     CHECK(engine.longestHeld <= Lifetime + 2s);
 }
+
+// Guards against an extension through a pause that keeps unused memory past its limit, and against one that is sent
+// before it is known whether the engine uses the memory.
+TEST_CASE("a reservation at a paused engine keeps to its latest end", "[relay]")
+{
+    struct Row
+    {
+        std::string name;
+        Duration pause;
+        std::optional<Duration> latestEnd;
+        Duration expected;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"used, short pause", 2s, std::nullopt, 5'500ms},
+        {"used, long pause", 1min, std::nullopt, 10s},
+        {"used, pause over", 0s, std::nullopt, 3'500ms},
+        {"unused, short pause", 2s, 3s, 3s},
+        {"unused, long pause", 1min, 2'600ms, 2'600ms},
+        {"unused, far limit", 2s, 8s, 5'500ms},
+    }));
+    CAPTURE(row.name);
+    const TimePoint now {1'000s};
+    const auto latestEnd = row.latestEnd ? std::optional(now + *row.latestEnd) : std::nullopt;
+    CHECK(holdThroughPause(Lifetime, latestEnd, now + row.pause, now) == row.expected);
+    CHECK_FALSE(extensionIsUrgent(now + Lifetime, now));
+    CHECK(extensionIsUrgent(now + 1s, now));
+    CHECK(extensionIsUrgent(std::nullopt, now));
+}
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -11,9 +11,6 @@
 /// Idle connections kept for each upstream.
 constexpr std::size_t MaxIdlePerUpstream = 24;
 
-/// Longest time for which memory of an engine is reserved that takes no further orders for a time.
-constexpr Duration LongestPausedHold = std::chrono::seconds(10);
-
 } // namespace
 
 // The part of RelayProcess between callers' and upstreams' connections. Constructor and destructor stand here, where
@@ -330,11 +327,12 @@
         Duration hold = reserve.ttl;
         if (const std::optional<TimePoint> pauseEnd = m_core.pauseEnd(holder.upstream, now);
             pauseEnd && reserve.extends) {
-            // The call loses its memory unless one order extends the reservation beyond the pause.
-            if (!m_core.takeOrder(holder.upstream, PausedOrder::Extend, now)) {
+            // The call loses its memory unless the one order that a paused engine takes extends it beyond the pause.
+            if (!extensionIsUrgent(m_reservations.heldUntil(holder.reservationId), now)
+                || !m_core.takeOrder(holder.upstream, PausedOrder::Extend, now)) {
                 continue;
             }
-            hold = std::max(hold, std::min(hold + (*pauseEnd - now), LongestPausedHold));
+            hold = holdThroughPause(hold, reserve.latestEnd, *pauseEnd, now);
         }
         m_reservations.reserveSent(holder.reservationId, now + hold, now);
         m_platform.orders->reserve(holder,
--- a/ibismast/relay/reservationorders.cpp
+++ b/ibismast/relay/reservationorders.cpp
@@ -5,6 +5,17 @@
 namespace ibismast
 {
 
+namespace
+{
+
+/// Longest time for which memory of an engine is reserved that takes no further orders for a time.
+constexpr Duration LongestPausedHold = std::chrono::seconds(10);
+/// Time before the end of a reservation at which a paused engine gets its extension: one interval of extensions and the
+/// time of an order.
+constexpr Duration PausedExtensionLead = std::chrono::milliseconds(1400);
+
+} // namespace
+
 ReservationOrders::ReservationOrders(const ReservationOrdersSettings &settings) : m_settings(settings) { }
 
 ReservationOrders::Reservation &ReservationOrders::reservation(const std::string &reservationId, TimePoint now)
@@ -127,4 +138,15 @@
     });
 }
 
+Duration holdThroughPause(Duration ttl, std::optional<TimePoint> latestEnd, TimePoint pauseEnd, TimePoint now)
+{
+    const Duration hold = std::max(ttl, std::min(ttl + (pauseEnd - now), LongestPausedHold));
+    return latestEnd ? std::min(hold, *latestEnd - now) : hold;
+}
+
+bool extensionIsUrgent(std::optional<TimePoint> heldUntil, TimePoint now)
+{
+    return !heldUntil || *heldUntil - now < PausedExtensionLead;
+}
+
 } // namespace ibismast
--- a/ibismast/relay/reservationorders.h
+++ b/ibismast/relay/reservationorders.h
@@ -103,4 +103,13 @@
     std::uint64_t m_releasesSent = 0;
 };
 
+/// Returns for how long to extend a reservation whose engine takes no further order until @p pauseEnd: beyond the
+/// pause, but neither beyond @p latestEnd nor for longer than a fixed limit. @p ttl is the usual lifetime.
+[[nodiscard]] Duration
+holdThroughPause(Duration ttl, std::optional<TimePoint> latestEnd, TimePoint pauseEnd, TimePoint now);
+
+/// Returns whether the only extension that a paused engine takes is to be sent at @p now for a reservation that ends at
+/// @p heldUntil. Until then it may turn out that the engine uses the memory, which lengthens the extension.
+[[nodiscard]] bool extensionIsUrgent(std::optional<TimePoint> heldUntil, TimePoint now);
+
 } // namespace ibismast
