AttemptReservations: a late timer leaves no inspection due for ever

Cause: left the time of the next inspection where it was once the idle limit had passed. A process that stood still across the limit while its engine wrote an answer then found that inspection due at each turn and never made it: its timer fired without end, and nothing else of the call was handled. Change: behind the limit no inspection is due.

--- a/UnitTests/relay/attemptreservationstest.cpp
+++ b/UnitTests/relay/attemptreservationstest.cpp
@@ -178,3 +178,27 @@
     CHECK(asked);
     CHECK((end <= begun + limit) == !used);
 }
+
+// Guards against a process that is busy for ever: a timer that comes behind the idle limit, since the process stood
+// still meanwhile, found an inspection that was due and was never made.
+TEST_CASE("a timer that comes late leaves nothing due", "[relay]")
+{
+    const Duration late = GENERATE(0ms, 1s, 6'750ms, 8'590ms, 8'600ms, 9s, 20s);
+    const bool answerBegun = GENERATE(false, true);
+    const ReservationState state =
+        GENERATE(ReservationState::Unknown, ReservationState::Unused, ReservationState::Used);
+    CAPTURE(late.count(), answerBegun, static_cast<int>(state));
+    const TimePoint begun {1'000s};
+    AttemptReservations reservations({{UpstreamRecord(), Tokens(1'000), "r"}}, {}, begun);
+    if (answerBegun) {
+        reservations.answerBegun(begun);
+    }
+    const TimePoint now = begun + late;
+    const bool idle = reservations.isIdle(now);
+    CHECK(idle == (!answerBegun && late >= 8'600ms));
+    for (const AttemptHelper &holder : reservations.takeInspections(now)) {
+        reservations.inspected(holder.reservationId, state, now);
+    }
+    (void)reservations.takeExtensions(now);
+    CHECK((idle || reservations.isIdle(now) || reservations.nextDue() > now));
+}
--- a/ibismast/relay/attemptreservations.cpp
+++ b/ibismast/relay/attemptreservations.cpp
@@ -76,7 +76,11 @@
 std::vector<AttemptHelper> AttemptReservations::takeInspections(TimePoint now)
 {
     std::vector<AttemptHelper> due;
-    if (now < m_nextInspection || now >= m_latestEnd) {
+    if (now < m_nextInspection) {
+        return due;
+    }
+    if (now >= m_latestEnd) {
+        m_nextInspection = TimePoint::max();
         return due;
     }
     m_nextInspection =
