Reservations: rows for retries, resumed streams and engines that restart

Change: 11 rows with one and three holders each: the limits after a retry, in a resumed stream, and after the engines restarted, with entries that live and that are killed.

--- a/UnitTests/relay/attemptreservationstest.cpp
+++ b/UnitTests/relay/attemptreservationstest.cpp
@@ -151,6 +151,69 @@
     CHECK_FALSE(memory.empty());
 }
 
+// Guards against what an earlier attempt or an earlier run of the engines leaves behind in the checks of a later one.
+TEST_CASE_METHOD(ReservationFixture, "the limits hold for each attempt and each run of the engines", "[relay]")
+{
+    struct Row
+    {
+        std::string name;
+        /// Time at which the first attempt breaks off; zero if it does not.
+        Duration broken;
+        /// True if its answer has begun, so that the second attempt resumes the stream.
+        bool begun;
+        /// Time at which the engines restart; zero if they do not.
+        Duration restarted;
+        /// True if the engines of the last attempt use their memory.
+        bool used;
+        /// Time at which the entry is killed; zero if it lives.
+        Duration killed;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"retry, idle", 3s, false, 0s, false, 0s},
+        {"retry, used", 3s, false, 0s, true, 0s},
+        {"retry, idle, killed", 3s, false, 0s, false, 9'200ms},
+        {"resumed, idle", 3s, true, 0s, false, 0s},
+        {"resumed, used", 3s, true, 0s, true, 0s},
+        {"resumed, idle, killed", 3s, true, 0s, false, 9'200ms},
+        {"restart, idle", 0s, false, 3s, false, 0s},
+        {"restart, idle, killed", 0s, false, 3s, false, 6'200ms},
+        {"restart late, idle", 0s, false, 6'500ms, false, 0s},
+        {"restart late, idle, killed", 0s, false, 6'500ms, false, 7'200ms},
+        {"restart behind a retry, killed", 3s, false, 5s, false, 9'200ms},
+    }));
+    const std::size_t holders = GENERATE(1, 3);
+    CAPTURE(row.name, holders);
+    beginReserved(holders, CallKind::ResumableStream, 2);
+    const TimePoint begun = now;
+    if (row.broken > 0s) {
+        runTo(begun + 1s);
+        if (row.begun) {
+            use(All);
+            head(1, 200);
+            event(1, 1);
+            carryOut();
+        }
+        runTo(begun + row.broken);
+        flow().attemptFailed(1, AttemptFailure::Broken, "broken off", now, actions);
+        carryOut();
+        CHECK(memory.size() == holders);
+        CHECK_FALSE(memory.contains("r1.1.1"));
+        grant(2);
+    }
+    if (row.restarted > 0s) {
+        runTo(begun + row.restarted);
+        restartEngines();
+    }
+    if (row.used) {
+        runTo(begun + row.broken + 1s);
+        use({"r1.2.1", "r1.2.2", "r1.2.3"});
+    }
+    runTo(begun + 40s, row.killed > 0s ? begun + row.killed : TimePoint::max());
+    CHECK(longestIdle() <= IdleLimit);
+    CHECK_FALSE(lostInUse());
+    CHECK(memory.size() == (row.used ? holders : 0));
+}
+
 // Guards against limits that suit one length only.
 TEST_CASE("reservations keep to any idle limit", "[relay]")
 {
--- a/UnitTests/relay/reservationfixture.h
+++ b/UnitTests/relay/reservationfixture.h
@@ -35,18 +35,31 @@
     };
 
     /// Starts a stream with reservations on @p holders engines, whose memory is granted and whose call is sent.
-    void beginReserved(std::size_t holders, CallKind kind = CallKind::ResumableStream)
+    void beginReserved(std::size_t holders, CallKind kind = CallKind::ResumableStream, int maxAttempts = 1)
     {
         environment.reserved = Tokens(100'000);
         environment.holders = holders;
-        environment.upstreams = {"a"};
-        begin(kind, 1, 4s, 60s);
-        carryOut();
-        flow().memoryReserved(1, true, now, actions);
+        environment.upstreams.resize(static_cast<std::size_t>(maxAttempts));
+        begin(kind, maxAttempts, 4s, 60s);
         carryOut();
+        grant(1);
         // Stalls are not part of these tests.
         environment.progress = now + 1h;
     }
+    /// The memory for @p attempt is granted, and the call is sent.
+    void grant(int attempt)
+    {
+        m_attempt = attempt;
+        flow().memoryReserved(attempt, true, now, actions);
+        carryOut();
+    }
+    /// The engines restart and have no memory reserved.
+    void restartEngines()
+    {
+        while (!memory.empty()) {
+            end(memory.begin()->first, now);
+        }
+    }
     /// Advances the time to @p end. The entry stops to act at @p killed.
     void runTo(TimePoint end, TimePoint killed = TimePoint::max())
     {
@@ -140,10 +153,10 @@
     {
         const auto found = memory.find(reservation);
         if (++inspections[reservation] <= faults.unansweredInspections) {
-            flow().reservationInspected(1, reservation, ReservationState::Unknown, now, actions);
+            flow().reservationInspected(m_attempt, reservation, ReservationState::Unknown, now, actions);
         } else if (found != memory.end()) {
             const ReservationState state = found->second.usedSince ? ReservationState::Used : ReservationState::Unused;
-            flow().reservationInspected(1, reservation, state, now, actions);
+            flow().reservationInspected(m_attempt, reservation, state, now, actions);
         }
         carryOut();
     }
@@ -191,6 +204,7 @@
     }
 
     std::multimap<TimePoint, Order> m_arrivals;
+    int m_attempt = 1;
     int m_extensions = 0;
     Duration m_longestIdle {};
     bool m_lostInUse = false;
