ReservationOrders: a paused engine's memory lasts as long as it has granted

Cause: sends the one extension that a paused engine takes when the reservation is about to end, and counted extensions that were sent. One that got no answer or a refusal shortly before the pause delayed the last one until the memory was gone. Change: the end of a reservation is that of the last order which its engine has granted. Result: the new test passes; with the end that was asked for, 2 of its 3 rows give 4,500 ms for 3,500 ms.

--- a/UnitTests/relay/reservationorderstest.cpp
+++ b/UnitTests/relay/reservationorderstest.cpp
@@ -265,3 +265,27 @@
     CHECK(extensionIsUrgent(now + 1s, now));
     CHECK(extensionIsUrgent(std::nullopt, now));
 }
+
+// Guards against a call that loses its memory in a pause since an extension that its engine never granted was counted.
+TEST_CASE("a reservation lasts as long as its engine has granted", "[relay]")
+{
+    const auto [answered, granted, expected] = GENERATE(table<bool, bool, Duration>({
+        {true, true, 4'500ms},
+        {true, false, 3'500ms},
+        {false, false, 3'500ms},
+    }));
+    const TimePoint begun {1'000s};
+    ReservationOrders orders {ReservationOrdersSettings()};
+    CHECK_FALSE(orders.heldUntil("r"));
+    orders.reserveSent("r", begun + Lifetime, begun);
+    CHECK_FALSE(orders.heldUntil("r"));
+    orders.reserveEnded("r", true, begun);
+    orders.granted("r", begun + Lifetime);
+    const TimePoint extended = begun + 1s;
+    orders.reserveSent("r", extended + Lifetime, extended);
+    orders.reserveEnded("r", answered, extended);
+    if (granted) {
+        orders.granted("r", extended + Lifetime);
+    }
+    CHECK(orders.heldUntil("r") == begun + expected);
+}
--- a/adapters/relay/relayprocesscalls.cpp
+++ b/adapters/relay/relayprocesscalls.cpp
@@ -341,10 +341,14 @@
                                     number,
                                     grants,
                                     reservation = holder.reservationId,
+                                    end = now + hold,
                                     attempt = reserve.attempt,
                                     extends = reserve.extends](ReserveOutcome outcome) {
                                        m_reservations.reserveEnded(
                                            reservation, outcome != ReserveOutcome::Unanswered, processNow());
+                                       if (outcome == ReserveOutcome::Granted) {
+                                           m_reservations.granted(reservation, end);
+                                       }
                                        grants->all = grants->all && outcome == ReserveOutcome::Granted;
                                        if (--grants->open > 0 || extends) {
                                            armTimer();
--- a/ibismast/relay/reservationorders.cpp
+++ b/ibismast/relay/reservationorders.cpp
@@ -61,10 +61,17 @@
     }
 }
 
+void ReservationOrders::granted(const std::string &reservationId, TimePoint end)
+{
+    if (const auto found = m_reservations.find(reservationId); found != m_reservations.end()) {
+        found->second.grantedEnd = std::max(found->second.grantedEnd.value_or(end), end);
+    }
+}
+
 std::optional<TimePoint> ReservationOrders::heldUntil(const std::string &reservationId) const
 {
     const auto found = m_reservations.find(reservationId);
-    return found == m_reservations.end() ? std::nullopt : std::optional(found->second.end);
+    return found == m_reservations.end() ? std::nullopt : found->second.grantedEnd;
 }
 
 void ReservationOrders::release(const AttemptHelper &holder, TimePoint now)
--- a/ibismast/relay/reservationorders.h
+++ b/ibismast/relay/reservationorders.h
@@ -54,7 +54,9 @@
     void reserveSent(const std::string &reservationId, TimePoint end, TimePoint now);
     /// Records that such an order has been answered, or given up if @p answered is false.
     void reserveEnded(const std::string &reservationId, bool answered, TimePoint now);
-    /// Time at which the reservation ends unless it is extended; empty if none is known.
+    /// Records that the engine has granted an order that reserves until @p end.
+    void granted(const std::string &reservationId, TimePoint end);
+    /// Time at which the reservation ends by the orders that its engine has granted; empty if there is none.
     [[nodiscard]] std::optional<TimePoint> heldUntil(const std::string &reservationId) const;
 
     /// Begins to release the reservation of @p holder; the first release is due at once.
@@ -83,8 +85,9 @@
     {
         TimePoint begun;
         TimePoint lastReserve;
-        /// Latest end that an order has asked for.
+        /// Latest end that an order has asked for, and latest one that the engine has granted.
         TimePoint end;
+        std::optional<TimePoint> grantedEnd;
         /// Time until which an order without an answer may be carried out.
         TimePoint lateUntil = TimePoint::min();
         int openReserves = 0;
